--- /dev/null
+++ b/medlarbeam/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in YAML files, their loader and their interpreter."""
--- /dev/null
+++ b/medlarbeam/exceptions.py
@@ -0,0 +1,159 @@
+"""The closed list of error kinds, failure values, and the table from kind to answer."""
+
+from enum import Enum
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "ChartError",
+    "ErrorKind",
+    "Failure",
+    "FormatError",
+    "MedlarbeamError",
+    "RunState",
+    "SettingsError",
+]
+
+
+class RunState(Enum):
+    """What is known about the execution of a request that got an answer."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class ErrorKind(Enum):
+    """Every kind of error that a caller, operator or peer can be told."""
+
+    INVALID_REQUEST = "invalid_request"
+    NOT_AUTHORIZED = "not_authorized"
+    UNKNOWN_ADAPTER = "unknown_adapter"
+    UNKNOWN_SERVICE = "unknown_service"
+    CATALOG_UNCONFIRMED = "catalog_unconfirmed"
+    OVERLOADED = "overloaded"
+    DEADLINE_IN_QUEUE = "deadline_in_queue"
+    DEADLINE_RUNNING = "deadline_running"
+    NO_SERVER = "no_server"
+    NOT_OWNER = "not_owner"
+    SHUTTING_DOWN = "shutting_down"
+    LOAD_FAILED = "load_failed"
+    SERVER_REFUSED = "server_refused"
+    SERVER_LOST = "server_lost"
+    SERVER_ERROR = "server_error"
+    WRONG_MODEL = "wrong_model"
+    STREAM_BROKEN = "stream_broken"
+    PEER_LOST = "peer_lost"
+    CANCELLED = "cancelled"
+    CRASH_SUSPECT = "crash_suspect"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    KEY_REUSED = "key_reused"
+    DUPLICATE_UNRESOLVED = "duplicate_unresolved"
+    NOTE_INVALID = "note_invalid"
+    NOTE_CONFLICT = "note_conflict"
+    NOT_FOUND = "not_found"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    PLATFORM_UNKNOWN = "platform_unknown"
+    INTERNAL = "internal"
+
+
+class Answer:
+    """How an error kind is answered.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    run_state : RunState
+        What the caller may conclude about the execution of the request.
+    retryable : bool
+        Whether another attempt by the system itself is allowed for idempotent requests.
+    """
+
+    __slots__ = ("retryable", "run_state", "status")
+
+    def __init__(self, status, run_state, retryable):
+        self.status = status
+        self.run_state = run_state
+        self.retryable = retryable
+
+
+ANSWERS = {
+    ErrorKind.INVALID_REQUEST: Answer(400, RunState.NOT_RUN, False),
+    ErrorKind.NOT_AUTHORIZED: Answer(401, RunState.NOT_RUN, False),
+    ErrorKind.UNKNOWN_ADAPTER: Answer(404, RunState.NOT_RUN, False),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, RunState.NOT_RUN, False),
+    ErrorKind.CATALOG_UNCONFIRMED: Answer(503, RunState.NOT_RUN, False),
+    ErrorKind.OVERLOADED: Answer(429, RunState.NOT_RUN, False),
+    ErrorKind.DEADLINE_IN_QUEUE: Answer(504, RunState.NOT_RUN, False),
+    ErrorKind.DEADLINE_RUNNING: Answer(504, RunState.MAY_HAVE_RUN, False),
+    ErrorKind.NO_SERVER: Answer(503, RunState.NOT_RUN, True),
+    ErrorKind.NOT_OWNER: Answer(503, RunState.NOT_RUN, True),
+    ErrorKind.SHUTTING_DOWN: Answer(503, RunState.NOT_RUN, True),
+    ErrorKind.LOAD_FAILED: Answer(503, RunState.NOT_RUN, True),
+    ErrorKind.SERVER_REFUSED: Answer(503, RunState.NOT_RUN, True),
+    ErrorKind.SERVER_LOST: Answer(502, RunState.MAY_HAVE_RUN, True),
+    ErrorKind.SERVER_ERROR: Answer(502, RunState.RAN, False),
+    ErrorKind.WRONG_MODEL: Answer(502, RunState.MAY_HAVE_RUN, True),
+    ErrorKind.STREAM_BROKEN: Answer(502, RunState.MAY_HAVE_RUN, True),
+    ErrorKind.PEER_LOST: Answer(502, RunState.MAY_HAVE_RUN, True),
+    ErrorKind.CANCELLED: Answer(499, RunState.MAY_HAVE_RUN, False),
+    ErrorKind.CRASH_SUSPECT: Answer(422, RunState.NOT_RUN, False),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(503, RunState.NOT_RUN, False),
+    ErrorKind.KEY_REUSED: Answer(422, RunState.NOT_RUN, False),
+    ErrorKind.DUPLICATE_UNRESOLVED: Answer(409, RunState.MAY_HAVE_RUN, False),
+    ErrorKind.NOTE_INVALID: Answer(400, RunState.NOT_RUN, False),
+    ErrorKind.NOTE_CONFLICT: Answer(409, RunState.NOT_RUN, False),
+    ErrorKind.NOT_FOUND: Answer(404, RunState.NOT_RUN, False),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, RunState.NOT_RUN, False),
+    ErrorKind.PLATFORM_UNKNOWN: Answer(502, RunState.MAY_HAVE_RUN, False),
+    ErrorKind.INTERNAL: Answer(500, RunState.MAY_HAVE_RUN, False),
+}
+
+
+class Failure:
+    """A failed outcome as a value.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+    reason : str
+        One sentence for the person who reads the answer or the log.
+    run_state : RunState or None
+        Overrides the run state of the kind where the sender knows more; None takes the table's.
+    """
+
+    __slots__ = ("kind", "reason", "run_state")
+
+    def __init__(self, kind, reason, run_state=None):
+        self.kind = kind
+        self.reason = reason
+        self.run_state = run_state if run_state is not None else ANSWERS[kind].run_state
+
+    def __eq__(self, other):
+        return isinstance(other, Failure) and (self.kind, self.reason, self.run_state) == (
+            other.kind,
+            other.reason,
+            other.run_state,
+        )
+
+    __hash__ = None
+
+    def __repr__(self):
+        return f"Failure({self.kind.value}, {self.reason!r}, {self.run_state.value})"
+
+
+class MedlarbeamError(Exception):
+    """Base class of the exceptions that this package raises."""
+
+
+class FormatError(MedlarbeamError):
+    """Input that cannot be read; the message names the place and the reason."""
+
+
+class SettingsError(MedlarbeamError):
+    """One or more invalid settings; the message lists them all."""
+
+
+class ChartError(MedlarbeamError):
+    """A state chart file that is inconsistent, or an event that a chart does not declare."""
--- /dev/null
+++ b/medlarbeam/node/parts.py
@@ -0,0 +1,34 @@
+"""The classes of which a node is put together."""
+
+__all__ = ["NodeParts"]
+
+
+class NodeParts:
+    """Component classes of a node, so that tests can exchange one for its naive version.
+
+    Parameters
+    ----------
+    ownership, catalog, claims, crashes, requests, runs, operations, lifecycle : type
+        Subclasses of the abstract classes in `medlarbeam.node.component`.
+    """
+
+    __slots__ = (
+        "catalog",
+        "claims",
+        "crashes",
+        "lifecycle",
+        "operations",
+        "ownership",
+        "requests",
+        "runs",
+    )
+
+    def __init__(self, ownership, catalog, claims, crashes, requests, runs, operations, lifecycle):
+        self.ownership = ownership
+        self.catalog = catalog
+        self.claims = claims
+        self.crashes = crashes
+        self.requests = requests
+        self.runs = runs
+        self.operations = operations
+        self.lifecycle = lifecycle
