--- /dev/null
+++ b/medlarbeam/algorithms/rank_queue.py
@@ -0,0 +1,157 @@
+"""Queues by rank: who is admitted, who runs next."""
+
+from abc import ABC, abstractmethod
+from collections import deque
+
+from medlarbeam.classes.requests import Rank
+
+__all__ = ["FifoQueue", "RankQueue", "WaitingQueue"]
+
+# Share of the starts that a rank keeps while higher ranks have work waiting.
+FLOORS = {Rank.URGENT: 0.0, Rank.ORDINARY: 0.15, Rank.YIELDING: 0.05}
+# Share of the places that a rank keeps while the queue is full of other ranks.
+RESERVED_PLACES = {Rank.URGENT: 0.25, Rank.ORDINARY: 0.25, Rank.YIELDING: 0.125}
+
+
+class WaitingQueue(ABC):
+    """Attempts that wait for a backend server; an attempt has `request.rank`."""
+
+    __slots__ = ("limit",)
+
+    def __init__(self, limit):
+        self.limit = limit
+
+    @abstractmethod
+    def push(self, attempt):
+        """Add an attempt.
+
+        Returns
+        -------
+        object or None
+            The attempt that finds no place: `attempt` itself or another that gave way; None if
+            there was room.
+        """
+
+    @abstractmethod
+    def pop(self, is_ready):
+        """Remove and return the next attempt for which ``is_ready(attempt)`` is true, or None."""
+
+    @abstractmethod
+    def remove(self, attempt):
+        """Remove an attempt."""
+
+    @abstractmethod
+    def __iter__(self):
+        """Iterate over the attempts in the order of their rank and arrival."""
+
+    @abstractmethod
+    def __len__(self):
+        """Return the number of attempts."""
+
+
+class RankQueue(WaitingQueue):
+    """Highest rank first, with a floor for each rank.
+
+    Parameters
+    ----------
+    limit : int
+        Places in the queue.
+    """
+
+    __slots__ = ("by_rank", "credit")
+
+    def __init__(self, limit):
+        super().__init__(limit)
+        self.by_rank = {rank: deque() for rank in Rank}
+        self.credit = dict.fromkeys(Rank, 0.0)
+
+    def push(self, attempt):
+        """Add an attempt; see `WaitingQueue.push`."""
+        rank = attempt.request.rank
+        if len(self) < self.limit:
+            self.by_rank[rank].append(attempt)
+            return None
+        victim_rank = self._find_victim_rank(rank)
+        if victim_rank is None:
+            return attempt
+        victim = self.by_rank[victim_rank].pop()
+        self.by_rank[rank].append(attempt)
+        return victim
+
+    def _find_victim_rank(self, rank):
+        """Return the lowest rank that holds more than its reserved places, for one below it."""
+        below_reserve = len(self.by_rank[rank]) < self._reserve(rank)
+        for other in sorted(Rank, reverse=True):
+            over_reserve = len(self.by_rank[other]) > self._reserve(other)
+            if other != rank and over_reserve and (other > rank or below_reserve):
+                return other
+        return None
+
+    def _reserve(self, rank):
+        return int(self.limit * RESERVED_PLACES[rank])
+
+    def pop(self, is_ready):
+        """Remove the next attempt; see `WaitingQueue.pop`."""
+        found = {}
+        for rank in Rank:
+            attempt = next((a for a in self.by_rank[rank] if is_ready(a)), None)
+            if attempt is not None:
+                found[rank] = attempt
+        if not found:
+            return None
+        first = min(found)
+        chosen = first
+        for rank in found:
+            if rank != first:
+                self.credit[rank] = min(self.credit[rank] + FLOORS[rank], 1.0)
+                if self.credit[rank] >= 1.0 and chosen == first:
+                    chosen = rank
+        if chosen != first:
+            self.credit[chosen] = 0.0
+        self.by_rank[chosen].remove(found[chosen])
+        return found[chosen]
+
+    def remove(self, attempt):
+        """Remove an attempt."""
+        self.by_rank[attempt.request.rank].remove(attempt)
+
+    def __iter__(self):
+        for rank in Rank:
+            yield from self.by_rank[rank]
+
+    def __len__(self):
+        return sum(len(waiting) for waiting in self.by_rank.values())
+
+
+class FifoQueue(WaitingQueue):
+    """First come, first served, whatever the rank: the naive version."""
+
+    __slots__ = ("waiting",)
+
+    def __init__(self, limit):
+        super().__init__(limit)
+        self.waiting = deque()
+
+    def push(self, attempt):
+        """Add an attempt; see `WaitingQueue.push`."""
+        if len(self.waiting) >= self.limit:
+            return attempt
+        self.waiting.append(attempt)
+        return None
+
+    def pop(self, is_ready):
+        """Remove the next attempt; see `WaitingQueue.pop`."""
+        attempt = next((a for a in self.waiting if is_ready(a)), None)
+        if attempt is not None:
+            self.waiting.remove(attempt)
+        return attempt
+
+    def remove(self, attempt):
+        """Remove an attempt."""
+        self.waiting.remove(attempt)
+
+    def __iter__(self):
+        return iter(self.waiting)
+
+    def __len__(self):
+        return len(self.waiting)
--- a/medlarbeam/classes/messages.py
+++ b/medlarbeam/classes/messages.py
@@ -68,14 +68,25 @@
 
 
 class EngineChunk(Record):
-    """A piece of text of a run; `position` counts the chunks of this run from 0."""
+    """A piece of text of a run.
 
-    __slots__ = ("position", "run_id", "text")
+    Parameters
+    ----------
+    run_id : str
+    position : int
+        Counts the chunks of this run from 0.
+    text : str
+    model : str
+        Model that the server names as the source of the text, "" for a plain service.
+    """
+
+    __slots__ = ("model", "position", "run_id", "text")
 
-    def __init__(self, run_id, position, text):
+    def __init__(self, run_id, position, text, model=""):
         self.run_id = run_id
         self.position = position
         self.text = text
+        self.model = model
 
 
 class EngineEnd(Record):
--- /dev/null
+++ b/medlarbeam/node/adapter_loads.py
@@ -0,0 +1,149 @@
+"""Loads and evictions of adapters on the backend servers that a node manages."""
+
+from medlarbeam.charts.loader import load_chart
+from medlarbeam.classes.effects import LoadAdapter, LogEvent, UnloadAdapter
+from medlarbeam.exceptions import Failure
+from medlarbeam.node.server_desk import Adapter
+
+__all__ = ["AdapterLoads"]
+
+FAILED_LOAD_LIMIT = 2  # loads that fail in succession before the waiting attempts are refused
+FORGET_S = 60.0  # an absent adapter is forgotten, so that the table stays small
+
+
+class AdapterLoads:
+    """Decides which adapters are loaded and evicted, and keeps the belief about residency.
+
+    Parameters
+    ----------
+    node : Node
+    eviction : EvictionPolicy
+    """
+
+    __slots__ = ("chart", "eviction", "node")
+
+    def __init__(self, node, eviction):
+        self.node = node
+        self.eviction = eviction
+        self.chart = load_chart("residency", AdapterLoads)
+
+    def is_usable(self, desk, model):
+        """Return whether `model` is believed to be loaded and not about to leave."""
+        adapter = desk.adapters.get(model)
+        return adapter is not None and self.chart.has_tag(adapter, "usable")
+
+    def fire(self, adapter, event, now):
+        """Pass an event to an adapter; return whether its state changed."""
+        changed = self.chart.fire(adapter, event, self)
+        if changed:
+            adapter.changed_at = now
+        return changed
+
+    def order_loads(self, desk, engines, now, out):
+        """Order the loads that waiting attempts need, in the order of their rank.
+
+        Parameters
+        ----------
+        desk : ServerDesk
+        engines : int
+            Number of engines that share the weight store.
+        """
+        waiting = {}
+        for attempt in desk.queue:
+            waiting.setdefault(attempt.model, attempt)
+        for model, attempt in waiting.items():
+            if not model:
+                return  # a plain service has no adapters
+            adapter = self._find(desk, model, now)
+            if self.chart.has_tag(adapter, "slot"):
+                continue
+            attempt.waited_for_load = True
+            if not self._make_room(desk, attempt, waiting, now, out):
+                return
+            loading = sum(1 for a in desk.adapters.values() if self.chart.has_tag(a, "loading"))
+            if not desk.budget.try_take(engines, loading, now):
+                return
+            self._load(desk, adapter, now, out)
+
+    def _find(self, desk, model, now):
+        adapter = desk.adapters.get(model)
+        if adapter is None:
+            adapter = desk.adapters[model] = Adapter(model, self.chart.initial, now)
+        return adapter
+
+    def _load(self, desk, adapter, now, out):
+        self.fire(adapter, "load_ordered", now)
+        fencing = self.node.ownership.fencing(desk.server.name)
+        source = self.node.catalog.source_of(adapter.model)
+        out.emit(LoadAdapter(desk.server, adapter.model, source, fencing))
+        out.emit(LogEvent("load_ordered", f"{adapter.model} on {desk.server.name}"))
+
+    def _make_room(self, desk, attempt, waiting, now, out):
+        """Return whether a slot is free; order an eviction where none is."""
+        taken = [a for a in desk.adapters.values() if self.chart.has_tag(a, "slot")]
+        if len(taken) < desk.server.slots:
+            return True
+        if any(not self.chart.has_tag(a, "usable") for a in taken):
+            return False  # a load or an unload will end soon
+        idle = [a for a in taken if self._is_idle(desk, a.model, attempt, waiting)]
+        for use in self.eviction.order([a.use for a in idle], now):
+            if self._evict(desk, desk.adapters[use.model], now, out):
+                return False
+        return False
+
+    def _is_idle(self, desk, model, attempt, waiting):
+        other = waiting.get(model)
+        wanted = other is not None and other.request.rank <= attempt.request.rank
+        return not wanted and not desk.count_runs(model)
+
+    def _evict(self, desk, adapter, now, out):
+        grant = self.node.ownership.may_evict(desk.server.name, adapter.model, now)
+        if isinstance(grant, Failure):
+            out.emit(LogEvent("eviction_refused", grant.reason))
+            return False
+        self.fire(adapter, "unload_ordered", now)
+        out.emit(UnloadAdapter(desk.server, adapter.model, grant.fencing, grant.not_after))
+        out.emit(LogEvent("eviction_ordered", f"{adapter.model} on {desk.server.name}"))
+        return True
+
+    def take_load_result(self, desk, result, now):
+        """Take the outcome of a load; return whether waiting attempts are to be refused."""
+        adapter = self._find(desk, result.model, now)
+        if result.failure is None:
+            adapter.failed_loads = 0
+            self.fire(adapter, "loaded", now)
+            return False
+        self.fire(adapter, "load_failed", now)
+        adapter.failed_loads += 1
+        if adapter.failed_loads < FAILED_LOAD_LIMIT:
+            return False
+        adapter.failed_loads = 0
+        return True
+
+    def take_unload_result(self, desk, result, now):
+        """Take the outcome of an unload."""
+        adapter = self._find(desk, result.model, now)
+        self.fire(adapter, "unloaded" if result.failure is None else "unload_failed", now)
+
+    def take_report(self, desk, report, restarted, now):
+        """Bring the belief in line with a report that is newer than the belief."""
+        if restarted:
+            for adapter in desk.adapters.values():
+                self.fire(adapter, "restarted", now)
+        dated = report.asked_at - self.node.settings.report_lag_s
+        for model in report.resident:
+            known = model in desk.adapters
+            adapter = self._find(desk, model, now)
+            if restarted or not known or dated > adapter.changed_at:
+                self.fire(adapter, "reported_present", now)
+        present = set(report.resident)
+        for adapter in list(desk.adapters.values()):
+            # A report may be older than the end of a load by the report lag.
+            if adapter.model not in present and (restarted or dated > adapter.changed_at):
+                self.fire(adapter, "reported_absent", now)
+            if not self.chart.has_tag(adapter, "slot") and now - adapter.changed_at > FORGET_S:
+                del desk.adapters[adapter.model]
+
+    def orders_in_flight(self, desk):
+        """Return whether an unload order has no result yet."""
+        return any(self.chart.has_tag(a, "unloading") for a in desk.adapters.values())
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -138,6 +138,18 @@
     def fencing(self, server):
         """Return the fencing number for orders to `server`."""
 
+    @abstractmethod
+    def is_known(self):
+        """Return whether this node has the records that it needs to route requests."""
+
+    @abstractmethod
+    def start_leaving(self, now, out):
+        """Hand over the owned backend servers and leave the cell."""
+
+    @abstractmethod
+    def has_left(self):
+        """Return whether the cell record no longer contains this node."""
+
     @abstractmethod
     def is_reachable(self, node):
         """Return whether there is a working link to `node` (True for this node itself)."""
@@ -152,6 +164,10 @@
     def check(self, model, now):
         """Return None if `model` may be served, else a `Failure`."""
 
+    @abstractmethod
+    def is_known(self):
+        """Return whether this node has a catalogue."""
+
     @abstractmethod
     def source_of(self, model):
         """Return the path of the model's weights, "" if it is unknown."""
--- /dev/null
+++ b/medlarbeam/node/intake.py
@@ -0,0 +1,427 @@
+"""Requests of this node's callers, from admission to answer."""
+
+from medlarbeam.algorithms.backoff import backoff_delay
+from medlarbeam.charts.loader import load_chart
+from medlarbeam.classes.effects import AnswerChunk, AnswerEnd, AnswerStart, LogEvent, SendPeer
+from medlarbeam.classes.messages import CallerGone, CallerRequest, PeerDown
+from medlarbeam.classes.peer_messages import Cancel, Chunk, End, Forward
+from medlarbeam.exceptions import ANSWERS, ErrorKind, Failure, RunState
+from medlarbeam.node.answer import Answer
+from medlarbeam.node.component import ClaimOutcome, Requests
+
+__all__ = ["Intake", "OpenRequest"]
+
+SCAN_INTERVAL_S = 0.1  # granularity of deadlines and retries
+DEADLINE_GRACE_S = 0.25
+RETRY_BASE_S = 0.02
+RETRY_LIMIT_S = 0.5
+
+
+class OpenRequest:
+    """A request that is not answered yet.
+
+    Parameters
+    ----------
+    request : Request
+    state : str
+        State in the chart ``request``.
+    """
+
+    __slots__ = (
+        "answer",
+        "attempt",
+        "claimed",
+        "end",
+        "failure",
+        "load_wait_s",
+        "model",
+        "pinned",
+        "request",
+        "retry_at",
+        "run_state",
+        "server",
+        "state",
+        "target",
+        "tried",
+    )
+
+    def __init__(self, request, state):
+        self.request = request
+        self.state = state
+        self.answer = Answer()
+        self.attempt = 0
+        self.claimed = False
+        self.end = None
+        self.failure = None
+        self.load_wait_s = 0.0
+        self.model = ""
+        self.pinned = False  # text of this model was sent to the caller
+        self.retry_at = 0.0
+        self.run_state = RunState.NOT_RUN  # of all attempts together
+        self.server = ""
+        self.target = ""
+        self.tried = set()
+
+
+class Intake(Requests):
+    """Takes requests, chooses where they run and puts the answers together.
+
+    Parameters
+    ----------
+    node : Node
+    routing : RoutingPolicy
+    budget : RetryBudget
+    """
+
+    __slots__ = ("budget", "chart", "next_scan", "open", "routing", "sent")
+
+    def __init__(self, node, routing, budget):
+        super().__init__(node)
+        self.routing = routing
+        self.budget = budget
+        self.chart = load_chart("request", Intake)
+        self.open = {}
+        self.sent = {}  # attempts open by server name
+        self.next_scan = float("inf")
+
+    def handlers(self):
+        """Return the methods by message class."""
+        return {
+            CallerRequest: self.take_request,
+            CallerGone: self.take_caller_gone,
+            PeerDown: self.take_peer_down,
+        }
+
+    def peer_handlers(self):
+        """Return the methods by peer message class."""
+        return {Chunk: self.take_chunk, End: self.take_end}
+
+    def open_count(self):
+        """Return the number of requests that are not answered yet."""
+        return len(self.open)
+
+    # Messages
+
+    def take_request(self, message, now, out):
+        """Check a request and start it."""
+        request = message.request
+        entry = OpenRequest(request, self.chart.initial)
+        self.open[request.request_id] = entry
+        self.next_scan = min(self.next_scan, now + SCAN_INTERVAL_S)
+        entry.failure = self._check(request, now)
+        if entry.failure is not None:
+            self._fire(entry, "refused", now, out)
+        elif request.non_idempotent:
+            entry.claimed = True
+            self._fire(entry, "claim", now, out)
+            self.node.claims.begin(request, now, out)
+        else:
+            self._fire(entry, "start", now, out)
+
+    def _check(self, request, now):
+        if not self.node.lifecycle.is_accepting():
+            return Failure(ErrorKind.SHUTTING_DOWN, "this node takes no new requests")
+        failure = self.node.crashes.check(request, now)
+        if failure is not None or request.service:
+            return failure
+        allowed = []
+        for model in request.models:
+            failure = self.node.catalog.check(model, now)
+            if failure is None:
+                allowed.append(model)
+        if allowed:
+            request.models = allowed
+            return None
+        return failure or Failure(ErrorKind.INVALID_REQUEST, "the request names no model")
+
+    def take_caller_gone(self, message, now, out):
+        """Give up a request whose caller has closed the connection."""
+        entry = self.open.get(message.request_id)
+        if entry is not None:
+            self._fire(entry, "caller_gone", now, out)
+
+    def take_peer_down(self, message, now, out):
+        """Fail the attempts that were handed to a peer whose link broke."""
+        failure = Failure(ErrorKind.PEER_LOST, f"the link to node {message.node} broke")
+        for entry in self._with_attempt_at(message.node):
+            self._fail_attempt(entry, failure, now, out)
+
+    def _with_attempt_at(self, target):
+        entries = [e for e in self.open.values() if e.target == target]
+        return [e for e in entries if self.chart.has_tag(e, "attempt")]
+
+    def claim_granted(self, request_id, now, out):
+        """Go on with a request whose claim was granted."""
+        entry = self.open.get(request_id)
+        if entry is not None:
+            self._fire(entry, "granted", now, out)
+
+    def claim_replayed(self, request_id, outcome, now, out):
+        """Answer with the recorded outcome of an earlier request."""
+        entry = self.open.get(request_id)
+        if entry is not None:
+            entry.claimed = False
+            entry.end = outcome
+            self._fire(entry, "replayed", now, out)
+
+    def claim_refused(self, request_id, failure, now, out):
+        """Answer with the failure of the claim."""
+        entry = self.open.get(request_id)
+        if entry is not None:
+            entry.claimed = False
+            entry.failure = failure
+            self._fire(entry, "refused", now, out)
+
+    def take_chunk(self, sender, chunk, now, out):
+        """Take a piece of an answer; pieces of other attempts are dropped."""
+        entry = self._find_attempt(sender, chunk)
+        if entry is None:
+            return
+        if not entry.answer.add(chunk.position, chunk.text):
+            failure = Failure(ErrorKind.STREAM_BROKEN, "too many chunks arrived out of order")
+            self._cancel(entry, now, out)
+            self._fail_attempt(entry, failure, now, out)
+            return
+        self._pass_text(entry, out)
+        self._complete_if_whole(entry, now, out)
+
+    def take_end(self, sender, end, now, out):
+        """Take the end of an attempt."""
+        entry = self._find_attempt(sender, end)
+        if entry is None:
+            return
+        entry.load_wait_s += end.load_wait_s
+        if end.failure is not None:
+            self._fail_attempt(entry, end.failure, now, out)
+        elif end.model != entry.model:
+            failure = Failure(ErrorKind.WRONG_MODEL, f"{end.model} answered for {entry.model}")
+            self._fail_attempt(entry, failure, now, out)
+        else:
+            entry.end = end
+            self._complete_if_whole(entry, now, out)
+
+    def _find_attempt(self, sender, body):
+        entry = self.open.get(body.request_id)
+        if entry is None or not self.chart.has_tag(entry, "attempt"):
+            return None
+        if entry.target != sender or entry.attempt != body.attempt:
+            return None
+        return entry
+
+    def _pass_text(self, entry, out):
+        text = entry.answer.take_ready()
+        if not text:
+            return
+        if not entry.pinned:
+            entry.pinned = True
+            out.emit(
+                AnswerStart(entry.request.request_id, entry.model, entry.server, entry.attempt)
+            )
+        out.emit(AnswerChunk(entry.request.request_id, text))
+
+    def _complete_if_whole(self, entry, now, out):
+        if entry.end is not None and entry.answer.is_whole(entry.end.chunks):
+            self._fire(entry, "completed", now, out)
+
+    def _fail_attempt(self, entry, failure, now, out):
+        entry.failure = failure
+        if failure.run_state is not RunState.NOT_RUN:
+            entry.run_state = RunState.MAY_HAVE_RUN
+        self._forget_sent(entry)
+        self._fire(entry, "attempt_failed", now, out)
+
+    def _fire(self, entry, event, now, out):
+        self.chart.fire(entry, event, self, now, out)
+
+    # Guards and actions of the chart
+
+    def choose_route(self, entry, now, out):
+        """Send the next attempt, or find that no server will do."""
+        request = entry.request
+        views = [v for v in self.node.ownership.view(now) if self._suits(entry, v)]
+        if entry.pinned:
+            request.models = [entry.model]
+        route = self.routing.choose(request, views, self.sent, self.node.settings.failure_domain)
+        if route is None:
+            what = f"service {request.service}" if request.service else "the engines"
+            entry.failure = Failure(ErrorKind.NO_SERVER, f"no live backend server of {what}")
+            self._fire(entry, "unroutable", now, out)
+            return
+        self._send_attempt(entry, route, now, out)
+
+    def _suits(self, entry, view):
+        server = view.server
+        usable = view.live and view.target and server.service == entry.request.service
+        return usable and server.name not in entry.tried
+
+    def _send_attempt(self, entry, route, now, out):
+        entry.attempt += 1
+        entry.server = route.view.server.name
+        entry.model = route.model
+        entry.target = route.view.target
+        entry.tried.add(entry.server)
+        entry.end = None
+        entry.answer.drop_pending()
+        if entry.attempt == 1:
+            self.budget.count_first(now)
+        self.sent[entry.server] = self.sent.get(entry.server, 0) + 1
+        remaining_s = entry.request.deadline - now
+        forward = Forward(
+            entry.request,
+            entry.attempt,
+            entry.server,
+            entry.model,
+            remaining_s,
+            entry.answer.position,
+            entry.answer.text(),
+        )
+        self._fire(entry, "routed", now, out)
+        if entry.target == self.node.settings.name:
+            self.node.runs.submit(entry.target, forward, now, out)
+        else:
+            out.emit(SendPeer(entry.target, forward))
+
+    def may_wait_for_server(self, entry, now, out):
+        """Return whether to look for a server again later."""
+        entry.tried.clear()
+        return self._is_repeatable(entry) and now + RETRY_LIMIT_S < entry.request.deadline
+
+    def may_retry(self, entry, now, out):
+        """Return whether another attempt is allowed."""
+        if not ANSWERS[entry.failure.kind].retryable or not self._is_repeatable(entry):
+            return False
+        if entry.attempt >= self.node.settings.max_attempts:
+            return False
+        if now + RETRY_LIMIT_S >= entry.request.deadline:
+            return False
+        if self.node.crashes.check(entry.request, now) is not None:
+            return False
+        return self.budget.try_take(now)
+
+    def _is_repeatable(self, entry):
+        return not entry.request.non_idempotent or entry.run_state is RunState.NOT_RUN
+
+    def schedule_retry(self, entry, now, out):
+        """Set the time of the next attempt."""
+        delay = backoff_delay(entry.attempt, RETRY_BASE_S, RETRY_LIMIT_S, self.node.rng)
+        entry.retry_at = now + delay
+        self.next_scan = min(self.next_scan, entry.retry_at)
+        out.emit(LogEvent("retry", str(entry.failure), entry.request.request_id))
+
+    def answer_complete(self, entry, now, out):
+        """End the answer with success."""
+        self._forget_sent(entry)
+        self._settle(entry, ClaimOutcome(*self._outcome_fields(entry)), now, out)
+        if not entry.pinned:
+            out.emit(
+                AnswerStart(entry.request.request_id, entry.model, entry.server, entry.attempt)
+            )
+        self._end(entry, None, out, entry.end.status)
+
+    def _outcome_fields(self, entry):
+        return entry.end.status, entry.answer.text(), entry.model, entry.server
+
+    def answer_failure(self, entry, now, out):
+        """End the answer with `entry.failure` and the run state of all attempts together."""
+        self._answer(entry, now, out, entry.failure)
+
+    def _answer(self, entry, now, out, failure):
+        if entry.run_state is RunState.MAY_HAVE_RUN and failure.run_state is RunState.NOT_RUN:
+            failure = Failure(failure.kind, failure.reason, RunState.MAY_HAVE_RUN)
+        self._settle(entry, ClaimOutcome(0, "", "", entry.server, failure), now, out)
+        self._end(entry, failure, out)
+
+    def answer_deadline(self, entry, now, out):
+        """End the answer because the deadline has passed."""
+        if entry.run_state is RunState.NOT_RUN:
+            failure = Failure(ErrorKind.DEADLINE_IN_QUEUE, "the deadline passed before a run")
+        else:
+            failure = Failure(ErrorKind.DEADLINE_RUNNING, "the deadline passed during a run")
+        self._answer(entry, now, out, failure)
+
+    def answer_replay(self, entry, now, out):
+        """Answer with the recorded outcome."""
+        outcome = entry.end
+        request_id = entry.request.request_id
+        entry.model, entry.server = outcome.model, outcome.server
+        if outcome.failure is None:
+            out.emit(AnswerStart(request_id, outcome.model, outcome.server, 0))
+            out.emit(AnswerChunk(request_id, outcome.body))
+        self._end(entry, outcome.failure, out, outcome.status, replayed=True)
+
+    def cancel_attempt(self, entry, now, out):
+        """Cancel the attempt that is open, if there is one."""
+        if not entry.target:
+            return
+        # An attempt that was handed on may run until the cancel arrives.
+        entry.run_state = RunState.MAY_HAVE_RUN
+        self._cancel(entry, now, out)
+        self._forget_sent(entry)
+
+    def _cancel(self, entry, now, out):
+        cancel = Cancel(entry.request.request_id, entry.attempt)
+        if entry.target == self.node.settings.name:
+            self.node.runs.cancel(entry.target, cancel, now, out)
+        elif entry.target:
+            out.emit(SendPeer(entry.target, cancel))
+
+    def record_gone(self, entry, now, out):
+        """Settle a request whose caller has gone."""
+        failure = Failure(ErrorKind.CANCELLED, "the caller closed the connection", entry.run_state)
+        self._settle(entry, ClaimOutcome(0, "", "", entry.server, failure), now, out)
+        self._end(entry, failure, out)
+
+    # Ends
+
+    def _settle(self, entry, outcome, now, out):
+        if entry.claimed:
+            entry.claimed = False
+            self.node.claims.finish(entry.request.request_id, outcome, now, out)
+
+    def _forget_sent(self, entry):
+        if entry.target:
+            self.sent[entry.server] -= 1
+            if not self.sent[entry.server]:
+                del self.sent[entry.server]
+            entry.target = ""
+
+    def _end(self, entry, failure, out, status=200, replayed=False):
+        del self.open[entry.request.request_id]
+        out.emit(
+            AnswerEnd(
+                entry.request.request_id,
+                failure,
+                entry.model,
+                entry.server,
+                status,
+                entry.attempt,
+                entry.load_wait_s,
+                replayed,
+            )
+        )
+
+    # Time
+
+    def next_deadline(self):
+        """Return the time of the next scan."""
+        return self.next_scan
+
+    def _give_up_at(self, entry):
+        # The manager of the backend server ends the attempt at the deadline and knows whether it
+        # ran; its answer is awaited for a moment.
+        grace_s = DEADLINE_GRACE_S if self.chart.has_tag(entry, "attempt") else 0.0
+        return entry.request.deadline + grace_s
+
+    def tick(self, now, out):
+        """Handle deadlines, due retries and attempts at peers that are out of reach."""
+        for entry in list(self.open.values()):
+            if now >= self._give_up_at(entry):
+                self._fire(entry, "deadline", now, out)
+            elif self.chart.has_tag(entry, "backoff"):
+                if now >= entry.retry_at:
+                    self._fire(entry, "retry_due", now, out)
+            elif entry.target and not self.node.ownership.is_reachable(entry.target):
+                failure = Failure(ErrorKind.PEER_LOST, f"node {entry.target} does not answer")
+                self._cancel(entry, now, out)
+                self._fail_attempt(entry, failure, now, out)
+        self.next_scan = now + SCAN_INTERVAL_S if self.open else float("inf")
--- /dev/null
+++ b/medlarbeam/node/lifecycle.py
@@ -0,0 +1,79 @@
+"""Start, readiness and graceful shutdown of a node."""
+
+from medlarbeam.charts.loader import load_chart
+from medlarbeam.classes.effects import Exit, LogEvent
+from medlarbeam.classes.messages import Shutdown
+from medlarbeam.node.component import Component
+
+__all__ = ["Lifecycle"]
+
+CHECK_INTERVAL_S = 0.1
+LEAVE_LIMIT_S = 10.0  # a platform outage must not keep an idle process from ending
+
+
+class Lifecycle(Component):
+    """Drives the chart ``node``.
+
+    Attributes
+    ----------
+    state : str
+    idle_since : float or None
+        Time (s) since when a leaving node has no work.
+    """
+
+    __slots__ = ("chart", "idle_since", "next_check", "state")
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.chart = load_chart("node", Lifecycle)
+        self.state = self.chart.initial
+        self.idle_since = None
+        self.next_check = 0.0
+
+    def handlers(self):
+        """Return the methods by message class."""
+        return {Shutdown: self.take_shutdown}
+
+    def is_accepting(self):
+        """Return whether callers' requests are taken, which is also the readiness."""
+        return self.chart.has_tag(self, "accepting")
+
+    def take_shutdown(self, message, now, out):
+        """Begin the graceful shutdown."""
+        self.chart.fire(self, "shutdown", self, now, out)
+
+    def start_leaving(self, subject, now, out):
+        """Hand over the backend servers; requests in progress go on."""
+        out.emit(LogEvent("leaving"))
+        self.node.ownership.start_leaving(now, out)
+
+    def exit_process(self, subject, now, out):
+        """End the process."""
+        out.emit(LogEvent("stopped"))
+        out.emit(Exit())
+
+    def next_deadline(self):
+        """Return the time of the next check."""
+        return self.next_check
+
+    def tick(self, now, out):
+        """Become ready, or leave once all work is done."""
+        self.next_check = now + CHECK_INTERVAL_S
+        if self._knows_enough():
+            if self.chart.fire(self, "ready"):
+                out.emit(LogEvent("ready"))
+        if self.chart.has_tag(self, "leaving") and self._may_exit(now):
+            self.chart.fire(self, "left", self, now, out)
+
+    def _knows_enough(self):
+        return self.node.catalog.is_known() and self.node.ownership.is_known()
+
+    def _may_exit(self, now):
+        node = self.node
+        busy = node.requests.open_count() or node.runs.open_count() or not node.claims.is_idle()
+        if busy:
+            self.idle_since = None
+            return False
+        if self.idle_since is None:
+            self.idle_since = now
+        return node.ownership.has_left() or now - self.idle_since > LEAVE_LIMIT_S
