--- a/medlarbeam/algorithms/routing.py
+++ b/medlarbeam/algorithms/routing.py
@@ -36,7 +36,7 @@
     All nodes that know the same names agree on the order, and a name that comes or goes moves no
     other pair of names.
     """
-    return sorted(names, key=lambda name: xxh3_64_intdigest(f"{key}|{name}"), reverse=True)
+    return sorted(names, key=lambda name: xxh3_64_intdigest(f"{key}|{name}".encode()), reverse=True)
 
 
 class RoutingPolicy(ABC):
--- a/medlarbeam/classes/catalog.py
+++ b/medlarbeam/classes/catalog.py
@@ -78,15 +78,19 @@
     entries : list of NoteEntry
     base_revision : int or None
         Revision that the operator looked at; None applies to whatever is the latest.
+    drain, undrain : list of str
+        Names of backend servers that stop or resume taking new work.
     """
 
-    __slots__ = ("base_revision", "entries", "note_id", "operator")
+    __slots__ = ("base_revision", "drain", "entries", "note_id", "operator", "undrain")
 
-    def __init__(self, note_id, operator, entries, base_revision=None):
+    def __init__(self, note_id, operator, entries, base_revision=None, drain=(), undrain=()):
         self.note_id = note_id
         self.operator = operator
         self.entries = entries
         self.base_revision = base_revision
+        self.drain = list(drain)
+        self.undrain = list(undrain)
 
 
 class CatalogHead(Record):
@@ -100,14 +104,17 @@
         Platform key of each shard's present value, "" for an empty shard.
     recent : list of str
         Note ids of the latest revisions, newest last; the newest is that of `revision`.
+    drained : list of str
+        Backend servers that take no new work by an operator's order.
     """
 
-    __slots__ = ("recent", "revision", "shard_keys")
+    __slots__ = ("drained", "recent", "revision", "shard_keys")
 
-    def __init__(self, revision, shard_keys, recent):
+    def __init__(self, revision, shard_keys, recent, drained=()):
         self.revision = revision
         self.shard_keys = shard_keys
         self.recent = recent
+        self.drained = list(drained)
 
 
 class CatalogShard(Record):
--- a/medlarbeam/classes/platform.py
+++ b/medlarbeam/classes/platform.py
@@ -87,7 +87,7 @@
 
 
 class KvDelete(Record):
-    """Delete a key whose modification revision is `expected_revision`."""
+    """Delete a key whose modification revision is `expected_revision`, None for any."""
 
     __slots__ = ("expected_revision", "key")
 
--- /dev/null
+++ b/medlarbeam/node/assembly.py
@@ -0,0 +1,63 @@
+"""Puts a node together from its components."""
+
+from medlarbeam.algorithms.eviction import DecayedUseEviction
+from medlarbeam.algorithms.load_budget import SharedLoadBudget
+from medlarbeam.algorithms.rank_queue import RankQueue
+from medlarbeam.algorithms.retry_budget import TokenRetryBudget
+from medlarbeam.algorithms.routing import HashRouting
+from medlarbeam.node.adapter_loads import AdapterLoads
+from medlarbeam.node.catalog import CatalogKeeper
+from medlarbeam.node.claims import ClaimKeeper
+from medlarbeam.node.crashes import CrashTracker
+from medlarbeam.node.dispatcher import Dispatcher
+from medlarbeam.node.intake import Intake
+from medlarbeam.node.lifecycle import Lifecycle
+from medlarbeam.node.membership import Membership
+from medlarbeam.node.node import Node
+from medlarbeam.node.notes import NoteKeeper
+from medlarbeam.node.operations import Operations
+from medlarbeam.node.parts import NodeParts
+
+__all__ = ["build_node", "build_parts"]
+
+
+def _build_intake(node):
+    return Intake(node, HashRouting(), TokenRetryBudget())
+
+
+def _build_queue(settings):
+    return RankQueue(settings.queue_limit)
+
+
+def _build_budget(settings):
+    return SharedLoadBudget(settings.loads_per_s, settings.loads_in_flight)
+
+
+def _build_dispatcher(node):
+    return Dispatcher(node, AdapterLoads(node, DecayedUseEviction()), _build_queue, _build_budget)
+
+
+def build_parts():
+    """Return the `NodeParts` of the daemon."""
+    return NodeParts(
+        ownership=Membership,
+        catalog=CatalogKeeper,
+        notes=NoteKeeper,
+        claims=ClaimKeeper,
+        crashes=CrashTracker,
+        requests=_build_intake,
+        runs=_build_dispatcher,
+        operations=Operations,
+        lifecycle=Lifecycle,
+    )
+
+
+def build_node(settings, rng):
+    """Return a `Node` with the components of the daemon.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    rng : random.Random
+    """
+    return Node(settings, rng, build_parts())
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -138,6 +138,14 @@
     def fencing(self, server):
         """Return the fencing number for orders to `server`."""
 
+    @abstractmethod
+    def live_members(self):
+        """Return the names of the members of this node's cell that answer, itself included."""
+
+    @abstractmethod
+    def ping_sent_at(self, peer, seq):
+        """Return when (s) the ping `seq` to `peer` was sent, None if that is not known."""
+
     @abstractmethod
     def is_known(self):
         """Return whether this node has the records that it needs to route requests."""
@@ -172,6 +180,10 @@
     def source_of(self, model):
         """Return the path of the model's weights, "" if it is unknown."""
 
+    @abstractmethod
+    def is_drained(self, server):
+        """Return whether an operator's order keeps new work from `server` (a name)."""
+
     @abstractmethod
     def revision(self):
         """Return the revision of the catalogue in force here."""
--- a/medlarbeam/node/intake.py
+++ b/medlarbeam/node/intake.py
@@ -1,6 +1,6 @@
 """Requests of this node's callers, from admission to answer."""
 
-from medlarbeam.algorithms.backoff import backoff_delay
+from medlarbeam.algorithms.backoff import compute_backoff
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import AnswerChunk, AnswerEnd, AnswerStart, LogEvent, SendPeer
 from medlarbeam.classes.messages import CallerGone, CallerRequest, PeerDown
@@ -31,6 +31,7 @@
         "answer",
         "attempt",
         "claimed",
+        "domain",
         "end",
         "failure",
         "load_wait_s",
@@ -51,6 +52,7 @@
         self.answer = Answer()
         self.attempt = 0
         self.claimed = False
+        self.domain = ""  # failure domain of the backend server of the attempt
         self.end = None
         self.failure = None
         self.load_wait_s = 0.0
@@ -252,18 +254,21 @@
     def _suits(self, entry, view):
         server = view.server
         usable = view.live and view.target and server.service == entry.request.service
-        return usable and server.name not in entry.tried
+        if not usable or server.name in entry.tried:
+            return False
+        return not self.node.catalog.is_drained(server.name)
 
     def _send_attempt(self, entry, route, now, out):
         entry.attempt += 1
         entry.server = route.view.server.name
+        entry.domain = route.view.server.failure_domain
         entry.model = route.model
         entry.target = route.view.target
         entry.tried.add(entry.server)
         entry.end = None
         entry.answer.drop_pending()
         if entry.attempt == 1:
-            self.budget.count_first(now)
+            self.budget.note_first(entry.domain, now)
         self.sent[entry.server] = self.sent.get(entry.server, 0) + 1
         remaining_s = entry.request.deadline - now
         forward = Forward(
@@ -296,14 +301,14 @@
             return False
         if self.node.crashes.check(entry.request, now) is not None:
             return False
-        return self.budget.try_take(now)
+        return self.budget.take(entry.domain, now)
 
     def _is_repeatable(self, entry):
         return not entry.request.non_idempotent or entry.run_state is RunState.NOT_RUN
 
     def schedule_retry(self, entry, now, out):
         """Set the time of the next attempt."""
-        delay = backoff_delay(entry.attempt, RETRY_BASE_S, RETRY_LIMIT_S, self.node.rng)
+        delay = compute_backoff(entry.attempt, self.node.rng, RETRY_BASE_S, RETRY_LIMIT_S)
         entry.retry_at = now + delay
         self.next_scan = min(self.next_scan, entry.retry_at)
         out.emit(LogEvent("retry", str(entry.failure), entry.request.request_id))
--- a/medlarbeam/node/node.py
+++ b/medlarbeam/node/node.py
@@ -31,6 +31,7 @@
         "kv_handlers",
         "lifecycle",
         "message_handlers",
+        "notes",
         "operations",
         "ownership",
         "peer_handlers",
@@ -45,6 +46,7 @@
         self.rng = rng
         self.ownership = parts.ownership(self)
         self.catalog = parts.catalog(self)
+        self.notes = parts.notes(self)
         self.claims = parts.claims(self)
         self.crashes = parts.crashes(self)
         self.requests = parts.requests(self)
@@ -54,6 +56,7 @@
         self.components = [
             self.ownership,
             self.catalog,
+            self.notes,
             self.claims,
             self.crashes,
             self.requests,
--- /dev/null
+++ b/medlarbeam/node/notes.py
@@ -0,0 +1,330 @@
+"""Applies release notes by compare-and-swap on the head of the catalogue."""
+
+from medlarbeam.algorithms.backoff import compute_backoff
+from medlarbeam.algorithms.catalog_changes import apply_note, touched_shards
+from medlarbeam.charts.loader import load_chart
+from medlarbeam.classes.effects import LogEvent, OperatorAnswer
+from medlarbeam.classes.platform import KvCall, KvDelete, KvGet, KvOutcome, KvPut
+from medlarbeam.exceptions import ErrorKind, Failure, FormatError
+from medlarbeam.node.catalog import HEAD_KEY, make_empty_head
+from medlarbeam.node.component import Component
+from medlarbeam.readwrite.values import (
+    decode_catalog_head,
+    decode_catalog_shard,
+    encode_catalog_head,
+    encode_catalog_shard,
+    encode_release_note,
+)
+
+__all__ = ["NoteKeeper", "OpenChange"]
+
+SCAN_INTERVAL_S = 0.1
+PREPARE_LIMIT_S = 20.0  # until the operator is told that the platform does not answer
+SPREAD_LIMIT_S = 14.0  # within which a change has to be in force everywhere
+
+
+class OpenChange:
+    """A change of the catalogue on its way.
+
+    Parameters
+    ----------
+    order : OperatorRequest
+        With the note; its action is ``apply_note``, ``dry_run_note``, ``drain`` or ``undrain``.
+    state : str
+        State in the chart ``release_note``.
+    """
+
+    __slots__ = (
+        "change",
+        "expires_at",
+        "failure",
+        "head",
+        "head_entry",
+        "missing",
+        "order",
+        "retry_at",
+        "shards",
+        "state",
+        "token",
+        "tries",
+        "unwritten",
+    )
+
+    def __init__(self, order, state, token, expires_at):
+        self.order = order
+        self.state = state
+        self.token = token
+        self.expires_at = expires_at
+        self.change = None
+        self.failure = None
+        self.head = None
+        self.head_entry = None
+        self.missing = set()
+        self.retry_at = float("inf")
+        self.shards = {}
+        self.tries = 0
+        self.unwritten = []
+
+    @property
+    def note(self):
+        """The release note."""
+        return self.order.note
+
+
+class NoteKeeper(Component):
+    """Drives each change through the chart ``release_note``."""
+
+    __slots__ = ("chart", "next_scan", "open", "serial")
+
+    name = "notes"
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.chart = load_chart("release_note", NoteKeeper)
+        self.open = {}
+        self.serial = 0
+        self.next_scan = float("inf")
+
+    def begin(self, order, now, out):
+        """Start to apply the note of an `OperatorRequest`; answered by `OperatorAnswer`."""
+        self.serial += 1
+        settings = self.node.settings
+        token = f"{settings.name}-{settings.incarnation}-n{self.serial}"
+        change = OpenChange(order, self.chart.initial, token, now + PREPARE_LIMIT_S)
+        self.open[token] = change
+        self.next_scan = min(self.next_scan, now + SCAN_INTERVAL_S)
+        self.read_head(change, now, out)
+
+    def _fire(self, change, event, now, out):
+        self.chart.fire(change, event, self, now, out)
+
+    def _call(self, change, op, now, out):
+        out.emit(KvCall(self.name, change.token, op, now))
+
+    # Results of platform calls
+
+    def handle_kv(self, result, now, out):
+        """Pass a result to the change that waits for it."""
+        change = self.open.get(result.call.token)
+        if change is None:
+            return
+        try:
+            self._take_result(change, result, now, out)
+        except FormatError as error:
+            change.failure = Failure(ErrorKind.INTERNAL, f"bad value on the platform: {error}")
+            self._fire(change, "refused", now, out)
+
+    def _take_result(self, change, result, now, out):
+        op = result.call.op
+        if isinstance(op, KvDelete):
+            return
+        if isinstance(op, KvGet) and result.outcome is not KvOutcome.APPLIED:
+            self._fail_platform(change, now, out)
+        elif isinstance(op, KvGet) and op.key == HEAD_KEY:
+            self._take_head(change, result, now, out)
+        elif isinstance(op, KvGet):
+            self._take_shard(change, result, now, out)
+        elif op.key == HEAD_KEY:
+            self._take_head_write(change, result, now, out)
+        else:
+            self._take_staged_write(change, result, now, out)
+
+    def _fail_platform(self, change, now, out):
+        reason = "the key-value service does not answer; nothing has changed"
+        change.failure = Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
+        self._fire(change, "unavailable", now, out)
+
+    def _take_head(self, change, result, now, out):
+        change.head_entry = result.entries[0] if result.entries else None
+        if change.head_entry is None:
+            change.head = make_empty_head(self.node.settings.catalog_shards)
+        else:
+            change.head = decode_catalog_head(change.head_entry.value)
+        if change.note.note_id in change.head.recent:
+            self._fire(change, "accepted", now, out)
+        elif change.change is None:
+            self._fire(change, "head_read", now, out)
+        else:
+            self._fire(change, "conflict", now, out)
+
+    def _take_shard(self, change, result, now, out):
+        for entry in result.entries:
+            change.shards[entry.key] = decode_catalog_shard(entry.value)
+        change.missing.discard(result.call.op.key)
+        if not result.entries:
+            reason = f"{result.call.op.key} is missing on the platform"
+            change.failure = Failure(ErrorKind.INTERNAL, reason)
+            self._fire(change, "refused", now, out)
+        elif not change.missing:
+            self._fire(change, "shards_read", now, out)
+
+    def _take_staged_write(self, change, result, now, out):
+        if result.outcome in (KvOutcome.UNAVAILABLE, KvOutcome.UNKNOWN):
+            self._fail_platform(change, now, out)
+        elif result.call.op.key.startswith("catalog/shard/"):
+            self._fire(change, "shard_written", now, out)
+        else:
+            self._fire(change, "note_written", now, out)
+
+    def _take_head_write(self, change, result, now, out):
+        events = {
+            KvOutcome.APPLIED: "accepted",
+            KvOutcome.CONFLICT: "conflict",
+            KvOutcome.UNKNOWN: "answer_lost",
+            KvOutcome.UNAVAILABLE: "unavailable",
+        }
+        self._fire(change, events[result.outcome], now, out)
+
+    # Actions of the chart
+
+    def read_head(self, change, now, out):
+        """Read the present head."""
+        self._call(change, KvGet(HEAD_KEY), now, out)
+
+    def read_shards(self, change, now, out):
+        """Read the shards that the note touches and that this node does not hold."""
+        keys = [change.head.shard_keys[n] for n in touched_shards(change.note, change.head)]
+        for key in filter(None, keys):
+            held = self.node.catalog.shards.get(key)
+            if held is not None:
+                change.shards[key] = held
+            else:
+                change.missing.add(key)
+                self._call(change, KvGet(key), now, out)
+        if not change.missing:
+            self._fire(change, "shards_read", now, out)
+
+    def compute_change(self, change, now, out):
+        """Work out the new head and shards, and begin to write them."""
+        result = apply_note(change.note, change.head, change.shards, change.token)
+        if isinstance(result, Failure):
+            change.failure = result
+            self._fire(change, "refused", now, out)
+            return
+        change.change = result
+        if change.order.action == "dry_run_note":
+            self._fire(change, "dry_run_done", now, out)
+            return
+        change.unwritten = list(result.shards)
+        self.write_next_shard(change, now, out)
+
+    def write_next_shard(self, change, now, out):
+        """Write a shard value, one at a time."""
+        if not change.unwritten:
+            self._fire(change, "shards_written", now, out)
+            return
+        shard = change.unwritten.pop()
+        self._call(change, KvPut(shard.key, encode_catalog_shard(shard), 0), now, out)
+
+    def write_note(self, change, now, out):
+        """Write the note itself, for operators to read."""
+        key = f"catalog/note/{change.note.note_id}"
+        self._call(change, KvPut(key, encode_release_note(change.note)), now, out)
+
+    def write_head(self, change, now, out):
+        """Accept the note: compare-and-swap of the head."""
+        expected = change.head_entry.revision if change.head_entry else 0
+        value = encode_catalog_head(change.change.head)
+        self._call(change, KvPut(HEAD_KEY, value, expected), now, out)
+
+    def schedule_retry(self, change, now, out):
+        """Set the time of the next try."""
+        change.tries += 1
+        change.retry_at = now + compute_backoff(change.tries, self.node.rng, 0.1, 2.0)
+
+    def read_winner(self, change, now, out):
+        """Read which note took the revision."""
+        self._call(change, KvGet(HEAD_KEY), now, out)
+
+    def spread_change(self, change, now, out):
+        """Take the change into force here and at the peers."""
+        change.expires_at = now + SPREAD_LIMIT_S
+        if change.change is None or change.note.note_id in change.head.recent:
+            return  # accepted earlier, or later than others; the catalogue finds it by itself
+        catalog = self.node.catalog
+        known = set(catalog.shards)
+        for shard in [*change.change.shards, *change.shards.values()]:
+            catalog.keep_shard(shard)
+        catalog.offer(change.change.head, now, out, now)
+        if catalog.revision() == change.change.head.revision:
+            for peer in self.node.settings.peers:
+                catalog.spread(peer, known, out)
+
+    # Answers
+
+    def _answer(self, change, failure, now, out, **document):
+        del self.open[change.token]
+        outcome = "accepted" if failure is None else f"{failure.kind.value}: {failure.reason}"
+        if change.order.action != "dry_run_note":
+            self.node.operations.record(change, outcome, now, out)
+        out.emit(LogEvent("note_settled", f"{change.note.note_id}: {outcome}"))
+        document["note_id"] = change.note.note_id
+        out.emit(OperatorAnswer(change.order.op_id, failure, document))
+
+    def answer_refusal(self, change, now, out):
+        """Tell the operator why the note is refused."""
+        self._answer(change, change.failure, now, out)
+
+    def answer_unavailable(self, change, now, out):
+        """Tell the operator that the platform did not answer in time."""
+        reason = "the key-value service does not answer; nothing has changed"
+        self._answer(change, Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason), now, out)
+
+    def answer_unknown(self, change, now, out):
+        """Tell the operator that the note may have been accepted."""
+        reason = "the note may have been accepted; apply the same note again to find out"
+        self._answer(change, Failure(ErrorKind.PLATFORM_UNKNOWN, reason), now, out)
+
+    def answer_conflict(self, change, now, out):
+        """Tell the operator which note came first."""
+        self._delete([shard.key for shard in change.change.shards], change, now, out)
+        winner = change.head.recent[-1] if change.head.recent else "none"
+        reason = f"note {winner} made revision {change.head.revision} first"
+        self._answer(change, Failure(ErrorKind.NOTE_CONFLICT, reason), now, out)
+
+    def answer_dry_run(self, change, now, out):
+        """Tell the operator what the note would do."""
+        head = change.change.head
+        self._answer(change, None, now, out, revision=head.revision, shards=len(change.shards))
+
+    def answer_accepted(self, change, now, out):
+        """Tell the operator where the note is in force."""
+        if change.change is not None:
+            replaced = set(change.shards) - set(change.change.head.shard_keys)
+            self._delete(sorted(replaced), change, now, out)
+        revision = self._revision(change)
+        reach = self.node.operations.find_reach(revision, now)
+        document = {"revision": revision, **reach}
+        self._answer(change, None, now, out, **document)
+
+    def _delete(self, keys, change, now, out):
+        """Delete shard values that no head names any more, or that never came into force."""
+        for key in keys:
+            self._call(change, KvDelete(key, None), now, out)
+
+    def _revision(self, change):
+        recent = change.head.recent
+        if change.note.note_id in recent:
+            behind = len(recent) - 1 - recent.index(change.note.note_id)
+            return change.head.revision - behind
+        return change.change.head.revision
+
+    # Time
+
+    def next_deadline(self):
+        """Return the time of the next scan."""
+        return self.next_scan
+
+    def tick(self, now, out):
+        """Handle retries, limits, and changes that have come into force everywhere."""
+        for change in list(self.open.values()):
+            if now >= change.expires_at:
+                self._fire(change, "expired", now, out)
+            elif now >= change.retry_at:
+                change.retry_at = float("inf")
+                self._fire(change, "retry_due", now, out)
+            elif self.chart.has_tag(change, "spreading"):
+                reach = self.node.operations.find_reach(self._revision(change), now)
+                if not reach["pending"]:
+                    self._fire(change, "in_force", now, out)
+        self.next_scan = now + SCAN_INTERVAL_S if self.open else float("inf")
--- /dev/null
+++ b/medlarbeam/node/operations.py
@@ -0,0 +1,267 @@
+"""Orders and questions of operators, the audit trail and the status document."""
+
+from medlarbeam.algorithms.backoff import compute_backoff
+from medlarbeam.classes.catalog import AuditEntry, ReleaseNote
+from medlarbeam.classes.effects import LogEvent, OperatorAnswer
+from medlarbeam.classes.messages import OperatorRequest
+from medlarbeam.classes.peer_messages import Pong
+from medlarbeam.classes.platform import KvCall, KvGet, KvList, KvOutcome, KvPut
+from medlarbeam.exceptions import ErrorKind, Failure, FormatError
+from medlarbeam.node.component import Component
+from medlarbeam.readwrite.values import (
+    decode_audit_entry,
+    decode_release_note,
+    describe_audit_entry,
+    describe_release_note,
+    encode_audit_entry,
+)
+
+__all__ = ["Operations"]
+
+AUDIT_TTL_S = 90 * 86400.0
+AUDIT_LIST_LIMIT = 100
+UNWRITTEN_LIMIT = 1000  # audit entries kept during a platform outage; the oldest go first
+
+
+class PeerState:
+    """What a pong told about a peer."""
+
+    __slots__ = ("confirm_age_s", "heard_at", "leaving", "revision")
+
+    def __init__(self, revision, confirm_age_s, heard_at, leaving):
+        self.revision = revision
+        self.confirm_age_s = confirm_age_s
+        self.heard_at = heard_at
+        self.leaving = leaving
+
+
+class Operations(Component):
+    """Answers operators and writes the audit trail."""
+
+    __slots__ = ("entries", "next_try", "peers", "questions", "serial", "tries")
+
+    name = "operations"
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.peers = {}
+        self.questions = {}  # action of open platform reads by operator request id
+        self.entries = {}  # audit entries that are not written yet, by id
+        self.serial = 0
+        self.tries = 0
+        self.next_try = float("inf")
+
+    def handlers(self):
+        """Return the methods by message class."""
+        return {OperatorRequest: self.take_request}
+
+    def peer_handlers(self):
+        """Return the methods by peer message class."""
+        return {Pong: self.take_pong}
+
+    def take_pong(self, sender, pong, now, out):
+        """Keep what a peer says of itself."""
+        self.peers[sender] = PeerState(pong.revision, pong.confirm_age_s, now, pong.leaving)
+
+    # Orders and questions
+
+    def take_request(self, request, now, out):
+        """Begin to answer an operator."""
+        actions = {
+            "apply_note": self._apply,
+            "dry_run_note": self._apply,
+            "drain": self._drain,
+            "undrain": self._drain,
+            "show_note": self._show_note,
+            "list_notes": self._list_notes,
+            "audit": self._list_audit,
+            "status": self._answer_status,
+        }
+        action = actions.get(request.action)
+        if action is None:
+            failure = Failure(ErrorKind.INVALID_REQUEST, f"unknown action {request.action!r}")
+            out.emit(OperatorAnswer(request.op_id, failure, {}))
+        else:
+            action(request, now, out)
+
+    def _apply(self, request, now, out):
+        self.node.notes.begin(request, now, out)
+
+    def _drain(self, request, now, out):
+        if self.node.ownership.find_server(request.subject) is None:
+            reason = f"there is no backend server {request.subject!r}"
+            out.emit(OperatorAnswer(request.op_id, Failure(ErrorKind.NOT_FOUND, reason), {}))
+            return
+        servers = [request.subject]
+        note = ReleaseNote(f"{request.action}-{request.op_id}", request.operator, [])
+        setattr(note, request.action, servers)
+        request.note = note
+        self.node.notes.begin(request, now, out)
+
+    def _show_note(self, request, now, out):
+        self._ask(request, KvGet(f"catalog/note/{request.subject}"), now, out)
+
+    def _list_notes(self, request, now, out):
+        self._ask(request, KvList("catalog/note/", AUDIT_LIST_LIMIT), now, out)
+
+    def _list_audit(self, request, now, out):
+        self._ask(request, KvList("audit/", AUDIT_LIST_LIMIT), now, out)
+
+    def _ask(self, request, op, now, out):
+        self.questions[request.op_id] = request
+        out.emit(KvCall(self.name, f"ask/{request.op_id}", op, now))
+
+    # Results of platform calls
+
+    def handle_kv(self, result, now, out):
+        """Take the answer to a question, or the outcome of writing an audit entry."""
+        kind, _, ident = result.call.token.partition("/")
+        if kind == "ask":
+            self._answer_question(self.questions.pop(ident, None), result, out)
+        elif result.outcome in (KvOutcome.APPLIED, KvOutcome.CONFLICT):
+            # The key is unique, so a conflict is an earlier write of the same entry.
+            self.entries.pop(ident, None)
+            self.tries = 0
+        if self.entries:
+            self.next_try = now + compute_backoff(self.tries + 1, self.node.rng, 0.5, 10.0)
+
+    def _answer_question(self, request, result, out):
+        if request is None:
+            return
+        if result.outcome is not KvOutcome.APPLIED:
+            failure = Failure(
+                ErrorKind.PLATFORM_UNAVAILABLE, "the key-value service does not answer"
+            )
+            out.emit(OperatorAnswer(request.op_id, failure, {}))
+            return
+        try:
+            failure, document = self._build_document(request, result.entries)
+        except FormatError as error:
+            failure, document = Failure(ErrorKind.INTERNAL, str(error)), {}
+        out.emit(OperatorAnswer(request.op_id, failure, document))
+
+    def _build_document(self, request, entries):
+        if request.action == "audit":
+            lines = [describe_audit_entry(decode_audit_entry(e.value)) for e in entries]
+            return None, {"audit": lines}
+        notes = [self._describe_note(decode_release_note(e.value)) for e in entries]
+        if request.action == "list_notes":
+            return None, {"notes": notes}
+        if not notes:
+            reason = f"there is no note {request.subject!r}"
+            return Failure(ErrorKind.NOT_FOUND, reason), {}
+        return None, notes[0]
+
+    def _describe_note(self, note):
+        document = describe_release_note(note)
+        head = self.node.catalog.head
+        recent = head.recent if head is not None else []
+        if note.note_id in recent:
+            behind = len(recent) - 1 - recent.index(note.note_id)
+            document["revision"] = head.revision - behind
+        return document
+
+    # Audit trail
+
+    def record(self, change, outcome, now, out):
+        """Write an audit entry about a settled `OpenChange`."""
+        order = change.order
+        self.serial += 1
+        settings = self.node.settings
+        unique = f"{settings.name}-{settings.incarnation}-{self.serial}"
+        entry_id = f"{int(order.wall_time_s * 1000):015d}-{unique}"
+        before = change.head.revision if change.head is not None else 0
+        after = before + 1 if outcome == "accepted" else before
+        subject = order.subject or change.note.note_id
+        entry = AuditEntry(
+            entry_id,
+            order.wall_time_s,
+            order.operator,
+            order.action,
+            subject,
+            before,
+            after,
+            outcome,
+        )
+        self.entries[entry_id] = entry
+        while len(self.entries) > UNWRITTEN_LIMIT:
+            del self.entries[next(iter(self.entries))]
+            out.emit(LogEvent("audit_entry_dropped", level="error"))
+        out.emit(LogEvent("audit", f"{order.operator} {order.action} {subject}: {outcome}"))
+        self._write(entry, now, out)
+
+    def _write(self, entry, now, out):
+        put = KvPut(f"audit/{entry.entry_id}", encode_audit_entry(entry), 0, AUDIT_TTL_S)
+        out.emit(KvCall(self.name, f"audit/{entry.entry_id}", put, now))
+
+    def next_deadline(self):
+        """Return the time of the next try to write audit entries."""
+        return self.next_try
+
+    def tick(self, now, out):
+        """Write the audit entries that could not be written before."""
+        self.tries += 1
+        self.next_try = float("inf")
+        for entry in list(self.entries.values())[:20]:
+            self._write(entry, now, out)
+
+    # Status
+
+    def find_reach(self, revision, now):
+        """Return at which nodes `revision` is in force, pending, and which are out of touch."""
+        in_force, pending, out_of_touch = [], [], []
+        if self.node.catalog.revision() >= revision:
+            in_force.append(self.node.settings.name)
+        else:
+            pending.append(self.node.settings.name)
+        for peer in self.node.settings.peers:
+            state = self.peers.get(peer)
+            fresh = state is not None and now - state.heard_at <= 3 * self._interval()
+            if not fresh:
+                out_of_touch.append(peer)
+            elif state.revision >= revision:
+                in_force.append(peer)
+            else:
+                pending.append(peer)
+        return {"in_force": in_force, "pending": pending, "out_of_touch": out_of_touch}
+
+    def _interval(self):
+        return self.node.settings.ping_interval_s
+
+    def _answer_status(self, request, now, out):
+        out.emit(OperatorAnswer(request.op_id, None, self.build_status(now)))
+
+    def build_status(self, now):
+        """Return the status document of this node."""
+        node = self.node
+        age_s = node.catalog.confirm_age(now)
+        document = {
+            "node": node.settings.name,
+            "incarnation": node.settings.incarnation,
+            "failure_domain": node.settings.failure_domain,
+            "cell": node.settings.cell,
+            "state": node.lifecycle.state,
+            "revision": node.catalog.revision(),
+            "confirm_age_s": round(age_s, 3) if age_s < 1e9 else None,
+            "adapters": len(node.catalog.index),
+            "open_requests": node.requests.open_count(),
+            "open_attempts": node.runs.open_count(),
+            "unwritten_audit_entries": len(self.entries),
+            "reach": self.find_reach(node.catalog.revision(), now),
+        }
+        document["servers"] = [self._describe_view(v) for v in node.ownership.view(now)]
+        return document
+
+    def _describe_view(self, view):
+        return {
+            "name": view.server.name,
+            "service": view.server.service,
+            "cell": view.server.cell,
+            "failure_domain": view.server.failure_domain,
+            "target": view.target,
+            "live": view.live,
+            "drained": self.node.catalog.is_drained(view.server.name),
+            "queued": view.queued,
+            "running": view.running,
+            "resident": list(view.resident),
+        }
--- a/medlarbeam/node/parts.py
+++ b/medlarbeam/node/parts.py
@@ -8,8 +8,8 @@
 
     Parameters
     ----------
-    ownership, catalog, claims, crashes, requests, runs, operations, lifecycle : type
-        Subclasses of the abstract classes in `medlarbeam.node.component`.
+    ownership, catalog, notes, claims, crashes, requests, runs, operations, lifecycle : callable
+        Called with the node; return subclasses of the classes in `medlarbeam.node.component`.
     """
 
     __slots__ = (
@@ -17,15 +17,19 @@
         "claims",
         "crashes",
         "lifecycle",
+        "notes",
         "operations",
         "ownership",
         "requests",
         "runs",
     )
 
-    def __init__(self, ownership, catalog, claims, crashes, requests, runs, operations, lifecycle):
+    def __init__(
+        self, ownership, catalog, notes, claims, crashes, requests, runs, operations, lifecycle
+    ):
         self.ownership = ownership
         self.catalog = catalog
+        self.notes = notes
         self.claims = claims
         self.crashes = crashes
         self.requests = requests
