--- /dev/null
+++ b/medlarbeam/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line tool of the operators."""
--- a/medlarbeam/node/notes.py
+++ b/medlarbeam/node/notes.py
@@ -19,7 +19,7 @@
 __all__ = ["NoteKeeper", "OpenChange"]
 
 SCAN_INTERVAL_S = 0.1
-PREPARE_LIMIT_S = 20.0  # until the operator is told that the platform does not answer
+PREPARE_LIMIT_S = 12.0  # until the operator is told that the platform does not answer
 SPREAD_LIMIT_S = 14.0  # within which a change has to be in force everywhere
 
 
