--- /dev/null
+++ b/medlarbeam/node/tests/driver.py
@@ -0,0 +1,354 @@
+"""Drives several nodes in one process by passing messages, without sockets or clocks."""
+
+import heapq
+import random
+from itertools import count
+
+from medlarbeam.classes.cells import BackendServer, VmEntry
+from medlarbeam.classes.effects import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerStart,
+    CancelOnServer,
+    Exit,
+    LoadAdapter,
+    LogEvent,
+    OperatorAnswer,
+    PollServer,
+    ReadVmList,
+    RunOnServer,
+    SendPeer,
+    UnloadAdapter,
+)
+from medlarbeam.classes.messages import (
+    CallerRequest,
+    EngineEnd,
+    EngineFailure,
+    PeerDown,
+    PeerMessage,
+    PeerUp,
+    UnloadResult,
+    VmList,
+)
+from medlarbeam.classes.platform import KvCall, KvGet, KvList, KvOutcome, KvResult
+from medlarbeam.exceptions import ErrorKind, Failure
+from medlarbeam.node.assembly import build_node
+from medlarbeam.node.settings import NodeSettings
+from medlarbeam.node.tests.fakes import LOAD_S, TOKEN_S, FakeKv, FakeRun, FakeServer
+
+DELAY_S = 0.0015
+FAR = float("inf")
+
+
+class Answered:
+    """What a caller got."""
+
+    __slots__ = ("end", "request", "start", "text", "at")
+
+    def __init__(self, request):
+        self.request = request
+        self.start = None
+        self.text = ""
+        self.end = None
+        self.at = None
+
+
+class Host:
+    """A node with the state of its shell."""
+
+    __slots__ = ("alive", "due", "name", "node", "paused", "settings")
+
+    def __init__(self, name, settings, node):
+        self.name = name
+        self.settings = settings
+        self.node = node
+        self.alive = True
+        self.paused = False
+        self.due = FAR
+
+
+class World:
+    """Nodes, fakes and the messages between them, in the order of their times.
+
+    Parameters
+    ----------
+    seed : int
+    placement : dict of str to str
+        Failure domain by node name.
+    engines, services : dict of str to str
+        Failure domain by backend server name.
+    build : callable
+        Returns a node for its settings and random source.
+    """
+
+    __slots__ = (
+        "answers",
+        "build",
+        "cuts",
+        "events",
+        "hosts",
+        "kv",
+        "log",
+        "lose_answers",
+        "now",
+        "order",
+        "placement",
+        "rng",
+        "seen_revisions",
+        "servers",
+        "told",
+        "vms",
+    )
+
+    def __init__(self, seed, placement, engines, services, build=build_node, fencing=False):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.order = count()
+        self.events = []
+        self.kv = FakeKv()
+        self.cuts = set()
+        self.lose_answers = 0
+        self.answers = {}
+        self.told = {}
+        self.seen_revisions = {}
+        self.log = []
+        self.build = build
+        self.placement = placement
+        self.servers = {}
+        for name, domain in {**engines, **services}.items():
+            service = "" if name in engines else "till"
+            server = BackendServer(
+                name, "127.0.0.1:1", domain, domain, service, 0 if service else 3, 4, fencing
+            )
+            self.servers[name] = FakeServer(server)
+        self.vms = {n: VmEntry(n, False) for n in placement}
+        self.vms.update({n: VmEntry(n, False, s.server) for n, s in self.servers.items()})
+        self.hosts = {}
+        for name in placement:
+            self.start(name)
+
+    # Time
+
+    def at(self, delay_s, action, *args):
+        """Call ``action(*args)`` after a delay."""
+        heapq.heappush(self.events, (self.now + delay_s, next(self.order), action, args))
+
+    def run(self, until):
+        """Carry out everything up to a time (s)."""
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action, args = heapq.heappop(self.events)
+            action(*args)
+        self.now = until
+
+    def run_until(self, condition, limit_s):
+        """Go on until ``condition()`` holds; return whether it did within the limit."""
+        end = self.now + limit_s
+        while self.events and self.events[0][0] <= end and not condition():
+            self.run(self.events[0][0])
+        return condition()
+
+    # Nodes
+
+    def start(self, name):
+        """Start a node, or start it again with a new incarnation."""
+        old = self.hosts.get(name)
+        incarnation = old.settings.incarnation + 1 if old else 1
+        domain = self.placement[name]
+        peers = [n for n in self.placement if n != name]
+        settings = NodeSettings(name, incarnation, domain, domain, peers)
+        rng = random.Random(self.rng.random())
+        host = self.hosts[name] = Host(name, settings, self.build(settings, rng))
+        for other in self.hosts.values():
+            if other is not host and other.alive and self.connects(name, other.name):
+                self.deliver(host, PeerUp(other.name, other.settings.incarnation))
+                self.deliver(other, PeerUp(name, incarnation))
+        self.arm(host)
+
+    def kill(self, name):
+        """Kill a node without notice."""
+        host = self.hosts[name]
+        host.alive = False
+        for answered in self.answers.values():
+            if answered.end is None and answered.request.request_id.startswith(f"{name}-"):
+                answered.at = self.now  # its connection breaks; the caller learns nothing
+        for other in self.hosts.values():
+            if other is not host:
+                self.at(DELAY_S, self.deliver, other, PeerDown(name))
+
+    def pause(self, name, seconds):
+        """Stop a node for a time; its messages wait."""
+        self.hosts[name].paused = True
+        self.at(seconds, self.resume, self.hosts[name])
+
+    def resume(self, host):
+        """Let a paused node go on."""
+        host.paused = False
+
+    def cut(self, one, other, seconds):
+        """Drop all messages between two nodes, or a node and "kv", for a time."""
+        pair = frozenset((one, other))
+        self.cuts.add(pair)
+        self.at(seconds, self.cuts.discard, pair)
+        if "kv" not in pair:
+            self.at(self.rng.uniform(0.0, 2.0), self.break_link, one, other)
+
+    def break_link(self, one, other):
+        """Tell two nodes that their link broke and, once it can, that it is up again."""
+        for name, peer in ((one, other), (other, one)):
+            self.deliver(self.hosts[name], PeerDown(peer))
+
+    def connects(self, one, other):
+        """Return whether messages pass between two names."""
+        return frozenset((one, other)) not in self.cuts
+
+    def deliver(self, host, message):
+        """Pass a message to a node, now or when it goes on."""
+        if not host.alive:
+            return
+        if host.paused:
+            self.at(0.05, self.deliver, host, message)
+            return
+        self.carry_out(host, host.node.handle(message, self.now))
+        self.arm(host)
+
+    def arm(self, host):
+        """Call the node's `tick` when it is due."""
+        due = max(host.node.next_deadline(), self.now)
+        if due < host.due:
+            host.due = due
+            self.at(due - self.now, self.tick, host, due)
+
+    def tick(self, host, due):
+        """Call a node's `tick`."""
+        if not host.alive or due != host.due:
+            return
+        if host.paused:
+            self.at(0.05, self.tick, host, due)
+            return
+        host.due = FAR
+        self.carry_out(host, host.node.tick(self.now))
+        self.arm(host)
+
+    # Effects
+
+    def carry_out(self, host, effects):
+        """Carry out the effects of a node."""
+        for effect in effects:
+            self.ACTIONS[type(effect)](self, host, effect)
+
+    def send_peer(self, host, effect):
+        other = self.hosts.get(effect.node)
+        if other is not None and self.connects(host.name, effect.node):
+            self.at(self.delay(), self.pass_on, host.name, other, effect.body)
+
+    def pass_on(self, sender, other, body):
+        if self.connects(sender, other.name) and self.hosts[other.name] is other:
+            self.deliver(other, PeerMessage(sender, body))
+
+    def delay(self):
+        return DELAY_S * self.rng.uniform(0.5, 2.0)
+
+    def call_kv(self, host, call):
+        if self.kv.down or not self.connects(host.name, "kv"):
+            result = KvResult(call, KvOutcome.UNAVAILABLE, [])
+        else:
+            result = self.kv.execute(call)
+            is_write = not isinstance(call.op, (KvGet, KvList))
+            if is_write and self.rng.random() < self.lose_answers:
+                self.at(call.timeout_s, self.deliver, host, KvResult(call, KvOutcome.UNKNOWN, []))
+                return
+        self.at(self.delay(), self.deliver, host, result)
+
+    def read_vms(self, host, effect):
+        self.at(self.delay(), self.deliver, host, VmList(effect.asked_at, list(self.vms.values())))
+
+    def start_run(self, host, effect):
+        self.at(self.delay(), self.begin_run, host, effect)
+
+    def begin_run(self, host, effect):
+        run = self.servers[effect.server.name].begin(host.name, effect, self.now)
+        if isinstance(run, FakeRun):
+            self.at(TOKEN_S, self.step_run, host, run)
+        else:
+            self.deliver(host, EngineFailure(effect.run_id, run))
+
+    def step_run(self, host, run):
+        server = self.servers[run.effect.server.name]
+        if not host.alive:
+            server.runs.pop(run.effect.run_id, None)  # the connection broke
+            return
+        message = server.next_message(run)
+        self.deliver(host, message)
+        if not isinstance(message, (EngineEnd, EngineFailure)):
+            self.at(TOKEN_S, self.step_run, host, run)
+
+    def cancel_run(self, host, effect):
+        for server in self.servers.values():
+            server.runs.pop(effect.run_id, None)
+
+    def load(self, host, effect):
+        self.at(LOAD_S, lambda: self.deliver(host, self.servers[effect.server.name].load(effect)))
+
+    def unload(self, host, effect):
+        self.at(self.delay(), self.end_unload, host, effect)
+
+    def end_unload(self, host, effect):
+        if self.now > effect.not_after + DELAY_S * 2:
+            failure = Failure(ErrorKind.SERVER_REFUSED, "order too old")
+            self.deliver(host, UnloadResult(effect.server.name, effect.model, failure))
+        else:
+            self.deliver(host, self.servers[effect.server.name].unload(effect))
+
+    def poll(self, host, effect):
+        report = self.servers[effect.server.name].report(effect.asked_at)
+        self.at(self.delay(), self.deliver, host, report)
+
+    def answer_start(self, host, effect):
+        self.answers[effect.request_id].start = effect
+
+    def answer_chunk(self, host, effect):
+        self.answers[effect.request_id].text += effect.text
+
+    def answer_end(self, host, effect):
+        answered = self.answers[effect.request_id]
+        assert answered.end is None, "a request is answered once"
+        answered.end = effect
+        answered.at = self.now
+
+    def tell_operator(self, host, effect):
+        self.told[effect.op_id] = effect
+
+    def write_log(self, host, effect):
+        self.log.append(f"{self.now:.3f} {host.name} {effect.name} {effect.detail}")
+
+    def exit(self, host, effect):
+        host.alive = False
+        for other in self.hosts.values():
+            if other is not host:
+                self.deliver(other, PeerDown(host.name))
+
+    ACTIONS = {
+        SendPeer: send_peer,
+        KvCall: call_kv,
+        ReadVmList: read_vms,
+        RunOnServer: start_run,
+        CancelOnServer: cancel_run,
+        LoadAdapter: load,
+        UnloadAdapter: unload,
+        PollServer: poll,
+        AnswerStart: answer_start,
+        AnswerChunk: answer_chunk,
+        AnswerEnd: answer_end,
+        OperatorAnswer: tell_operator,
+        LogEvent: write_log,
+        Exit: exit,
+    }
+
+    # Callers
+
+    def ask(self, node, request):
+        """Send a caller's request to a node; return its `Answered`."""
+        answered = self.answers[request.request_id] = Answered(request)
+        if self.hosts[node].alive:
+            self.deliver(self.hosts[node], CallerRequest(request))
+        return answered
--- /dev/null
+++ b/medlarbeam/node/tests/fakes.py
@@ -0,0 +1,197 @@
+"""Small fakes of the outside systems, driven with the time as an argument."""
+
+from medlarbeam.classes.messages import (
+    EngineChunk,
+    EngineEnd,
+    EngineFailure,
+    EngineReport,
+    LoadResult,
+    UnloadResult,
+)
+from medlarbeam.classes.peer_messages import ModelCount
+from medlarbeam.classes.platform import (
+    KvDelete,
+    KvEntry,
+    KvGet,
+    KvList,
+    KvOutcome,
+    KvPut,
+    KvResult,
+    KvWatch,
+)
+from medlarbeam.exceptions import ErrorKind, Failure
+
+TOKEN_S = 0.02
+LOAD_S = 0.25
+WORDS = 6
+
+
+class FakeKv:
+    """Key-value service with compare-and-swap."""
+
+    __slots__ = ("down", "entries", "revision", "writes")
+
+    def __init__(self):
+        self.entries = {}
+        self.revision = 0
+        self.writes = 0
+        self.down = False
+
+    def execute(self, call):
+        """Return the `KvResult` of a call."""
+        op = call.op
+        if isinstance(op, (KvGet, KvWatch)):
+            entry = self.entries.get(op.key)
+            return KvResult(call, KvOutcome.APPLIED, [entry] if entry else [])
+        if isinstance(op, KvList):
+            keys = sorted((k for k in self.entries if k.startswith(op.prefix)), reverse=True)
+            return KvResult(call, KvOutcome.APPLIED, [self.entries[k] for k in keys[: op.limit]])
+        return self._write(call, op)
+
+    def _write(self, call, op):
+        self.writes += 1
+        present = self.entries.get(op.key)
+        revision = present.revision if present else 0
+        if op.expected_revision is not None and op.expected_revision != revision:
+            return KvResult(call, KvOutcome.CONFLICT, [present] if present else [])
+        self.revision += 1
+        if isinstance(op, KvDelete):
+            self.entries.pop(op.key, None)
+            return KvResult(call, KvOutcome.APPLIED, [])
+        assert isinstance(op, KvPut)
+        entry = KvEntry(op.key, op.value, self.revision)
+        self.entries[op.key] = entry
+        return KvResult(call, KvOutcome.APPLIED, [entry])
+
+
+class FakeRun:
+    """A run on a fake backend server."""
+
+    __slots__ = ("chunks", "effect", "incarnation", "node", "prompt", "sent")
+
+    def __init__(self, node, effect, incarnation, chunks):
+        self.node = node
+        self.effect = effect
+        self.incarnation = incarnation
+        self.chunks = chunks
+        self.sent = 0
+        self.prompt = effect.request.body
+
+
+class FakeServer:
+    """Engine or plain service; writes down what reached it.
+
+    Attributes
+    ----------
+    evicted_in_use : list of str
+        Models that were unloaded while a run of them was in progress.
+    started : list of FakeRun
+        All runs that ever started here.
+    """
+
+    __slots__ = (
+        "crash_word",
+        "evicted_in_use",
+        "fence",
+        "incarnation",
+        "loads",
+        "resident",
+        "runs",
+        "server",
+        "started",
+        "up",
+    )
+
+    def __init__(self, server, crash_word="crash"):
+        self.server = server
+        self.crash_word = crash_word
+        self.incarnation = 1
+        self.up = True
+        self.resident = set()
+        self.runs = {}
+        self.started = []
+        self.evicted_in_use = []
+        self.loads = 0
+        self.fence = 0
+
+    def begin(self, node, effect, now):
+        """Start a run; return it, or the `Failure` if the server refuses."""
+        if not self.up:
+            return Failure(ErrorKind.SERVER_REFUSED, "not reached")
+        if effect.model and effect.model not in self.resident:
+            return Failure(ErrorKind.SERVER_REFUSED, f"{effect.model} is not loaded")
+        if effect.model:
+            words = [f"{effect.model}:{i} " for i in range(WORDS)]
+            given = sum(len(w) <= len(effect.prefix) for w in accumulate(words))
+            words = words[given:]
+        else:
+            words = [f"done {len(self.started)}"]
+        run = FakeRun(node, effect, self.incarnation, words)
+        self.runs[effect.run_id] = run
+        self.started.append(run)
+        return run
+
+    def next_message(self, run):
+        """Return the next message of a run, None if it is over."""
+        run_id = run.effect.run_id
+        if run.incarnation != self.incarnation or not self.up or run_id not in self.runs:
+            return EngineFailure(run_id, Failure(ErrorKind.SERVER_LOST, "connection broke"))
+        if self.crash_word in run.prompt and run.sent == 1:
+            self.crash()
+            return EngineFailure(run_id, Failure(ErrorKind.SERVER_LOST, "connection broke"))
+        if run.sent < len(run.chunks):
+            run.sent += 1
+            return EngineChunk(run_id, run.sent - 1, run.chunks[run.sent - 1], run.effect.model)
+        del self.runs[run_id]
+        return EngineEnd(run_id, len(run.chunks), run.effect.model)
+
+    def crash(self):
+        """Restart cold under the same address."""
+        self.incarnation += 1
+        self.resident.clear()
+        self.runs.clear()
+
+    def load(self, effect):
+        """Load a model; return the `LoadResult`."""
+        failure = None
+        if not self.up:
+            failure = Failure(ErrorKind.SERVER_REFUSED, "not reached")
+        elif self.server.fencing and effect.fencing < self.fence:
+            failure = Failure(ErrorKind.SERVER_REFUSED, "old fencing number")
+        elif len(self.resident) >= self.server.slots and effect.model not in self.resident:
+            failure = Failure(ErrorKind.SERVER_REFUSED, "full")
+        else:
+            self.loads += 1
+            self.fence = max(self.fence, effect.fencing)
+            self.resident.add(effect.model)
+        return LoadResult(self.server.name, effect.model, failure)
+
+    def unload(self, effect):
+        """Unload a model; return the `UnloadResult`."""
+        failure = None
+        if not self.up or (self.server.fencing and effect.fencing < self.fence):
+            failure = Failure(ErrorKind.SERVER_REFUSED, "not reached, or old fencing number")
+        else:
+            self.fence = max(self.fence, effect.fencing)
+            if any(r.effect.model == effect.model for r in self.runs.values()):
+                self.evicted_in_use.append(effect.model)
+            self.resident.discard(effect.model)
+        return UnloadResult(self.server.name, effect.model, failure)
+
+    def report(self, asked_at):
+        """Return the `EngineReport`."""
+        name = self.server.name
+        if not self.up:
+            failure = Failure(ErrorKind.SERVER_REFUSED, "not reached")
+            return EngineReport(name, asked_at, failure=failure)
+        models = sorted({r.effect.model for r in self.runs.values()})
+        running = [
+            ModelCount(name, m, sum(r.effect.model == m for r in self.runs.values()))
+            for m in models
+        ]
+        return EngineReport(name, asked_at, str(self.incarnation), sorted(self.resident), running)
+
+
+def accumulate(words):
+    """Return the texts up to and with each word."""
+    return ["".join(words[: i + 1]) for i in range(len(words))]
--- /dev/null
+++ b/medlarbeam/node/tests/test_whole_path.py
@@ -0,0 +1,166 @@
+"""A node is driven without sockets: whole requests through three nodes."""
+
+import pytest
+
+from medlarbeam.classes.messages import CallerGone, Shutdown
+from medlarbeam.exceptions import ErrorKind, RunState
+from medlarbeam.node.tests.world_checker import check_world
+from medlarbeam.node.tests.world_setup import (
+    MODELS,
+    apply_note,
+    make_charge,
+    make_note,
+    make_request,
+    make_world,
+)
+
+
+def finish(world, answered, limit_s=20.0):
+    assert world.run_until(lambda: answered.end is not None, limit_s), world.log[-20:]
+    return answered.end
+
+
+PATHS = [
+    (f"{model}-through-{node}", node, model) for node in ("n1", "n2", "n3") for model in MODELS
+]
+
+
+@pytest.mark.parametrize(("node", "model"), [p[1:] for p in PATHS], ids=[p[0] for p in PATHS])
+def test_answer_comes_from_the_model_asked_for(node, model):
+    world = make_world()
+    end = finish(world, world.ask(node, make_request(world, node, [model])))
+    assert (end.failure, end.model) == (None, model)
+    assert check_world(world, quiet=False) == []
+
+
+def kill_server(world, node, answered):
+    name = next(s.server.name for s in world.servers.values() if s.runs)
+    world.servers[name].crash()
+
+
+def kill_owner(world, node, answered):
+    owner = next(r.node for s in world.servers.values() for r in s.runs.values())
+    if owner != node:
+        world.kill(owner)
+
+
+def restart_cold(world, node, answered):
+    for server in world.servers.values():
+        server.crash()
+
+
+def stop_platform(world, node, answered):
+    world.kv.down = True
+
+
+def leave_gracefully(world, node, answered):
+    world.deliver(world.hosts[node], Shutdown())
+
+
+TROUBLES = [
+    ("server-dies-mid-stream", kill_server),
+    ("owner-dies-mid-stream", kill_owner),
+    ("all-engines-restart-cold", restart_cold),
+    ("platform-goes-down", stop_platform),
+    ("entry-node-shuts-down-gracefully", leave_gracefully),
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4], ids=lambda s: f"seed-{s}")
+@pytest.mark.parametrize("trouble", [t[1] for t in TROUBLES], ids=[t[0] for t in TROUBLES])
+def test_idempotent_request_survives(trouble, seed):
+    world = make_world(seed)
+    node = ("n1", "n2", "n3")[seed % 3]
+    answered = world.ask(node, make_request(world, node, [MODELS[seed]]))
+    assert world.run_until(lambda: "1 " in answered.text, 5.0), world.log[-20:]
+    trouble(world, node, answered)
+    end = finish(world, answered)
+    assert end.failure is None, (end, world.log[-30:])
+    assert check_world(world, quiet=False) == []
+
+
+REFUSALS = [
+    ("unknown-version", {"models": ["a0@9"]}, ErrorKind.UNKNOWN_ADAPTER),
+    ("unknown-service", {"models": [], "service": "bank"}, ErrorKind.NO_SERVER),
+    ("deadline-already-passed", {"deadline_s": 0.0}, ErrorKind.DEADLINE_IN_QUEUE),
+]
+
+
+@pytest.mark.parametrize(
+    ("options", "kind"), [r[1:] for r in REFUSALS], ids=[r[0] for r in REFUSALS]
+)
+def test_refusal_says_not_run(options, kind):
+    world = make_world()
+    end = finish(world, world.ask("n1", make_request(world, "n1", **options)))
+    assert (end.failure.kind, end.failure.run_state) == (kind, RunState.NOT_RUN)
+    assert check_world(world, quiet=True) == []
+
+
+REPEATS = [
+    ("same-node", "n1", "charge", None),
+    ("another-node", "n3", "charge", None),
+    ("another-body", "n3", "charge more", ErrorKind.KEY_REUSED),
+]
+
+
+@pytest.mark.parametrize(
+    ("node", "body", "kind"), [r[1:] for r in REPEATS], ids=[r[0] for r in REPEATS]
+)
+def test_repeated_charge_runs_once(node, body, kind):
+    world = make_world()
+    first = world.ask("n1", make_charge(world, "n1", "k1"))
+    assert finish(world, first).failure is None
+    world.run(world.now + 1.0)
+    second = world.ask(node, make_charge(world, node, "k1", body))
+    end = finish(world, second)
+    assert (end.failure and end.failure.kind) == kind
+    if kind is None:
+        assert (second.text, end.replayed) == (first.text, True)
+    assert check_world(world, quiet=True) == []
+
+
+@pytest.mark.parametrize("node", ["n1", "n3"], ids=["local-owner", "remote-owner"])
+def test_caller_that_goes_away_cancels_the_run(node):
+    world = make_world()
+    request = make_request(world, node, ["a1@1"])
+    answered = world.ask(node, request)
+    assert world.run_until(lambda: answered.text, 5.0)
+    world.deliver(world.hosts[node], CallerGone(request.request_id))
+    world.run(world.now + 0.05)
+    assert not any(server.runs for server in world.servers.values())
+
+
+RACES = [("same-base", 1, 1, 1), ("no-base", None, None, 1), ("stale-base", 0, 1, 1)]
+
+
+@pytest.mark.parametrize(
+    ("one", "other", "wins"), [r[1:] for r in RACES], ids=[r[0] for r in RACES]
+)
+def test_racing_notes_one_wins(one, other, wins):
+    world = make_world()
+    ids = [
+        apply_note(world, "n1", make_note("x", ["b@1"], base_revision=one)),
+        apply_note(world, "n3", make_note("y", ["b@2"], base_revision=other)),
+    ]
+    assert world.run_until(lambda: all(i in world.told for i in ids), 30.0)
+    failures = [world.told[i].failure for i in ids if world.told[i].failure is not None]
+    assert len(failures) == 2 - wins
+    assert all(f.kind is ErrorKind.NOTE_CONFLICT for f in failures)
+    assert check_world(world, quiet=True) == []
+
+
+def test_drained_server_gets_no_new_work():
+    world = make_world()
+    op = apply_note(world, "n1", _drain("e1"), "drain")
+    assert world.run_until(lambda: op in world.told, 30.0)
+    before = len(world.servers["e1"].started)
+    answers = [world.ask(n, make_request(world, n, [m])) for n in world.hosts for m in MODELS]
+    world.run(world.now + 15.0)
+    assert len(world.servers["e1"].started) == before
+    assert all(a.end.failure is None for a in answers)
+
+
+def _drain(server):
+    note = make_note("drain-1", [])
+    note.drain = [server]
+    return note
--- /dev/null
+++ b/medlarbeam/node/tests/world_checker.py
@@ -0,0 +1,69 @@
+"""Checks what must hold in a `World`, from what callers, operators and backend servers saw."""
+
+from medlarbeam.exceptions import RunState
+from medlarbeam.node.tests.fakes import WORDS
+
+__all__ = ["check_world"]
+
+
+def check_world(world, quiet):
+    """Return a list of violations; `quiet` says that all faults have ended a while ago."""
+    runs = [run for server in world.servers.values() for run in server.started]
+    faults = []
+    for name, server in world.servers.items():
+        faults += [f"{model} was evicted on {name} while it ran" for model in server.evicted_in_use]
+    runs_by_request = count_by(runs, lambda run: run.effect.request.request_id)
+    for answered in world.answers.values():
+        faults += check_answer(world, answered, runs_by_request, quiet)
+    faults += check_keys(runs)
+    faults += check_notes(world, quiet)
+    return faults
+
+
+def count_by(runs, key):
+    counts = {}
+    for run in runs:
+        counts[key(run)] = counts.get(key(run), 0) + 1
+    return counts
+
+
+def check_answer(world, answered, runs_by_request, quiet):
+    request, end = answered.request, answered.end
+    ident = request.request_id
+    if end is None:
+        return [f"{ident} was never answered"] if quiet and answered.at is None else []
+    if end.failure is not None:
+        lied = end.failure.run_state is RunState.NOT_RUN and runs_by_request.get(ident)
+        return [f"{ident} was told {end.failure}, but ran"] if lied else []
+    if request.service:
+        return [] if answered.text.startswith("done ") else [f"{ident} got {answered.text!r}"]
+    if answered.start.model not in request.asked:
+        return [f"{ident} asked for {request.asked} and got {answered.start.model}"]
+    whole = "".join(f"{answered.start.model}:{i} " for i in range(WORDS))
+    return [] if answered.text == whole else [f"{ident} got {answered.text!r}"]
+
+
+def check_keys(runs):
+    marked = [run for run in runs if run.effect.request.non_idempotent]
+    counts = count_by(marked, lambda r: f"{r.effect.request.caller}/{r.effect.request.key}")
+    return [f"key {key} ran {n} times" for key, n in counts.items() if n > 1]
+
+
+def check_notes(world, quiet):
+    accepted = [a.document for a in world.told.values() if a.failure is None]
+    accepted = {d["note_id"]: d["revision"] for d in accepted if "revision" in d}
+    faults = []
+    if len(set(accepted.values())) < len(accepted):
+        faults.append(f"two notes were accepted at one revision: {accepted}")
+    for name, host in world.hosts.items():
+        revision = host.node.catalog.revision()
+        if revision < world.seen_revisions.get(f"{name}-{host.settings.incarnation}", 0):
+            faults.append(f"{name} went back to revision {revision}")
+        world.seen_revisions[f"{name}-{host.settings.incarnation}"] = revision
+        if quiet and host.alive and accepted and revision < max(accepted.values()):
+            faults.append(f"{name} is at revision {revision}, accepted is {accepted}")
+        recent = host.node.catalog.head.recent if host.node.catalog.head else []
+        for note_id, at in accepted.items():
+            if revision >= at and recent[at - 1] != note_id:
+                faults.append(f"{name} has {recent[at - 1]} at revision {at}, not {note_id}")
+    return faults
--- /dev/null
+++ b/medlarbeam/node/tests/world_setup.py
@@ -0,0 +1,74 @@
+"""Worlds and requests that several tests use."""
+
+from medlarbeam.classes.catalog import AdapterVersion, NoteAction, NoteEntry, ReleaseNote
+from medlarbeam.classes.messages import OperatorRequest
+from medlarbeam.classes.requests import Rank, Request
+from medlarbeam.node.assembly import build_node
+from medlarbeam.node.tests.driver import World
+
+__all__ = ["MODELS", "apply_note", "make_charge", "make_note", "make_request", "make_world"]
+
+NODES = {"n1": "fd1", "n2": "fd1", "n3": "fd2"}
+ENGINES = {"e1": "fd1", "e2": "fd1", "e3": "fd2"}
+SERVICES = {"t1": "fd1", "t2": "fd2"}
+MODELS = [f"a{i}@1" for i in range(8)]
+
+
+class AskedRequest(Request):
+    """A request that remembers the models that its caller asked for."""
+
+    __slots__ = ("asked",)
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.asked = list(self.models)
+
+
+def make_request(world, node, models=("a0@1",), body="hello", deadline_s=10.0, **options):
+    """Return a new request for `node`."""
+    incarnation = world.hosts[node].settings.incarnation
+    request_id = f"{node}-{incarnation}-{len(world.answers) + 1}"
+    rank = options.pop("rank", Rank.ORDINARY)
+    caller = options.pop("caller", "kiosk")
+    deadline = world.now + deadline_s
+    return AskedRequest(request_id, caller, rank, deadline, list(models), body, **options)
+
+
+def make_charge(world, node, key, body="charge", **options):
+    """Return a new non-idempotent request to the till."""
+    options = {"service": "till", "path": "charge", "non_idempotent": True, "key": key, **options}
+    return make_request(world, node, (), body, **options)
+
+
+def apply_note(world, node, note, action="apply_note"):
+    """Have a node apply a note; return the id of the order."""
+    op_id = f"op{len(world.told)}-{note.note_id}-{node}"
+    order = OperatorRequest(op_id, "kira", action, note.note_id, note, 1000.0 + world.now)
+    world.deliver(world.hosts[node], order)
+    return op_id
+
+
+def make_note(note_id, models, action=NoteAction.ADD, base_revision=None):
+    """Return a note with one entry a model."""
+    entries = []
+    for model in models:
+        adapter, version = model.split("@")
+        entries.append(NoteEntry(action, AdapterVersion(adapter, version, f"w/{model}")))
+    return ReleaseNote(note_id, "kira", entries, base_revision)
+
+
+def make_world(seed=1, build=build_node, ready=True, fencing=False):
+    """Return a `World` of three nodes in two failure domains, with a catalogue in force."""
+    world = World(seed, NODES, ENGINES, SERVICES, build, fencing)
+    if ready:
+        assert world.run_until(lambda: all(is_ready(h) for h in world.hosts.values()), 60.0)
+        op_id = apply_note(world, "n1", make_note("first", MODELS))
+        assert world.run_until(lambda: op_id in world.told, 30.0), world.log
+        assert world.told[op_id].failure is None, world.told[op_id]
+        world.run(world.now + 5.0)
+    return world
+
+
+def is_ready(host):
+    """Return whether a node takes requests."""
+    return host.node.lifecycle.is_accepting()
