--- a/medlarbeam/node/catalog.py
+++ b/medlarbeam/node/catalog.py
@@ -7,7 +7,7 @@
 from medlarbeam.classes.platform import KvCall, KvGet, KvOutcome
 from medlarbeam.exceptions import ErrorKind, Failure, FormatError
 from medlarbeam.node.component import Catalog
-from medlarbeam.readwrite.values import decode_catalog_head, decode_catalog_shard
+from medlarbeam.readwrite.values import CATALOG_HEAD, CATALOG_SHARD
 
 __all__ = ["HEAD_KEY", "CatalogKeeper", "make_empty_head"]
 
@@ -244,7 +244,7 @@
 
     def _take_head(self, result, now, out):
         if result.entries:
-            head = decode_catalog_head(result.entries[0].value)
+            head = CATALOG_HEAD.decode(result.entries[0].value)
         else:
             head = make_empty_head(self.node.settings.catalog_shards)
         self.offer(head, now, out, result.call.sent_at)
@@ -252,7 +252,7 @@
 
     def _take_shard(self, result, now, out):
         for entry in result.entries:
-            shard = decode_catalog_shard(entry.value)
+            shard = CATALOG_SHARD.decode(entry.value)
             if shard.key in self.missing_keys():
                 self.keep_shard(shard)
         self._adopt_if_complete(now, out)
--- a/medlarbeam/node/notes.py
+++ b/medlarbeam/node/notes.py
@@ -8,13 +8,7 @@
 from medlarbeam.exceptions import ErrorKind, Failure, FormatError
 from medlarbeam.node.catalog import HEAD_KEY, make_empty_head
 from medlarbeam.node.component import Component
-from medlarbeam.readwrite.values import (
-    decode_catalog_head,
-    decode_catalog_shard,
-    encode_catalog_head,
-    encode_catalog_shard,
-    encode_release_note,
-)
+from medlarbeam.readwrite.values import CATALOG_HEAD, CATALOG_SHARD, RELEASE_NOTE
 
 __all__ = ["NoteKeeper", "OpenChange"]
 
@@ -139,7 +133,7 @@
         if change.head_entry is None:
             change.head = make_empty_head(self.node.settings.catalog_shards)
         else:
-            change.head = decode_catalog_head(change.head_entry.value)
+            change.head = CATALOG_HEAD.decode(change.head_entry.value)
         if change.note.note_id in change.head.recent:
             self._fire(change, "accepted", now, out)
         elif change.change is None:
@@ -149,7 +143,7 @@
 
     def _take_shard(self, change, result, now, out):
         for entry in result.entries:
-            change.shards[entry.key] = decode_catalog_shard(entry.value)
+            change.shards[entry.key] = CATALOG_SHARD.decode(entry.value)
         change.missing.discard(result.call.op.key)
         if not result.entries:
             reason = f"{result.call.op.key} is missing on the platform"
@@ -214,17 +208,17 @@
             self._fire(change, "shards_written", now, out)
             return
         shard = change.unwritten.pop()
-        self._call(change, KvPut(shard.key, encode_catalog_shard(shard), 0), now, out)
+        self._call(change, KvPut(shard.key, CATALOG_SHARD.encode(shard), 0), now, out)
 
     def write_note(self, change, now, out):
         """Write the note itself, for operators to read."""
         key = f"catalog/note/{change.note.note_id}"
-        self._call(change, KvPut(key, encode_release_note(change.note)), now, out)
+        self._call(change, KvPut(key, RELEASE_NOTE.encode(change.note)), now, out)
 
     def write_head(self, change, now, out):
         """Accept the note: compare-and-swap of the head."""
         expected = change.head_entry.revision if change.head_entry else 0
-        value = encode_catalog_head(change.change.head)
+        value = CATALOG_HEAD.encode(change.change.head)
         self._call(change, KvPut(HEAD_KEY, value, expected), now, out)
 
     def schedule_retry(self, change, now, out):
--- a/medlarbeam/node/operations.py
+++ b/medlarbeam/node/operations.py
@@ -8,13 +8,7 @@
 from medlarbeam.classes.platform import KvCall, KvGet, KvList, KvOutcome, KvPut
 from medlarbeam.exceptions import ErrorKind, Failure, FormatError
 from medlarbeam.node.component import Component
-from medlarbeam.readwrite.values import (
-    decode_audit_entry,
-    decode_release_note,
-    describe_audit_entry,
-    describe_release_note,
-    encode_audit_entry,
-)
+from medlarbeam.readwrite.values import AUDIT_ENTRY, RELEASE_NOTE
 
 __all__ = ["Operations"]
 
@@ -142,9 +136,9 @@
 
     def _build_document(self, request, entries):
         if request.action == "audit":
-            lines = [describe_audit_entry(decode_audit_entry(e.value)) for e in entries]
+            lines = [AUDIT_ENTRY.kind.dump(AUDIT_ENTRY.decode(e.value)) for e in entries]
             return None, {"audit": lines}
-        notes = [self._describe_note(decode_release_note(e.value)) for e in entries]
+        notes = [self._describe_note(RELEASE_NOTE.decode(e.value)) for e in entries]
         if request.action == "list_notes":
             return None, {"notes": notes}
         if not notes:
@@ -153,7 +147,7 @@
         return None, notes[0]
 
     def _describe_note(self, note):
-        document = describe_release_note(note)
+        document = RELEASE_NOTE.kind.dump(note)
         head = self.node.catalog.head
         recent = head.recent if head is not None else []
         if note.note_id in recent:
@@ -191,7 +185,7 @@
         self._write(entry, now, out)
 
     def _write(self, entry, now, out):
-        put = KvPut(f"audit/{entry.entry_id}", encode_audit_entry(entry), 0, AUDIT_TTL_S)
+        put = KvPut(f"audit/{entry.entry_id}", AUDIT_ENTRY.encode(entry), 0, AUDIT_TTL_S)
         out.emit(KvCall(self.name, f"audit/{entry.entry_id}", put, now))
 
     def next_deadline(self):
--- a/medlarbeam/node/tests/driver.py
+++ b/medlarbeam/node/tests/driver.py
@@ -204,6 +204,8 @@
     def deliver(self, host, message):
         """Pass a message to a node, now or when it goes on."""
         if not host.alive:
+            if isinstance(message, CallerRequest):
+                self.answers[message.request.request_id].at = self.now  # connection refused
             return
         if host.paused:
             self.at(0.05, self.deliver, host, message)
@@ -349,6 +351,5 @@
     def ask(self, node, request):
         """Send a caller's request to a node; return its `Answered`."""
         answered = self.answers[request.request_id] = Answered(request)
-        if self.hosts[node].alive:
-            self.deliver(self.hosts[node], CallerRequest(request))
+        self.deliver(self.hosts[node], CallerRequest(request))
         return answered
--- /dev/null
+++ b/medlarbeam/node/tests/run_world_schedules.py
@@ -0,0 +1,221 @@
+"""Runs seeded schedules of requests, notes and faults over whole nodes.
+
+Usage: ``python -m medlarbeam.node.tests.run_world_schedules --first 0 --count 1000``
+"""
+
+import argparse
+import random
+import sys
+import traceback
+
+from medlarbeam.classes.messages import CallerGone, Shutdown
+from medlarbeam.classes.requests import Rank
+from medlarbeam.node.assembly import build_node
+from medlarbeam.node.tests.world_checker import check_world
+from medlarbeam.node.tests.world_setup import (
+    MODELS,
+    apply_note,
+    make_charge,
+    make_note,
+    make_request,
+    make_world,
+)
+
+__all__ = ["Schedule", "run_schedule"]
+
+FAULT_S = 20.0  # time in which faults begin
+QUIET_S = 45.0  # time after them, for everything to recover
+STEPS = 40
+
+
+class Schedule:
+    """One random schedule.
+
+    Parameters
+    ----------
+    seed : int
+    build : callable
+        Returns a node.
+    kinds : list of str or None
+        Names of the faults to choose from; None for all.
+    """
+
+    __slots__ = ("kinds", "notes", "rng", "world")
+
+    def __init__(self, seed, build=build_node, kinds=None):
+        self.rng = random.Random(seed)
+        self.world = make_world(seed, build, fencing=seed % 2 == 0)
+        self.kinds = kinds or list(FAULTS)
+        self.notes = 0
+
+    def run(self):
+        """Run the schedule; return a list of violations."""
+        world = self.world
+        start = world.now
+        for _ in range(STEPS):
+            at = self.rng.uniform(0.0, FAULT_S)
+            world.at(at, self.rng.choice([self.ask, self.ask, self.charge, self.fault, self.note]))
+        faults = []
+        while world.now < start + FAULT_S:
+            world.run(world.now + 0.5)
+            faults += check_world(world, quiet=False)
+        self.mend()
+        world.run(world.now + QUIET_S)
+        faults += check_world(world, quiet=True)
+        return sorted(set(faults))
+
+    def mend(self):
+        """End all faults."""
+        world = self.world
+        world.kv.down = False
+        world.lose_answers = 0
+        world.cuts.clear()
+        for server in world.servers.values():
+            server.up = True
+        for name, host in list(world.hosts.items()):
+            if not host.alive:
+                world.start(name)
+
+    # Steps
+
+    def live_node(self):
+        """Return the name of a node that runs, or None."""
+        names = [h.name for h in self.world.hosts.values() if h.alive]
+        return self.rng.choice(names) if names else None
+
+    def ask(self):
+        """Send some requests for one model."""
+        node = self.live_node()
+        for _ in range(self.rng.choice([1, 3, 6]) if node else 0):
+            models = self.rng.sample(MODELS, self.rng.choice([1, 1, 3]))
+            rank = self.rng.choice(list(Rank))
+            request = make_request(self.world, node, models, rank=rank)
+            self.world.ask(node, request)
+            if self.rng.random() < 0.1:
+                host = self.world.hosts[node]
+                self.world.at(0.1, self.world.deliver, host, CallerGone(request.request_id))
+                self.world.answers[request.request_id].at = self.world.now
+
+    def charge(self):
+        """Send a charge, and the same again through other nodes."""
+        key = f"k{self.rng.randrange(1000)}"
+        for _ in range(self.rng.choice([1, 2, 3])):
+            self.world.at(self.rng.uniform(0.0, 3.0), self.charge_once, key)
+
+    def charge_once(self, key):
+        """Send one charge."""
+        node = self.live_node()
+        if node:
+            self.world.ask(node, make_charge(self.world, node, key))
+
+    def note(self):
+        """Let one or two operators apply a note."""
+        for _ in range(self.rng.choice([1, 2])):
+            node = self.live_node()
+            if node:
+                self.notes += 1
+                model = f"b{self.notes}@1"
+                apply_note(self.world, node, make_note(f"note{self.notes}", [model]))
+
+    def fault(self):
+        """Let one or two things fail."""
+        for _ in range(self.rng.choice([1, 2])):
+            FAULTS[self.rng.choice(self.kinds)](self)
+
+    # Faults
+
+    def kill(self):
+        name = self.live_node()
+        if name:
+            self.world.kill(name)
+            self.world.at(self.rng.uniform(0.1, 8.0), self.restart, name)
+
+    def restart(self, name):
+        if not self.world.hosts[name].alive:
+            self.world.start(name)
+
+    def pause(self):
+        name = self.live_node()
+        if name:
+            self.world.pause(name, self.rng.choice([0.5, 2.0, 4.0, 10.0]))
+
+    def cut_nodes(self):
+        one, other = self.rng.sample(sorted(self.world.hosts), 2)
+        self.world.cut(one, other, self.rng.uniform(1.0, 12.0))
+
+    def cut_platform(self):
+        self.world.cut(self.rng.choice(sorted(self.world.hosts)), "kv", self.rng.uniform(1, 12))
+
+    def stop_platform(self):
+        self.world.kv.down = True
+        self.world.at(self.rng.uniform(0.5, 12.0), self.start_platform)
+
+    def start_platform(self):
+        self.world.kv.down = False
+
+    def lose_answers(self):
+        self.world.lose_answers = 0.5
+        self.world.at(self.rng.uniform(0.5, 8.0), self.keep_answers)
+
+    def keep_answers(self):
+        self.world.lose_answers = 0
+
+    def restart_engine(self):
+        self.rng.choice(list(self.world.servers.values())).crash()
+
+    def stop_engine(self):
+        server = self.rng.choice(list(self.world.servers.values()))
+        server.crash()
+        server.up = False
+        self.world.at(self.rng.uniform(0.5, 6.0), self.start_engine, server)
+
+    def start_engine(self, server):
+        server.up = True
+
+    def leave(self):
+        name = self.live_node()
+        if name:
+            self.world.deliver(self.world.hosts[name], Shutdown())
+            self.world.at(self.rng.uniform(4.0, 12.0), self.restart, name)
+
+
+FAULTS = {
+    "kill": Schedule.kill,
+    "pause": Schedule.pause,
+    "cut-nodes": Schedule.cut_nodes,
+    "cut-platform": Schedule.cut_platform,
+    "stop-platform": Schedule.stop_platform,
+    "lose-answers": Schedule.lose_answers,
+    "restart-engine": Schedule.restart_engine,
+    "stop-engine": Schedule.stop_engine,
+    "leave": Schedule.leave,
+}
+
+
+def run_schedule(seed, build=build_node, kinds=None):
+    """Run the schedule of a seed and return the violations, an exception being one."""
+    try:
+        return Schedule(seed, build, kinds).run()
+    except Exception:
+        return [traceback.format_exc(limit=-4)]
+
+
+def main():
+    """Run the schedules of the command line and print totals."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--count", type=int, default=100)
+    parser.add_argument("--kinds", nargs="*")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.count):
+        faults = run_schedule(seed, kinds=options.kinds)
+        if faults:
+            failed += 1
+            print(f"seed {seed}:", *faults[:4], sep="\n  ", flush=True)
+    print(f"{options.count - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/medlarbeam/node/tests/test_whole_path.py
+++ b/medlarbeam/node/tests/test_whole_path.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from medlarbeam.classes.messages import CallerGone, Shutdown
+from medlarbeam.classes.messages import CallerGone, OperatorRequest, Shutdown
 from medlarbeam.exceptions import ErrorKind, RunState
 from medlarbeam.node.tests.world_checker import check_world
 from medlarbeam.node.tests.world_setup import (
@@ -149,18 +149,15 @@
     assert check_world(world, quiet=True) == []
 
 
-def test_drained_server_gets_no_new_work():
+@pytest.mark.parametrize("server", ["e1", "e3"], ids=["own-domain", "other-domain"])
+def test_drained_server_gets_no_new_work(server):
     world = make_world()
-    op = apply_note(world, "n1", _drain("e1"), "drain")
-    assert world.run_until(lambda: op in world.told, 30.0)
-    before = len(world.servers["e1"].started)
+    order = OperatorRequest("op-drain", "kira", "drain", server, None, 1000.0)
+    world.deliver(world.hosts["n1"], order)
+    assert world.run_until(lambda: "op-drain" in world.told, 30.0)
+    assert world.told["op-drain"].failure is None
+    before = len(world.servers[server].started)
     answers = [world.ask(n, make_request(world, n, [m])) for n in world.hosts for m in MODELS]
     world.run(world.now + 15.0)
-    assert len(world.servers["e1"].started) == before
-    assert all(a.end.failure is None for a in answers)
-
-
-def _drain(server):
-    note = make_note("drain-1", [])
-    note.drain = [server]
-    return note
+    assert len(world.servers[server].started) == before
+    assert [a.end.failure for a in answers if a.end.failure] == []
