--- a/medlarbeam/node/tests/driver.py
+++ b/medlarbeam/node/tests/driver.py
@@ -118,7 +118,7 @@
         for name, domain in {**engines, **services}.items():
             service = "" if name in engines else "till"
             server = BackendServer(
-                name, "127.0.0.1:1", domain, domain, service, 0 if service else 3, 4, fencing
+                name, "127.0.0.1:1", domain, domain, service, 0 if service else 2, 4, fencing
             )
             self.servers[name] = FakeServer(server)
         self.vms = {n: VmEntry(n, False) for n in placement}
@@ -240,8 +240,12 @@
 
     def send_peer(self, host, effect):
         other = self.hosts.get(effect.node)
-        if other is not None and self.connects(host.name, effect.node):
-            self.at(self.delay(), self.pass_on, host.name, other, effect.body)
+        if other is None or not self.connects(host.name, effect.node):
+            return
+        # Some messages are late enough to be overtaken, and some arrive twice.
+        late_s = 0.1 * self.rng.random() if self.rng.random() < 0.05 else 0.0
+        for _ in range(2 if self.rng.random() < 0.02 else 1):
+            self.at(self.delay() + late_s, self.pass_on, host.name, other, effect.body)
 
     def pass_on(self, sender, other, body):
         if self.connects(sender, other.name) and self.hosts[other.name] is other:
--- a/medlarbeam/node/tests/fakes.py
+++ b/medlarbeam/node/tests/fakes.py
@@ -24,6 +24,12 @@
 TOKEN_S = 0.02
 LOAD_S = 0.25
 WORDS = 6
+LONG_WORDS = 80  # of a request whose body contains "long"; outlasts a change of owner
+
+
+def make_words(model, body):
+    """Return the chunks of the whole answer of `model` to a request."""
+    return [f"{model}:{i} " for i in range(LONG_WORDS if "long" in body else WORDS)]
 
 
 class FakeKv:
@@ -121,7 +127,7 @@
         if effect.model and effect.model not in self.resident:
             return Failure(ErrorKind.SERVER_REFUSED, f"{effect.model} is not loaded")
         if effect.model:
-            words = [f"{effect.model}:{i} " for i in range(WORDS)]
+            words = make_words(effect.model, effect.request.body)
             given = sum(len(w) <= len(effect.prefix) for w in accumulate(words))
             words = words[given:]
         else:
--- /dev/null
+++ b/medlarbeam/node/tests/mutants.py
@@ -0,0 +1,107 @@
+"""Nodes without one of the mechanisms; the schedules have to catch each of them."""
+
+from medlarbeam.algorithms.naive_claims import NaiveClaims
+from medlarbeam.node.membership import Membership
+
+from medlarbeam.exceptions import RunState
+from medlarbeam.node.answer import Answer
+from medlarbeam.node.assembly import build_parts
+from medlarbeam.node.component import EvictionGrant
+from medlarbeam.node.intake import Intake
+from medlarbeam.node.node import Node
+
+__all__ = ["MUTANTS", "build_with"]
+
+
+class EagerEviction(Membership):
+    """Evicts whenever the record names it as the owner, without pledges."""
+
+    __slots__ = ()
+
+    def may_evict(self, server, model, now):
+        if self.is_owner(server):
+            return EvictionGrant(self.fencing(server), now + 5.0)
+        return super().may_evict(server, model, now)
+
+
+class EagerRun(Membership):
+    """Runs on any backend server of its cell at any time."""
+
+    __slots__ = ()
+
+    def may_run(self, server, now):
+        return None if self._find_seat(server) is not None else super().may_run(server, now)
+
+
+class ForgetfulRunState(Intake):
+    """Reports the run state of the last attempt only."""
+
+    __slots__ = ()
+
+    def _fail_attempt(self, entry, failure, now, out):
+        super()._fail_attempt(entry, failure, now, out)
+        entry.run_state = RunState.NOT_RUN
+
+
+class RetryOfCharges(Intake):
+    """Retries a non-idempotent request that may have run."""
+
+    __slots__ = ()
+
+    def _is_repeatable(self, entry):
+        return True
+
+
+class ArrivalOrder(Answer):
+    """Puts chunks together in the order of their arrival."""
+
+    __slots__ = ()
+
+    def add(self, position, text):
+        self.parts.append(text)
+        self.position += 1
+        return True
+
+
+class UncheckedOrder(Intake):
+    """Passes chunks on in the order of their arrival."""
+
+    __slots__ = ()
+
+    def take_request(self, message, now, out):
+        super().take_request(message, now, out)
+        entry = self.open.get(message.request.request_id)
+        if entry is not None:
+            entry.answer = ArrivalOrder()
+
+
+def build_with(**changes):
+    """Return a function that builds a node with some components exchanged."""
+
+    def build(settings, rng):
+        parts = build_parts()
+        for name, part in changes.items():
+            setattr(parts, name, part)
+        return Node(settings, rng, parts)
+
+    return build
+
+
+def intake_of(kind):
+    """Return a factory of an intake of another class with the usual policies."""
+
+    def build(node):
+        usual = build_parts().requests(node)
+        return kind(node, usual.routing, usual.budget)
+
+    return build
+
+
+MUTANTS = {
+    "eviction-without-pledges": build_with(ownership=EagerEviction),
+    "run-without-ownership": build_with(ownership=EagerRun),
+    "claims-in-memory": build_with(claims=NaiveClaims),
+    "run-state-of-last-attempt": build_with(requests=intake_of(ForgetfulRunState)),
+    "charges-are-retried": build_with(requests=intake_of(RetryOfCharges)),
+    "chunks-in-arrival-order": build_with(requests=intake_of(UncheckedOrder)),
+}
--- a/medlarbeam/node/tests/run_world_schedules.py
+++ b/medlarbeam/node/tests/run_world_schedules.py
@@ -11,6 +11,7 @@
 from medlarbeam.classes.messages import CallerGone, Shutdown
 from medlarbeam.classes.requests import Rank
 from medlarbeam.node.assembly import build_node
+from medlarbeam.node.tests.mutants import MUTANTS
 from medlarbeam.node.tests.world_checker import check_world
 from medlarbeam.node.tests.world_setup import (
     MODELS,
@@ -89,7 +90,8 @@
         for _ in range(self.rng.choice([1, 3, 6]) if node else 0):
             models = self.rng.sample(MODELS, self.rng.choice([1, 1, 3]))
             rank = self.rng.choice(list(Rank))
-            request = make_request(self.world, node, models, rank=rank)
+            body = self.rng.choice(["hello", "long"])
+            request = make_request(self.world, node, models, body, rank=rank)
             self.world.ask(node, request)
             if self.rng.random() < 0.1:
                 host = self.world.hosts[node]
@@ -205,11 +207,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=100)
-    parser.add_argument("--kinds", nargs="*")
+    parser.add_argument("--kinds", nargs="*", choices=list(FAULTS))
+    parser.add_argument("--mutant", choices=list(MUTANTS))
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.count):
-        faults = run_schedule(seed, kinds=options.kinds)
+        faults = run_schedule(seed, MUTANTS.get(options.mutant, build_node), options.kinds)
         if faults:
             failed += 1
             print(f"seed {seed}:", *faults[:4], sep="\n  ", flush=True)
--- a/medlarbeam/node/tests/world_checker.py
+++ b/medlarbeam/node/tests/world_checker.py
@@ -1,7 +1,7 @@
 """Checks what must hold in a `World`, from what callers, operators and backend servers saw."""
 
 from medlarbeam.exceptions import RunState
-from medlarbeam.node.tests.fakes import WORDS
+from medlarbeam.node.tests.fakes import make_words
 
 __all__ = ["check_world"]
 
@@ -39,7 +39,7 @@
         return [] if answered.text.startswith("done ") else [f"{ident} got {answered.text!r}"]
     if answered.start.model not in request.asked:
         return [f"{ident} asked for {request.asked} and got {answered.start.model}"]
-    whole = "".join(f"{answered.start.model}:{i} " for i in range(WORDS))
+    whole = "".join(make_words(answered.start.model, request.body))
     return [] if answered.text == whole else [f"{ident} got {answered.text!r}"]
 
 
--- a/medlarbeam/node/tests/world_setup.py
+++ b/medlarbeam/node/tests/world_setup.py
@@ -11,7 +11,7 @@
 NODES = {"n1": "fd1", "n2": "fd1", "n3": "fd2"}
 ENGINES = {"e1": "fd1", "e2": "fd1", "e3": "fd2"}
 SERVICES = {"t1": "fd1", "t2": "fd2"}
-MODELS = [f"a{i}@1" for i in range(8)]
+MODELS = [f"a{i}@1" for i in range(14)]
 
 
 class AskedRequest(Request):
