Add claims of non-idempotent requests

Claims are created at the platform before the first send and granted only when the platform showed the claim id. CrashReport gets a death id and ClaimOutcome a truncation mark.

--- /dev/null
+++ b/medlarbeam/algorithms/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that are stateless or behind an abstract base class, each beside a naive version."""
--- /dev/null
+++ b/medlarbeam/algorithms/retry_budget.py
@@ -0,0 +1,89 @@
+"""Limits on retries, so that a fault does not multiply the load that caused it."""
+
+from abc import ABC, abstractmethod
+
+__all__ = ["RetryBudget", "TokenRetryBudget", "UnlimitedRetryBudget"]
+
+
+class RetryBudget(ABC):
+    """Decides whether another attempt may be made."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def note_first(self, domain, now):
+        """Note a first attempt in the failure domain `domain` at `now` (s)."""
+
+    @abstractmethod
+    def take(self, domain, now):
+        """Return whether a retry in `domain` is allowed at `now` (s), and count it if so."""
+
+
+class UnlimitedRetryBudget(RetryBudget):
+    """Naive version that allows every retry."""
+
+    __slots__ = ()
+
+    def note_first(self, domain, now):
+        """Do nothing."""
+
+    def take(self, domain, now):
+        """Return True."""
+        return True
+
+
+class _Bucket:
+    __slots__ = ("refilled_at", "tokens")
+
+    def __init__(self, tokens, now):
+        self.tokens = tokens
+        self.refilled_at = now
+
+
+class TokenRetryBudget(RetryBudget):
+    """Token bucket for each failure domain, filled by first attempts.
+
+    Parameters
+    ----------
+    ratio : float
+        Tokens that a first attempt adds; a retry takes one.
+    reserve : float
+        Tokens of a quiet domain, so that a node with little traffic may retry.
+    reserve_per_s : float
+        Rate at which time alone fills the bucket up to `reserve`.
+    limit : float
+        Most tokens that are kept, which bounds a burst of retries after a long quiet time.
+    """
+
+    __slots__ = ("buckets", "limit", "ratio", "reserve", "reserve_per_s")
+
+    def __init__(self, ratio=0.1, reserve=3.0, reserve_per_s=0.1, limit=50.0):
+        self.ratio = ratio
+        self.reserve = reserve
+        self.reserve_per_s = reserve_per_s
+        self.limit = limit
+        self.buckets = {}
+
+    def note_first(self, domain, now):
+        """Add the share of a first attempt in `domain`."""
+        bucket = self._refill(domain, now)
+        bucket.tokens = min(self.limit, bucket.tokens + self.ratio)
+
+    def take(self, domain, now):
+        """Take a token of `domain` if there is a whole one."""
+        bucket = self._refill(domain, now)
+        # Ten additions of 0.1 give slightly less than 1.
+        if bucket.tokens < 1.0 - 1e-9:
+            return False
+        bucket.tokens -= 1.0
+        return True
+
+    def _refill(self, domain, now):
+        bucket = self.buckets.get(domain)
+        if bucket is None:
+            bucket = self.buckets[domain] = _Bucket(self.reserve, now)
+        elapsed = max(0.0, now - bucket.refilled_at)
+        bucket.refilled_at = max(now, bucket.refilled_at)
+        if bucket.tokens < self.reserve:
+            bucket.tokens = min(self.reserve, bucket.tokens + elapsed * self.reserve_per_s)
+        return bucket
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -287,15 +287,18 @@
         Backend server that died last.
     remaining_s : float
         Seconds until this knowledge wears off.
+    death_id : str
+        Identifies the death of the server, so that one death counts once.
     """
 
-    __slots__ = ("fingerprint", "remaining_s", "server", "strikes")
+    __slots__ = ("death_id", "fingerprint", "remaining_s", "server", "strikes")
 
-    def __init__(self, fingerprint, strikes, server, remaining_s):
+    def __init__(self, fingerprint, strikes, server, remaining_s, death_id):
         self.fingerprint = fingerprint
         self.strikes = strikes
         self.server = server
         self.remaining_s = remaining_s
+        self.death_id = death_id
 
 
 class Leaving(Record):
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -175,16 +175,19 @@
     body : str
     model, server : str
     failure : Failure or None
+    truncated : bool
+        The body was too long to be recorded; `body` is then a notice that says so.
     """
 
-    __slots__ = ("body", "failure", "model", "server", "status")
+    __slots__ = ("body", "failure", "model", "server", "status", "truncated")
 
-    def __init__(self, status, body, model, server, failure=None):
+    def __init__(self, status, body, model, server, failure=None, truncated=False):
         self.status = status
         self.body = body
         self.model = model
         self.server = server
         self.failure = failure
+        self.truncated = truncated
 
 
 class Claims(Component):
--- /dev/null
+++ b/medlarbeam/node/tests/run_claim_schedules.py
@@ -0,0 +1,329 @@
+"""Seeded random schedules of claims: several nodes, one platform, faults, repeated keys.
+
+Run ``python -m medlarbeam.node.tests.run_claim_schedules --first 0 --count 10000``.
+"""
+
+import argparse
+import time
+from collections import Counter
+from heapq import heappop, heappush
+from math import inf
+from random import Random
+
+from medlarbeam.classes.messages import CallerGone
+from medlarbeam.classes.platform import KvCall, KvDelete, KvEntry, KvGet, KvOutcome, KvPut, KvResult
+from medlarbeam.classes.requests import Rank, Request
+from medlarbeam.exceptions import ErrorKind, Failure, RunState
+from medlarbeam.node.claims import ClaimKeeper
+from medlarbeam.node.component import ClaimOutcome, Component, Outbox, Requests
+from medlarbeam.node.node import Node
+from medlarbeam.node.parts import NodeParts
+from medlarbeam.node.settings import NodeSettings
+from medlarbeam.node.tests.claim_checker import ClaimChecker
+
+__all__ = ["World", "run_schedule"]
+
+
+class Idle(Component):
+    """Component that does nothing."""
+
+    __slots__ = ()
+
+    def tick(self, now, out):
+        pass
+
+    def next_deadline(self):
+        return inf
+
+
+class StubRequests(Requests):
+    """Passes the answers of the claims component to the world."""
+
+    __slots__ = ("host", "world")
+
+    def tick(self, now, out):
+        pass
+
+    def next_deadline(self):
+        return inf
+
+    def claim_granted(self, request_id, now, out):
+        self.world.take_grant(self.host, request_id)
+
+    def claim_replayed(self, request_id, outcome, now, out):
+        self.world.checker.note_replayed(request_id, outcome)
+
+    def claim_refused(self, request_id, failure, now, out):
+        self.world.checker.note_refused(request_id, failure)
+
+    def take_chunk(self, sender, chunk, now, out):
+        pass
+
+    def take_end(self, sender, end, now, out):
+        pass
+
+    def open_count(self):
+        return 0
+
+
+class FakePlatform:
+    """Key-value service; answers a call with a `KvResult` as of the time it takes effect."""
+
+    __slots__ = ("entries", "expiries", "revision")
+
+    def __init__(self):
+        self.entries, self.expiries, self.revision = {}, {}, 0
+
+    def apply(self, call, now):
+        op = call.op
+        if self.expiries.get(op.key, inf) <= now:
+            self.entries.pop(op.key, None)
+        entry = self.entries.get(op.key)
+        present = [entry] if entry else []
+        if isinstance(op, KvGet):
+            return KvResult(call, KvOutcome.APPLIED, present)
+        if op.expected_revision != (entry.revision if entry else 0):
+            return KvResult(call, KvOutcome.CONFLICT, present)
+        if isinstance(op, KvDelete):
+            del self.entries[op.key]
+            return KvResult(call, KvOutcome.APPLIED, [])
+        assert isinstance(op, KvPut)
+        self.revision += 1
+        self.entries[op.key] = KvEntry(op.key, op.value, self.revision)
+        self.expiries[op.key] = now + op.ttl_s
+        return KvResult(call, KvOutcome.APPLIED, [self.entries[op.key]])
+
+
+class Host:
+    """A VM with a node; `node` is None while it is down."""
+
+    __slots__ = ("incarnation", "name", "node", "tick_at")
+
+    def __init__(self, name):
+        self.name, self.incarnation, self.node, self.tick_at = name, 0, None, inf
+
+
+class World:
+    """Everything outside of the claims component, on one simulated clock."""
+
+    __slots__ = (
+        "checker", "crashed", "events", "faulty", "hosts", "keeper", "lost", "mode", "now",
+        "platform", "requests", "rng", "seq", "slow",
+    )  # fmt: skip
+
+    def __init__(self, seed, keeper=ClaimKeeper, nodes=3):
+        self.rng = Random(seed)
+        self.keeper = keeper
+        self.now, self.seq, self.events = 0.0, 0, []
+        self.checker, self.platform = ClaimChecker(), FakePlatform()
+        self.requests, self.crashed = {}, set()
+        self.lost = self.rng.choice([0.0, 0.1, 0.4])
+        self.slow = self.rng.choice([0.0, 0.1, 0.4])
+        self.faulty, self.mode = True, "up"
+        self.hosts = [Host(f"n{i}") for i in range(nodes)]
+        for host in self.hosts:
+            self.start(host)
+
+    def push(self, delay, method, *args):
+        self.seq += 1
+        heappush(self.events, (self.now + delay, self.seq, method, args))
+
+    def run_until(self, end):
+        while self.events and self.events[0][0] <= end:
+            self.now, _, method, args = heappop(self.events)
+            method(*args)
+        self.now = end
+
+    def start(self, host):
+        if host.node is None:
+            host.incarnation += 1
+            settings = NodeSettings(host.name, host.incarnation, "c", "d", [])
+            parts = NodeParts(Idle, Idle, self.keeper, Idle, StubRequests, Idle, Idle, Idle)
+            host.node = Node(settings, Random(self.rng.random()), parts)
+            host.node.requests.world, host.node.requests.host = self, host
+            host.tick_at = inf
+
+    def crash(self, host):
+        if host.node is not None:
+            self.checker.note_crash(host.name)
+            self.crashed |= {i for i, a in self.checker.asked.items() if a.host == host.name}
+            host.node = None
+
+    def drive(self, host, incarnation, call, *args):
+        """Call a method of a node's incarnation, if it still lives, and carry out the effects."""
+        if host.node is None or host.incarnation != incarnation:
+            return
+        for effect in call(*args):
+            if isinstance(effect, KvCall):
+                self.call_platform(host, effect)
+        due = host.node.next_deadline()
+        if due < host.tick_at:
+            host.tick_at = due
+            self.push(max(0.0, due - self.now), self.tick, host, incarnation)
+
+    def tick(self, host, incarnation):
+        if host.node is not None and host.incarnation == incarnation:
+            host.tick_at = inf
+            self.drive(host, incarnation, host.node.tick, self.now)
+
+    def call_platform(self, host, call):
+        rng, back = self.rng, (host, host.incarnation)
+        if self.mode == "refusing":
+            result = KvResult(call, KvOutcome.UNAVAILABLE, [])
+            self.push(0.002, self.deliver, *back, result)
+            return
+        faulty = self.faulty or self.mode == "silent"
+        there, again = rng.uniform(0.001, 0.01), rng.uniform(0.001, 0.01)
+        if faulty and rng.random() < self.slow:
+            there += rng.uniform(0.0, 6.0)  # may take effect after the timeout
+        lost = faulty and rng.random() < (0.9 if self.mode == "silent" else self.lost)
+        dropped = lost and rng.random() < 0.5
+        if not dropped:
+            answered = not lost and there + again < call.timeout_s
+            self.push(there, self.apply, *back, call, again if answered else None)
+        if dropped or lost or there + again >= call.timeout_s:
+            self.push(call.timeout_s, self.deliver, *back, KvResult(call, KvOutcome.UNKNOWN, []))
+
+    def apply(self, host, incarnation, call, delay):
+        result = self.platform.apply(call, self.now)
+        if result.outcome is KvOutcome.CONFLICT and self.rng.random() < 0.5:
+            result.entries = []
+        if delay is not None:
+            self.push(delay, self.deliver, host, incarnation, result)
+
+    def deliver(self, host, incarnation, result):
+        if host.node is not None:
+            self.drive(host, incarnation, host.node.handle, result, self.now)
+
+    def ask(self, host, request):
+        if host.node is None:
+            return
+        self.requests[request.request_id] = request
+        request.deadline += self.now
+        self.checker.note_asked(request, host.name)
+        self.drive(host, host.incarnation, self.begin, host, request)
+
+    def begin(self, host, request):
+        out = Outbox()
+        host.node.claims.begin(request, self.now, out)
+        return out.effects
+
+    def cancel(self, host, request_id):
+        if host.node is not None and request_id in self.requests:
+            gone = CallerGone(request_id)
+            self.drive(host, host.incarnation, host.node.handle, gone, self.now)
+
+    def take_grant(self, host, request_id):
+        self.checker.note_decision(request_id, "granted")
+        rng, delay = self.rng, self.rng.choice([0.0, 0.05, self.rng.uniform(0, 5)])
+        fate = rng.random()
+        if request_id.startswith("probe"):
+            return
+        if fate < 0.3:
+            failure = Failure(ErrorKind.SERVER_REFUSED, "full", RunState.NOT_RUN)
+            outcome = ClaimOutcome(0, "", "", "s", failure)
+        elif fate < 0.5:
+            outcome = ClaimOutcome(0, "", "", "s", Failure(ErrorKind.SERVER_LOST, "broken"))
+        else:
+            body = f"receipt {request_id}" + "!" * (70000 if rng.random() < 0.1 else 0)
+            outcome = ClaimOutcome(200, body, "", "s")
+        if fate >= 0.3 and (fate >= 0.5 or rng.random() < 0.5):
+            self.push(delay, self.checker.note_run, request_id)
+        # The run was sent with the grant, so it happens even if the node crashes before the end.
+        self.push(delay, self.finish, host, host.incarnation, request_id, outcome)
+
+    def finish(self, host, incarnation, request_id, outcome):
+        if host.node is None or host.incarnation != incarnation:
+            return
+        failure = outcome.failure
+        state = failure.run_state if failure else RunState.RAN
+        self.checker.note_told(request_id, state, None if failure else outcome.body)
+        self.drive(host, incarnation, self.end, host, request_id, outcome)
+
+    def end(self, host, request_id, outcome):
+        out = Outbox()
+        host.node.claims.finish(request_id, outcome, self.now, out)
+        return out.effects
+
+    def set_mode(self, mode):
+        self.mode = mode
+
+    def heal(self):
+        self.mode, self.faulty = "up", False
+        for host in self.hosts:
+            self.start(host)
+
+    def plan(self):
+        rng = self.rng
+        for i in range(rng.randint(3, 8)):
+            key = f"k{rng.randrange(2)}"
+            body = "other" if rng.random() < 0.15 else "pay"
+            deadline = rng.choice([0.3, 2.0, 8.0, 30.0])
+            request = make_request(f"r{i}", key, body, deadline)
+            host, at = rng.choice(self.hosts), rng.choice([0.0, rng.uniform(0, 20)])
+            self.push(at, self.ask, host, request)
+            if rng.random() < 0.25:
+                self.push(at + rng.choice([0.004, 1.0, 3.0]), self.cancel, host, f"r{i}")
+        for _ in range(rng.choice([0, 0, 1, 2])):
+            host, at = rng.choice(self.hosts), rng.uniform(0, 20)
+            self.push(at, self.crash, host)
+            self.push(at + rng.uniform(0.1, 3), self.start, host)
+        for _ in range(rng.choice([0, 1, 2])):
+            at = rng.uniform(0, 15)
+            self.push(at, self.set_mode, rng.choice(["refusing", "silent"]))
+            self.push(at + rng.uniform(0.2, 10), self.set_mode, "up")
+
+    def run(self):
+        self.plan()
+        self.run_until(40.0)
+        self.heal()
+        self.run_until(240.0)
+        for host in self.hosts:
+            self.checker.demand(host.node.claims.is_idle(), f"{host.name} has claims left")
+        self.checker.check_settled(self.crashed)
+        for key in ("k0", "k1"):
+            self.ask(self.rng.choice(self.hosts), make_request(f"probe-{key}", key, "pay", 5.0))
+            self.run_until(self.now + 10.0)
+            self.checker.check_probe(f"probe-{key}")
+
+
+def make_request(request_id, key, body, deadline, **fields):
+    return Request(
+        request_id, "caller", Rank.URGENT, deadline, [], body,
+        service="ledger", path="/pay", non_idempotent=True, key=key, **fields,
+    )  # fmt: skip
+
+
+def run_schedule(seed, keeper=ClaimKeeper):
+    """Run one schedule and return its world; raises `ViolationError`."""
+    world = World(seed, keeper)
+    world.run()
+    return world
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=0, help="first seed")
+    parser.add_argument("--count", type=int, default=1000, help="number of seeds")
+    options = parser.parse_args()
+    totals, failed, started = Counter(), [], time.monotonic()
+    for seed in range(options.first, options.first + options.count):
+        try:
+            world = run_schedule(seed)
+        except Exception as error:  # the remaining seeds are still of interest
+            failed.append(seed)
+            print(f"seed {seed}: {type(error).__name__}: {error}")
+            continue
+        totals.update(world.checker.kinds)
+        totals["requests"] += len(world.checker.asked)
+        totals["runs"] += sum(len(r) for r in world.checker.runs.values())
+        totals["crashed_requests"] += len(world.crashed)
+        totals["platform_writes"] += world.platform.revision
+    print(f"schedules {options.count}, failed {len(failed)} {failed[:20]}")
+    print(", ".join(f"{name} {count}" for name, count in sorted(totals.items())))
+    print(f"{time.monotonic() - started:.1f} s")
+    raise SystemExit(bool(failed))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/medlarbeam/readwrite/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings of messages between nodes and of values on the platform."""
