Add stand-ins for engines, key-value service, weights, VM list and plain services

Each is a state class that takes the time as an argument, with a thin HTTP layer, so that tests drive it without sockets and the demonstration runs it as a process.

--- /dev/null
+++ b/medlarbeam/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: engines, plain services, key-value, weights and VM list."""
--- /dev/null
+++ b/medlarbeam/standins/engine_text.py
@@ -0,0 +1,38 @@
+"""The answers of the engine stand-in: a function of model and prompt alone."""
+
+import re
+
+import xxhash
+
+__all__ = ["answer_tokens", "remaining_tokens"]
+
+_WORDS = (
+    "amber basil cedar clover copper coral cotton daisy ember fennel fern flint ginger hazel heron "
+    "indigo jasper juniper larch lemon linen maple mint moss nutmeg olive opal pepper pine quartz "
+    "sage willow"
+).split()
+
+
+def answer_tokens(model, prompt, limit):
+    """Return the tokens of the whole answer; their concatenation is the text.
+
+    Parameters
+    ----------
+    model, prompt : str
+    limit : int
+        Number of tokens, at least 1; a smaller limit gives a prefix.
+    """
+    tokens = [model, " answers:"]
+    seed = xxhash.xxh64_intdigest(f"{model}\n{prompt}".encode())
+    for index in range(limit - 2):
+        digest = xxhash.xxh64_intdigest(str(index).encode(), seed=seed)
+        tokens.append(f" {_WORDS[digest % len(_WORDS)]}")
+    return tokens[:limit]
+
+
+def remaining_tokens(tokens, prefix):
+    """Return the tokens behind the text `prefix`, or None if the answer doesn't start with it."""
+    text = "".join(tokens)
+    if not text.startswith(prefix):
+        return None
+    return re.findall(r"\s*\S+", text[len(prefix) :])
--- /dev/null
+++ b/medlarbeam/standins/http.py
@@ -0,0 +1,154 @@
+"""What the HTTP layers of all stand-ins share."""
+
+import asyncio
+import os
+import signal
+import time
+
+import orjson
+from aiohttp import web
+
+from medlarbeam.exceptions import FormatError
+
+__all__ = [
+    "TaskSet",
+    "answer_json",
+    "drop_connection",
+    "new_incarnation",
+    "parse_address",
+    "read_document",
+    "require_type",
+    "serve",
+    "take_number",
+]
+
+
+class TaskSet:
+    """Work that goes on when the caller that asked for it has gone."""
+
+    __slots__ = ("tasks",)
+
+    def __init__(self):
+        self.tasks = set()  # the event loop keeps only weak references
+
+    async def finish(self, work):
+        """Return the result of the coroutine `work`, which isn't cancelled with the caller."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return await asyncio.shield(task)
+
+
+def parse_address(text):
+    """Return ``(host, port)`` of ``ip:port``; raise `FormatError` otherwise."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise FormatError(f"address {text!r} is not ip:port")
+    return host, int(port)
+
+
+def require_type(document, key, kind, default=None):
+    """Return ``document[key]``, or `default` where it is absent, after a check of its type.
+
+    Raises
+    ------
+    FormatError
+        If the value is no instance of `kind`, or is absent without a default.
+    """
+    value = document.get(key, default)
+    is_stray_bool = isinstance(value, bool) and kind is not bool
+    if not isinstance(value, kind) or is_stray_bool:
+        raise FormatError(f"field {key!r} is {value!r}, expected {kind}")
+    return value
+
+
+def take_number(document, key, default):
+    """Return the non-negative number ``document[key]``, or `default` where it is absent."""
+    value = require_type(document, key, (int, float), default)
+    if value < 0:
+        raise FormatError(f"field {key!r} is {value!r}, expected a number from 0 on")
+    return value
+
+
+def new_incarnation():
+    """Return a text that differs with each start of a process."""
+    return f"{time.time_ns()}-{os.getpid()}"
+
+
+async def read_document(request):
+    """Return the JSON object in the body of a request; raise `FormatError` otherwise."""
+    body = await request.read()
+    try:
+        document = orjson.loads(body or b"{}")
+    except orjson.JSONDecodeError as error:
+        raise FormatError(f"body is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise FormatError("body is not a JSON object")
+    return document
+
+
+def answer_json(document, status=200, headers=None):
+    """Return a response with a JSON body."""
+    return web.Response(
+        body=orjson.dumps(document),
+        status=status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def drop_connection(request):
+    """Close the connection of a request without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+@web.middleware
+async def _answer_format_errors(request, handler):
+    try:
+        return await handler(request)
+    except FormatError as error:
+        document = {"error": {"message": str(error), "type": "invalid_request", "code": 400}}
+        return answer_json(document, 400, {"X-Not-Run": "true"})
+
+
+async def _run(name, routes, listen, drain, handler_cancellation):
+    app = web.Application(middlewares=[_answer_format_errors], client_max_size=8 << 20)
+    app.add_routes(routes)
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=handler_cancellation,
+        shutdown_timeout=0.2,  # only watches are left open then
+    )
+    await runner.setup()
+    host, port = parse_address(listen)
+    await web.TCPSite(runner, host, port).start()
+    host, port = runner.addresses[0][:2]
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    print(orjson.dumps({"name": name, "listen": f"{host}:{port}"}).decode(), flush=True)
+    await stop.wait()
+    if drain is not None:
+        await drain()
+    await runner.cleanup()
+
+
+def serve(name, routes, listen, drain=None, handler_cancellation=False):
+    """Serve until SIGTERM or SIGINT; print one JSON line with the real address at the start.
+
+    Parameters
+    ----------
+    name : str
+    routes : list of aiohttp.web.RouteDef
+    listen : str
+        ``ip:port``; port 0 lets the system choose.
+    drain : coroutine function or None
+        Awaited after the signal, while requests are still served.
+    handler_cancellation : bool
+        Cancel a handler when its caller closes the connection.
+    """
+    asyncio.run(_run(name, routes, listen, drain, handler_cancellation))
--- /dev/null
+++ b/medlarbeam/standins/kv_store.py
@@ -0,0 +1,256 @@
+"""State of the key-value stand-in: keys, revisions, leases and watchers."""
+
+from collections import deque
+
+from sortedcontainers import SortedDict
+
+from medlarbeam.classes.record import Record
+
+__all__ = ["Change", "KvLease", "KvStore", "KvWatcher", "StoreError", "StoredKey"]
+
+_HISTORY_LIMIT = 10_000  # changes; a watch from before the oldest is refused as compacted
+
+
+class StoreError(Exception):
+    """A call that the service refuses, with the gRPC code of its answer."""
+
+    def __init__(self, code, reason):
+        super().__init__(reason)
+        self.code = code
+        self.reason = reason
+
+
+class StoredKey(Record):
+    """A key with its value; immutable, each put makes a new one.
+
+    Parameters
+    ----------
+    key, value : bytes
+    create_revision, mod_revision, version : int
+        As in etcd; `version` counts the puts since the creation.
+    lease : int
+        0 for none.
+    """
+
+    __slots__ = ("create_revision", "key", "lease", "mod_revision", "value", "version")
+
+    def __init__(self, key, value, create_revision, mod_revision, version, lease):
+        self.key = key
+        self.value = value
+        self.create_revision = create_revision
+        self.mod_revision = mod_revision
+        self.version = version
+        self.lease = lease
+
+
+class Change(Record):
+    """A put (`stored` set) or a deletion (`stored` None) of `key` at `revision`."""
+
+    __slots__ = ("key", "revision", "stored")
+
+    def __init__(self, key, revision, stored):
+        self.key = key
+        self.revision = revision
+        self.stored = stored
+
+
+class KvLease:
+    """A lease.
+
+    Parameters
+    ----------
+    lease_id, ttl : int
+        `ttl` in seconds.
+    expires_at : float
+        Monotonic time (s).
+    """
+
+    __slots__ = ("expires_at", "keys", "lease_id", "ttl")
+
+    def __init__(self, lease_id, ttl, expires_at):
+        self.lease_id = lease_id
+        self.ttl = ttl
+        self.expires_at = expires_at
+        self.keys = set()
+
+
+class KvWatcher:
+    """A watch on a key, or on the keys from `key` to before `range_end`.
+
+    Parameters
+    ----------
+    key, range_end : bytes
+    start_revision : int
+        Earlier changes are left out.
+    on_change : callable
+        Called without arguments when `changes` has grown.
+    """
+
+    __slots__ = ("changes", "key", "on_change", "range_end", "start_revision")
+
+    def __init__(self, key, range_end, start_revision, on_change):
+        self.key = key
+        self.range_end = range_end
+        self.start_revision = start_revision
+        self.on_change = on_change
+        self.changes = []
+
+    def offer(self, change):
+        """Keep the change if it is in the range."""
+        if change.revision < self.start_revision:
+            return
+        if is_in_range(change.key, self.key, self.range_end):
+            self.changes.append(change)
+            self.on_change()
+
+    def take(self):
+        """Return the changes since the last call, oldest first."""
+        changes, self.changes = self.changes, []
+        return changes
+
+
+def is_in_range(key, first, range_end):
+    """Return whether `key` is in a range as etcd defines it."""
+    if not range_end:
+        return key == first
+    return key >= first and (range_end == b"\0" or key < range_end)
+
+
+class KvStore:
+    """Keys with revisions, leases and watchers.
+
+    Notes
+    -----
+    Writes of one call share a revision: `begin_write` opens it, `end_write` closes it.
+    Times are monotonic seconds, passed in by the caller.
+    """
+
+    __slots__ = (
+        "history",
+        "keys",
+        "leases",
+        "next_lease",
+        "oldest_revision",
+        "pending",
+        "revision",
+        "watchers",
+    )
+
+    def __init__(self):
+        self.keys = SortedDict()
+        self.revision = 1
+        self.oldest_revision = 1
+        self.history = deque()
+        self.pending = []
+        self.leases = {}
+        self.next_lease = 7587_000_001
+        self.watchers = []
+
+    def find(self, key, range_end=b""):
+        """Return the list of `StoredKey` in a range, in key order."""
+        if not range_end:
+            return [self.keys[key]] if key in self.keys else []
+        last = None if range_end == b"\0" else range_end
+        return [self.keys[k] for k in self.keys.irange(key, last, inclusive=(True, False))]
+
+    def put(self, key, value, lease_id=0):
+        """Write a key within an open write."""
+        if lease_id and lease_id not in self.leases:
+            raise StoreError(5, "etcdserver: requested lease not found")
+        old = self.keys.get(key)
+        if old is not None and old.lease:
+            self.leases[old.lease].keys.discard(key)
+        revision = self.revision + 1
+        created = old.create_revision if old is not None else revision
+        version = old.version + 1 if old is not None else 1
+        stored = StoredKey(key, value, created, revision, version, lease_id)
+        self.keys[key] = stored
+        if lease_id:
+            self.leases[lease_id].keys.add(key)
+        self.pending.append(Change(key, revision, stored))
+
+    def delete(self, key, range_end=b""):
+        """Delete a range within an open write; return the number of keys."""
+        found = self.find(key, range_end)
+        for stored in found:
+            del self.keys[stored.key]
+            if stored.lease:
+                self.leases[stored.lease].keys.discard(stored.key)
+            self.pending.append(Change(stored.key, self.revision + 1, None))
+        return len(found)
+
+    def end_write(self):
+        """Give the changes since the last call one revision and tell the watchers."""
+        if not self.pending:
+            return
+        self.revision += 1
+        changes, self.pending = self.pending, []
+        for change in changes:
+            self.history.append(change)
+            for watcher in self.watchers:
+                watcher.offer(change)
+        while len(self.history) > _HISTORY_LIMIT:
+            self.oldest_revision = self.history.popleft().revision + 1
+
+    def grant(self, lease_id, ttl, now):
+        """Grant a lease; id 0 lets the service choose."""
+        if lease_id in self.leases:
+            raise StoreError(9, "etcdserver: lease already exists")
+        if ttl <= 0:
+            raise StoreError(3, "etcdserver: lease TTL must be above 0")
+        if not lease_id:
+            lease_id = self.next_lease
+            self.next_lease += 1
+        self.leases[lease_id] = KvLease(lease_id, ttl, now + ttl)
+        return self.leases[lease_id]
+
+    def keep_alive(self, lease_id, now):
+        """Renew a lease; return its TTL (s), 0 where it is unknown."""
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return 0
+        lease.expires_at = now + lease.ttl
+        return lease.ttl
+
+    def revoke(self, lease_id):
+        """Delete a lease and its keys."""
+        if lease_id not in self.leases:
+            raise StoreError(5, "etcdserver: requested lease not found")
+        for key in sorted(self.leases[lease_id].keys):
+            self.delete(key)
+        del self.leases[lease_id]
+        self.end_write()
+
+    def expire(self, now):
+        """Revoke the leases that ran out."""
+        expired = [lease for lease in self.leases.values() if lease.expires_at <= now]
+        for lease in expired:
+            self.revoke(lease.lease_id)
+
+    def next_expiry(self):
+        """Return the time (s) at which the next lease runs out, infinity for never."""
+        return min((lease.expires_at for lease in self.leases.values()), default=float("inf"))
+
+    def watch(self, key, range_end, start_revision, on_change):
+        """Register and return a `KvWatcher`.
+
+        Parameters
+        ----------
+        key, range_end : bytes
+        start_revision : int
+            First revision of interest; 0 for those to come.
+        on_change : callable
+        """
+        watcher = KvWatcher(key, range_end, start_revision, on_change)
+        if start_revision:
+            if start_revision < self.oldest_revision:
+                reason = "etcdserver: mvcc: required revision has been compacted"
+                raise StoreError(11, reason)
+            for change in self.history:
+                watcher.offer(change)
+        self.watchers.append(watcher)
+        return watcher
+
+    def unwatch(self, watcher):
+        """Forget a watcher."""
+        self.watchers.remove(watcher)
--- /dev/null
+++ b/medlarbeam/standins/tests/test_engine_state.py
@@ -0,0 +1,169 @@
+"""The engine stand-in enforces what real engines enforce, and records what they let pass."""
+
+import pytest
+
+from medlarbeam.standins.engine_state import EngineOptions, EngineState, Refusal
+from medlarbeam.standins.engine_text import answer_tokens
+
+
+def make_engine(resident=(), **options):
+    engine = EngineState(EngineOptions(**options), "i1")
+    for model in resident:
+        engine.end_load(engine.begin_load(model, f"w/{model}", 0), True, 0.0)
+    return engine
+
+
+def status_of(result):
+    return result.status if isinstance(result, Refusal) else 200
+
+
+def read_answer(engine, run, now=1.0):
+    tokens = []
+    while (token := engine.next_token(run, now)) is not None:
+        tokens.append(token)
+    return "".join(tokens)
+
+
+ORDERS = [
+    ("old-load-refused", True, [("load", "b@1", 5), ("load", "c@1", 4)], [200, 412]),
+    ("old-unload-refused", True, [("load", "b@1", 5), ("unload", "b@1", 4)], [200, 412]),
+    ("same-number-accepted", True, [("load", "b@1", 5), ("unload", "b@1", 5)], [200, 200]),
+    ("missing-number-refused", True, [("load", "b@1", None)], [412]),
+    ("refused-order-raises-number", True, [("unload", "x", 9), ("load", "b@1", 8)], [404, 412]),
+    ("old-load-let-pass", False, [("load", "b@1", 5), ("load", "c@1", 4)], [200, 200]),
+    ("missing-number-let-pass", False, [("load", "b@1", None)], [200]),
+    ("full-engine-refuses", False, [(("load"), f"{n}@1", 1) for n in "bcd"], [200, 200, 409]),
+    ("load-twice-refused", False, [("load", "b@1", 1), ("load", "b@1", 1)], [200, 400]),
+    ("unload-frees-slot", False, [("unload", "a@1", 1), ("load", "a@1", 1)], [200, 200]),
+]
+
+
+@pytest.mark.parametrize(
+    ("fencing", "orders", "statuses"), [o[1:] for o in ORDERS], ids=[o[0] for o in ORDERS]
+)
+def test_orders(fencing, orders, statuses):
+    engine = make_engine(["a@1"], slots=3, fencing=fencing)
+    actual = []
+    for kind, model, number in orders:
+        if kind == "load":
+            result = engine.begin_load(model, "w", number)
+        else:
+            result = engine.unload(model, number, 1.0)
+        actual.append(status_of(result))
+    assert actual == statuses
+
+
+COMPLETIONS = [
+    ("not-resident-is-refused", "x@1", "", 404),
+    ("loading-is-not-resident", "b@1", "", 404),
+    ("foreign-prefix-is-refused", "a@1", "b@1 answers", 400),
+    ("resident-is-taken", "a@1", "", 200),
+    ("own-prefix-is-taken", "a@1", "a@1 answ", 200),
+]
+
+
+@pytest.mark.parametrize(
+    ("model", "prefix", "status"), [c[1:] for c in COMPLETIONS], ids=[c[0] for c in COMPLETIONS]
+)
+def test_completion_is_taken_or_refused(model, prefix, status):
+    engine = make_engine(["a@1"])
+    engine.begin_load("b@1", "w", 0)
+    run = engine.begin_run(model, "hello", 1.0, prefix=prefix)
+    assert status_of(run) == status
+    if status == 200:
+        whole = "".join(answer_tokens("a@1", "hello", 12))
+        assert prefix + read_answer(engine, run) == whole
+        assert engine.is_complete(run)
+
+
+UNLOADS = [
+    ("idle-adapter-is-no-violation", 0, 0, 0),
+    ("running-adapter-is-recorded", 1, 1, 1),
+    ("waiting-runs-are-cut-too", 4, 1, 4),
+]
+
+
+@pytest.mark.parametrize(
+    ("runs", "violations", "cut"), [u[1:] for u in UNLOADS], ids=[u[0] for u in UNLOADS]
+)
+def test_unload_under_runs_is_recorded(runs, violations, cut):
+    engine = make_engine(["a@1", "b@1"], concurrency=2)
+    other = engine.begin_run("b@1", "p", 1.0)
+    cut_runs = [engine.begin_run("a@1", f"p{n}", 1.0) for n in range(runs)]
+    assert engine.unload("a@1", 1, 2.0) is None
+    assert [engine.is_broken(run) for run in cut_runs] == [True] * cut
+    journal = engine.journal_after(0)
+    assert (journal["violations"], journal["cut_runs"]) == (violations, cut)
+    assert read_answer(engine, other) == "".join(answer_tokens("b@1", "p", 12))
+
+
+def test_order_of_batch_is_by_priority():
+    engine = make_engine(["a@1"], concurrency=1)
+    started = []
+    for name, priority in (("first", 5), ("late", 9), ("urgent", 0), ("also", 9)):
+        engine.begin_run("a@1", name, 1.0, priority=priority)
+    for _ in range(4):
+        run = next(r for r in engine.runs.values() if not engine.is_waiting(r))
+        started.append(run.prompt)
+        engine.cancel_run(run, 2.0)
+    assert started == ["first", "urgent", "late", "also"]
+
+
+def test_crash_word_stops_answer_in_the_middle():
+    engine = make_engine(["a@1"], crash_word="boom")
+    text = read_answer(engine, engine.begin_run("a@1", "a boom here", 1.0))
+    whole = "".join(answer_tokens("a@1", "a boom here", 12))
+    assert engine.crashed and whole.startswith(text) and "" < text < whole
+
+
+REPORTS = [
+    ("lag-hides-new-state", 2.0, 1.9, [], {}),
+    ("lag-shows-load-first", 2.0, 2.5, ["a@1"], {}),
+    ("lag-shows-run-later", 2.0, 3.0, ["a@1"], {"a@1": 1}),
+    ("no-lag-shows-at-once", 0.0, 1.0, ["a@1"], {"a@1": 1}),
+]
+
+
+@pytest.mark.parametrize(
+    ("lag_s", "now", "resident", "running"), [r[1:] for r in REPORTS], ids=[r[0] for r in REPORTS]
+)
+def test_report_has_the_lag(lag_s, now, resident, running):
+    engine = make_engine(["a@1"], report_lag_s=lag_s)
+    engine.begin_run("a@1", "p", 1.0)
+    expected = {"incarnation": "i1", "resident": resident, "running": running, "leaving": False}
+    assert engine.report(now) == expected
+
+
+FAULTS = [
+    ("failed-fetch-frees-slot", False, 0, False),
+    ("injected-failure-frees-slot", True, 1, False),
+    ("good-fetch", True, 0, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("fetched", "fail_loads", "loaded"), [f[1:] for f in FAULTS], ids=[f[0] for f in FAULTS]
+)
+def test_load_failure(fetched, fail_loads, loaded):
+    engine = make_engine(slots=1)
+    engine.fail_loads = fail_loads
+    assert engine.end_load(engine.begin_load("a@1", "w", 0), fetched, 1.0) is loaded
+    assert (status_of(engine.begin_load("b@1", "w", 0)) == 200) is not loaded
+
+
+def test_unload_during_load_keeps_the_later_load():
+    engine = make_engine()
+    early = engine.begin_load("a@1", "w", 0)
+    engine.unload("a@1", 0, 1.0)
+    late = engine.begin_load("a@1", "w", 0)
+    assert not engine.end_load(early, True, 2.0) and not engine.is_resident("a@1")
+    assert engine.end_load(late, True, 3.0) and engine.is_resident("a@1")
+
+
+def test_leaving_engine_takes_nothing_new_and_finishes():
+    engine = make_engine(["a@1"])
+    run = engine.begin_run("a@1", "p", 1.0)
+    assert engine.leave()
+    assert status_of(engine.begin_run("a@1", "q", 1.0)) == 503
+    assert status_of(engine.unload("a@1", 0, 1.0)) == 503
+    assert read_answer(engine, run) and not engine.leave() and engine.report(2.0)["leaving"]
--- /dev/null
+++ b/medlarbeam/standins/vm_list.py
@@ -0,0 +1,131 @@
+"""Stand-in for the platform's VM list."""
+
+import asyncio
+from typing import Annotated
+
+import cappa
+from aiohttp import web
+
+from medlarbeam.exceptions import FormatError
+from medlarbeam.standins.history import LaggedValue
+from medlarbeam.standins.http import (
+    answer_json,
+    drop_connection,
+    parse_address,
+    read_document,
+    require_type,
+    serve,
+    take_number,
+)
+
+__all__ = ["VmList", "check_vm", "main"]
+
+_FIELDS = {
+    "name": str,
+    "state": str,
+    "failure_domain": str,
+    "cell": str,
+    "address": str,
+    "service": str,
+    "slots": int,
+    "concurrency": int,
+    "fencing": bool,
+    "role": str,
+}
+
+
+def check_vm(document):
+    """Return one entry of the list after a check of its fields; raise `FormatError` otherwise."""
+    if not isinstance(document, dict):
+        raise FormatError("an entry of 'vms' is not a JSON object")
+    for key, kind in _FIELDS.items():
+        require_type(document, key, kind)
+    if document["state"] not in ("live", "leaving"):
+        raise FormatError(f"field 'state' is {document['state']!r}, expected live or leaving")
+    if document["role"] not in ("entry", "backend"):
+        raise FormatError(f"field 'role' is {document['role']!r}, expected entry or backend")
+    parse_address(document["address"])
+    return {key: document[key] for key in _FIELDS}
+
+
+class VmList:
+    """State of the VM list.
+
+    Parameters
+    ----------
+    lag_s : float
+        Seconds until a change can be read.
+    """
+
+    __slots__ = ("down", "reads", "vms")
+
+    def __init__(self, lag_s=0.0):
+        self.vms = LaggedValue([], lag_s)
+        self.reads = 0
+        self.down = False
+
+    def replace(self, vms, now):
+        """Replace the whole list; nothing changes if an entry is invalid."""
+        names = [check_vm(vm)["name"] for vm in vms]
+        if len(set(names)) != len(names):
+            raise FormatError("a name is given twice in 'vms'")
+        self.vms.record([check_vm(vm) for vm in vms], now)
+
+    def read(self, now):
+        """Return the list as a JSON document, as it was `lag_s` ago."""
+        self.reads += 1
+        return {"vms": self.vms.read(now)}
+
+
+class VmListHttp:
+    """HTTP layer of the VM list."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, state):
+        self.state = state
+
+    def routes(self):
+        """Return the route table."""
+        return [
+            web.get("/vms", self.get_vms),
+            web.post("/debug/vms", self.replace),
+            web.post("/debug/faults", self.set_faults),
+            web.get("/debug/counts", self.get_counts),
+        ]
+
+    async def get_vms(self, request):
+        """Answer ``GET /vms``."""
+        if self.state.down:
+            return drop_connection(request)
+        return answer_json(self.state.read(asyncio.get_running_loop().time()))
+
+    async def replace(self, request):
+        """Take the new list."""
+        document = await read_document(request)
+        vms = require_type(document, "vms", list)
+        self.state.replace(vms, asyncio.get_running_loop().time())
+        return answer_json({})
+
+    async def set_faults(self, request):
+        """Take ``{"down": bool, "lag_s": s}``."""
+        document = await read_document(request)
+        self.state.down = require_type(document, "down", bool, self.state.down)
+        self.state.vms.lag_s = take_number(document, "lag_s", self.state.vms.lag_s)
+        return answer_json({})
+
+    async def get_counts(self, request):
+        """Answer ``GET /debug/counts``."""
+        return answer_json({"reads": self.state.reads})
+
+
+def main(
+    listen: Annotated[str, cappa.Arg(long=True, help="ip:port, port 0 for any")] = "127.0.0.1:0",
+    lag_ms: Annotated[float, cappa.Arg(long=True, help="age of the list that is told")] = 0.0,
+):
+    """Run the VM list stand-in."""
+    serve("vm_list", VmListHttp(VmList(lag_ms / 1000)).routes(), listen)
+
+
+if __name__ == "__main__":
+    cappa.invoke(main)
--- /dev/null
+++ b/medlarbeam/standins/weight_store.py
@@ -0,0 +1,160 @@
+"""Stand-in for the weight store: a rate limit, and loads that slow each other down."""
+
+import asyncio
+from typing import Annotated
+
+import cappa
+from aiohttp import web
+
+from medlarbeam.classes.record import Record
+from medlarbeam.standins.http import answer_json, read_document, serve, take_number
+
+__all__ = ["Load", "WeightStore", "main"]
+
+
+class Load(Record):
+    """A load that the store has taken.
+
+    Parameters
+    ----------
+    start_at : float
+        Monotonic time (s) at which the rate limit lets it start.
+    due_at : float
+        Monotonic time (s) at which the weights are complete.
+    failed : bool
+        The store answers with an error instead.
+    """
+
+    __slots__ = ("due_at", "failed", "start_at")
+
+    def __init__(self, start_at, due_at, failed):
+        self.start_at = start_at
+        self.due_at = due_at
+        self.failed = failed
+
+
+class WeightStore:
+    """State of the weight store.
+
+    Parameters
+    ----------
+    rate : float
+        Loads that may start in a second, sustained.
+    burst : int
+        Loads that may start at once after a pause.
+    load_s : float
+        Duration of a load while at most `free_in_flight` are in flight.
+    free_in_flight : int
+        Queued loads count as in flight, since their callers wait for them.
+    """
+
+    __slots__ = (
+        "burst",
+        "fail_next",
+        "failed",
+        "free_in_flight",
+        "in_flight",
+        "load_s",
+        "loads",
+        "max_in_flight",
+        "next_slot_at",
+        "queued",
+        "rate",
+    )
+
+    def __init__(self, rate=7.0, burst=3, load_s=0.25, free_in_flight=24):
+        self.rate = rate
+        self.burst = burst
+        self.load_s = load_s
+        self.free_in_flight = free_in_flight
+        self.next_slot_at = float("-inf")
+        self.in_flight = 0
+        self.max_in_flight = 0
+        self.loads = 0
+        self.queued = 0
+        self.failed = 0
+        self.fail_next = 0
+
+    def begin(self, now):
+        """Take a load and return its `Load`."""
+        self.loads += 1
+        self.in_flight += 1
+        self.max_in_flight = max(self.max_in_flight, self.in_flight)
+        # Generic cell rate algorithm: a slot may be used up to burst - 1 intervals early.
+        slot_at = max(self.next_slot_at, now)
+        start_at = max(now, slot_at - (self.burst - 1) / self.rate)
+        self.next_slot_at = slot_at + 1 / self.rate
+        self.queued += start_at > now
+        failed = self.fail_next > 0
+        self.fail_next -= failed
+        self.failed += failed
+        stretch = max(1.0, self.in_flight / self.free_in_flight)
+        return Load(start_at, start_at + self.load_s * stretch, failed)
+
+    def end(self):
+        """Note that a load is complete, or that its caller has gone."""
+        self.in_flight -= 1
+
+    def counts(self):
+        """Return the counters as a JSON document."""
+        return {
+            "loads": self.loads,
+            "in_flight": self.in_flight,
+            "max_in_flight": self.max_in_flight,
+            "queued": self.queued,
+            "failed": self.failed,
+        }
+
+
+class WeightStoreHttp:
+    """HTTP layer of the weight store."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, state):
+        self.state = state
+
+    def routes(self):
+        """Return the route table."""
+        return [
+            web.get("/weights/{path:.+}", self.get_weights),
+            web.get("/debug/counts", self.get_counts),
+            web.post("/debug/faults", self.set_faults),
+        ]
+
+    async def get_weights(self, request):
+        """Answer ``GET /weights/<path>``."""
+        loop = asyncio.get_running_loop()
+        load = self.state.begin(loop.time())
+        try:
+            await asyncio.sleep(load.due_at - loop.time())
+        finally:
+            self.state.end()
+        if load.failed:
+            return answer_json({"error": "weights are unavailable"}, 503)
+        return web.Response(body=f"weights of {request.match_info['path']}".encode())
+
+    async def get_counts(self, request):
+        """Answer ``GET /debug/counts``."""
+        return answer_json(self.state.counts())
+
+    async def set_faults(self, request):
+        """Take ``{"fail_next": n, "load_s": s}``."""
+        document = await read_document(request)
+        self.state.fail_next = int(take_number(document, "fail_next", self.state.fail_next))
+        self.state.load_s = take_number(document, "load_s", self.state.load_s)
+        return answer_json({})
+
+
+def main(
+    listen: Annotated[str, cappa.Arg(long=True, help="ip:port, port 0 for any")] = "127.0.0.1:0",
+    rate: Annotated[float, cappa.Arg(long=True, help="loads a second, sustained")] = 7.0,
+    burst: Annotated[int, cappa.Arg(long=True, help="loads that start at once")] = 3,
+):
+    """Run the weight store stand-in."""
+    state = WeightStore(rate=rate, burst=burst)
+    serve("weight_store", WeightStoreHttp(state).routes(), listen, handler_cancellation=True)
+
+
+if __name__ == "__main__":
+    cappa.invoke(main)
