--- a/medlarbeam/standins/kv.py
+++ b/medlarbeam/standins/kv.py
@@ -11,7 +11,7 @@
 from medlarbeam.exceptions import FormatError
 from medlarbeam.standins.http import TaskSet, answer_json, drop_connection, read_document, serve
 from medlarbeam.standins.kv_calls import KvService
-from medlarbeam.standins.kv_store import StoreError
+from medlarbeam.standins.kv_store import CompactedError, StoreError
 
 __all__ = ["KvHttp", "main"]
 
@@ -77,6 +77,9 @@
         now = asyncio.get_running_loop().time()
         try:
             watcher = self.service.watch(document, now, changed.set)
+        except CompactedError:
+            lines = [self.service.created_document(), self.service.compacted_document()]
+            return web.Response(body=b"".join(orjson.dumps(line) + b"\n" for line in lines))
         except (FormatError, StoreError) as error:
             reply = self.service.refuse(error)
             return answer_json(reply.document, reply.status)
--- a/medlarbeam/standins/kv_calls.py
+++ b/medlarbeam/standins/kv_calls.py
@@ -202,6 +202,12 @@
         """Return the first stream element of a watch."""
         return {"result": {"header": self.header(), "created": True}}
 
+    def compacted_document(self):
+        """Return the last stream element of a watch that starts too far back."""
+        oldest = str(self.store.oldest_revision)
+        result = {"header": self.header(), "canceled": True, "compact_revision": oldest}
+        return {"result": result}
+
     def changes_document(self, changes):
         """Return a stream element with the given list of `Change`."""
         return {"result": {"header": self.header(), "events": [encode_change(c) for c in changes]}}
--- a/medlarbeam/standins/kv_store.py
+++ b/medlarbeam/standins/kv_store.py
@@ -6,7 +6,7 @@
 
 from medlarbeam.classes.record import Record
 
-__all__ = ["Change", "KvLease", "KvStore", "KvWatcher", "StoreError", "StoredKey"]
+__all__ = ["Change", "CompactedError", "KvLease", "KvStore", "KvWatcher", "StoreError", "StoredKey"]
 
 _HISTORY_LIMIT = 10_000  # changes; a watch from before the oldest is refused as compacted
 
@@ -20,6 +20,10 @@
         self.reason = reason
 
 
+class CompactedError(StoreError):
+    """A watch from before the oldest change that is kept."""
+
+
 class StoredKey(Record):
     """A key with its value; immutable, each put makes a new one.
 
@@ -245,7 +249,7 @@
         if start_revision:
             if start_revision < self.oldest_revision:
                 reason = "etcdserver: mvcc: required revision has been compacted"
-                raise StoreError(11, reason)
+                raise CompactedError(11, reason)
             for change in self.history:
                 watcher.offer(change)
         self.watchers.append(watcher)
--- a/medlarbeam/standins/tests/test_kv_calls.py
+++ b/medlarbeam/standins/tests/test_kv_calls.py
@@ -4,6 +4,7 @@
 
 from medlarbeam.standins.kv_calls import KvService
 from medlarbeam.standins.kv_format import encode_bytes
+from medlarbeam.standins.kv_store import CompactedError
 
 
 def b64(text):
@@ -201,3 +202,20 @@
     assert service.store.next_expiry() == 1.0
     service.store.expire(1.0)
     assert [change.stored for change in watcher.take()] == [None]
+
+
+@pytest.mark.parametrize(
+    ("start", "refused"),
+    [("1", True), ("4", True), ("5", False)],
+    ids=["first-change-is-gone", "just-too-old", "oldest-kept"],
+)
+def test_watch_from_before_the_history_is_refused(start, refused, monkeypatch):
+    monkeypatch.setattr("medlarbeam.standins.kv_store._HISTORY_LIMIT", 2)
+    service = make_service("a/1", "a/2", "a/3", "a/4", "a/5")  # revisions 2 to 6
+    document = {"create_request": {**PREFIX, "start_revision": start}}
+    if refused:
+        with pytest.raises(CompactedError):
+            service.watch(document, 0.0, list)
+        assert service.compacted_document()["result"]["compact_revision"] == "5"
+    else:
+        assert len(service.watch(document, 0.0, list).take()) == 2
--- a/medlarbeam/standins/vm_list.py
+++ b/medlarbeam/standins/vm_list.py
@@ -18,7 +18,7 @@
     take_number,
 )
 
-__all__ = ["VmList", "check_vm", "main"]
+__all__ = ["VmList", "check_vm", "describe_backend", "describe_entry", "main"]
 
 _FIELDS = {
     "name": str,
@@ -48,6 +48,29 @@
     return {key: document[key] for key in _FIELDS}
 
 
+def describe_backend(name, address, failure_domain, cell, **fields):
+    """Return the entry of a backend server; `fields` replaces the defaults of an engine."""
+    return {
+        "name": name,
+        "state": "live",
+        "failure_domain": failure_domain,
+        "cell": cell,
+        "address": address,
+        "service": "",
+        "slots": 4,
+        "concurrency": 8,
+        "fencing": False,
+        "role": "backend",
+        **fields,
+    }
+
+
+def describe_entry(name, address, failure_domain, cell, **fields):
+    """Return the entry of an entry VM, whose node has the same name."""
+    fields = {"slots": 0, "concurrency": 0, "role": "entry", **fields}
+    return describe_backend(name, address, failure_domain, cell, **fields)
+
+
 class VmList:
     """State of the VM list.
 
