--- a/medlarbeam/standins/engine.py
+++ b/medlarbeam/standins/engine.py
@@ -153,8 +153,9 @@
         while self.state.is_waiting(run):
             changed.clear()
             await changed.wait()
+        changed.clear()
         while True:
-            await asyncio.sleep(self.token_delay_s)
+            await self._wait_token_time(changed)
             token = self.state.next_token(run, self.now())
             if self.state.crashed:
                 os._exit(_CRASH_STATUS)
@@ -162,6 +163,14 @@
                 return
             yield token
 
+    async def _wait_token_time(self, changed):
+        """Wait for the time of a token, or until the run is cut."""
+        try:
+            async with asyncio.timeout(self.token_delay_s):
+                await changed.wait()
+        except TimeoutError:
+            pass
+
     async def _stream(self, request, run, changed):
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
