--- a/medlarbeam/standins/tests/test_engine_state.py
+++ b/medlarbeam/standins/tests/test_engine_state.py
@@ -94,6 +94,8 @@
     assert [engine.is_broken(run) for run in cut_runs] == [True] * cut
     journal = engine.journal_after(0)
     assert (journal["violations"], journal["cut_runs"]) == (violations, cut)
+    started = [e for e in journal["entries"] if (e["kind"], e["model"]) == ("run_start", "a@1")]
+    assert len(started) == min(runs, 1)  # a cut run makes no room for one that is cut as well
     assert read_answer(engine, other) == "".join(answer_tokens("b@1", "p", 12))
 
 
