--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -46,6 +46,7 @@
 MAX_FRAME_BYTES = 2 * 1024 * 1024  # without the length
 MAX_MESSAGE_WORDS = 1024 * 1024  # 8 MB; bounds the memory that a packed run of zeros asks for
 _NESTING = 16  # the deepest message, NoteSpread, has 5 levels of pointers
+_MAX_REASON = 200
 
 _FRAME = capnp.load(str(files("medlarbeam.readwrite").joinpath("peer.capnp"))).PeerFrame
 
@@ -157,7 +158,8 @@
 
 
 def _first_line(error):
-    return str(error).partition("\n")[0]
+    # A message may quote a text of the frame, which can be as long as the frame.
+    return str(error).partition("\n")[0][:_MAX_REASON]
 
 
 def _which(frame):
@@ -185,7 +187,7 @@
             raise FormatError("body is missing")
         return layout.read(getattr(frame, member))
     except (capnp.KjException, ValueError, FormatError) as error:
-        raise FormatError(f"bad frame ({member or 'no member'}): {_first_line(error)}") from error
+        raise FormatError(f"{member or 'root'}: {_first_line(error)}") from error
 
 
 class FrameReader:
