--- a/medlarbeam/daemon/peer_link.py
+++ b/medlarbeam/daemon/peer_link.py
@@ -54,6 +54,8 @@
         Wait before the first and before later attempts to dial.
     unacknowledged_s : float
         Time after which the kernel gives up a link whose data are not acknowledged.
+    flush_s : float
+        Time that a stopping node gives its peers to read its last messages.
     max_handshakes : int
         Accepted connections that may be unauthenticated at a time.
     """
@@ -62,6 +64,7 @@
         "backoff_base_s",
         "backoff_max_s",
         "connect_timeout_s",
+        "flush_s",
         "handshake_timeout_s",
         "incarnation",
         "listen",
@@ -85,6 +88,7 @@
         backoff_base_s=0.1,
         backoff_max_s=3.0,
         unacknowledged_s=10.0,
+        flush_s=1.0,
         max_handshakes=64,
     ):
         self.name = name
@@ -97,6 +101,7 @@
         self.backoff_base_s = backoff_base_s
         self.backoff_max_s = backoff_max_s
         self.unacknowledged_s = unacknowledged_s
+        self.flush_s = flush_s
         self.max_handshakes = max_handshakes
 
 
--- a/medlarbeam/daemon/peer_links.py
+++ b/medlarbeam/daemon/peer_links.py
@@ -32,7 +32,6 @@
 
 LOG = logging.getLogger(__name__)
 
-_FLUSH_S = 1.0  # how long a stopping node waits until its last messages are sent
 _MAX_DOUBLINGS = 16
 
 
@@ -131,7 +130,7 @@
             self.fire(link, "stop", None)
         waits = [asyncio.ensure_future(link.closed.wait()) for link in links]
         if waits:
-            await asyncio.wait(waits, timeout=_FLUSH_S)
+            await asyncio.wait(waits, timeout=self.settings.flush_s)
         for link, wait in zip(links, waits, strict=True):
             wait.cancel()
             link.transport.abort()
@@ -325,8 +324,12 @@
         link.closed.set()
 
     def flush(self, link, _):
-        """Close the connection once its queue is sent."""
-        link.transport.close()
+        """Close this direction once its queue is sent; the peer then closes the other one.
+
+        A close of both directions resets the connection if unread data are left, and the reset
+        discards what the peer has not read yet.
+        """
+        link.transport.write_eof()
 
     def log_failure(self, link, reason):
         """Log why the link is closed."""
--- a/medlarbeam/daemon/tests/test_peer_links.py
+++ b/medlarbeam/daemon/tests/test_peer_links.py
@@ -47,7 +47,7 @@
 @asynccontextmanager
 async def running(name, peers, incarnation=5, port=0, secret=SECRET, **options):
     """Run the links of a node; `links.listener` is its Recorder."""
-    options = {"backoff_base_s": 0.001, "backoff_max_s": 0.01} | options
+    options = {"backoff_base_s": 0.001, "backoff_max_s": 0.01, "flush_s": 0.0} | options
     settings = LinkSettings(name, incarnation, f"127.0.0.1:{port}", peers, **options)
     links = PeerLinks(settings, secret, random.Random(SEED), Recorder())
     await links.start()
@@ -216,19 +216,24 @@
 
 @pytest.mark.parametrize("restarted", ["n1", "n2"], ids=["dialling-end", "accepting-end"])
 def test_reconnect_after_restart(restarted):
+    large = {"queue_bytes": 2**25, "flush_s": GUARD_S}
+
     async def scenario():
-        async with running("n2", {"n1": NOWHERE}) as n2:
+        async with running("n2", {"n1": NOWHERE}, **large) as n2:
             port, address = n2.port, f"127.0.0.1:{n2.port}"
-            async with running("n1", {"n2": address}) as n1:
+            async with running("n1", {"n2": address}, **large) as n1:
                 await n1.listener.expect(("up", "n2", 5))
                 await n2.listener.expect(("up", "n1", 5))
                 assert n1.send("n2", Ping(1, "a", 1)) and n2.send("n1", Ping(2, "b", 1))
                 await n1.listener.expect(("n2", Ping(2, "b", 1)))
                 await n2.listener.expect(("n1", Ping(1, "a", 1)))
                 stopped, other = (n1, n2) if restarted == "n1" else (n2, n1)
-                assert stopped.send(other.settings.name, Leaving(restarted))
+                # More than the kernel buffers, so that a part still waits when the node stops.
+                sent = [*[Chunk("r", 1, i, "x" * 2_000_000) for i in range(8)], Leaving(restarted)]
+                assert all(stopped.send(other.settings.name, body) for body in sent)
                 await stopped.stop()  # what was sent before arrives
-                await other.listener.expect((restarted, Leaving(restarted)), ("down", restarted))
+                arrived = [(restarted, body) for body in sent]
+                await other.listener.expect(*arrived, ("down", restarted))
                 options = {"peers": stopped.settings.peers, "incarnation": 6}
                 if restarted == "n2":
                     options["port"] = port
