--- a/medlarbeam/readwrite/__init__.py
+++ b/medlarbeam/readwrite/__init__.py
@@ -1,1 +1,1 @@
-"""Encodings of messages between nodes and of values on the platform."""
+"""Encodings: peer frames, key-value values, release note files and the VM list."""
