Run an attempt once though its message arrives twice

The managing node now remembers attempts until a minute after their deadline. A crash trial now begins with the run, not when the queue is searched.

--- a/medlarbeam/algorithms/naive_crashes.py
+++ b/medlarbeam/algorithms/naive_crashes.py
@@ -21,6 +21,9 @@
         """Return True."""
         return True
 
+    def begin_run(self, request, now):
+        """Do nothing."""
+
     def server_died(self, server, requests, now, out):
         """Do nothing."""
 
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -138,6 +138,10 @@
     def fencing(self, server):
         """Return the fencing number for orders to `server`."""
 
+    @abstractmethod
+    def count_engines(self):
+        """Return the number of model engines in all known cells."""
+
     @abstractmethod
     def live_members(self):
         """Return the names of the members of this node's cell that answer, itself included."""
@@ -254,6 +258,10 @@
     def may_start(self, request, running, now):
         """Return whether `request` may start beside the `running` list of Request on a server."""
 
+    @abstractmethod
+    def begin_run(self, request, now):
+        """Note that `request` starts now."""
+
     @abstractmethod
     def server_died(self, server, requests, now, out):
         """Note that `server` (a name) died while `requests` (list of Request) ran there."""
--- a/medlarbeam/node/crashes.py
+++ b/medlarbeam/node/crashes.py
@@ -123,7 +123,7 @@
         return Failure(ErrorKind.CRASH_SUSPECT, reason)
 
     def may_start(self, request, running, now):
-        """Return whether `request` may start beside `running`; a suspect's trial begins with it.
+        """Return whether `request` may start beside `running`.
 
         Notes
         -----
@@ -137,11 +137,14 @@
         if suspicion.trial_id != request.request_id and suspicion.trial_until > now:
             return False
         others = [r for r in running if r.request_id != request.request_id]
-        if any(self._is_suspect(other, now) for other in others):
-            return False
-        suspicion.trial_id = request.request_id
-        suspicion.trial_until = request.deadline
-        return True
+        return not any(self._is_suspect(other, now) for other in others)
+
+    def begin_run(self, request, now):
+        """Note that `request` starts now; the trial of a suspect begins with it."""
+        suspicion = self._find(request, now)
+        if suspicion is not None and self.chart.has_tag(suspicion, "suspect"):
+            suspicion.trial_id = request.request_id
+            suspicion.trial_until = request.deadline
 
     def server_died(self, server, requests, now, out):
         """Give strikes to the requests that ran on `server` when it died.
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -1,5 +1,7 @@
 """Queues and runs on the backend servers that this node manages."""
 
+from itertools import islice
+
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import CancelOnServer, LogEvent, PollServer, RunOnServer, SendPeer
 from medlarbeam.classes.messages import (
@@ -18,6 +20,8 @@
 __all__ = ["Dispatcher"]
 
 SCAN_INTERVAL_S = 0.1  # granularity of deadlines and polls
+SEEN_S = 60.0  # beyond the deadline; no message is on its way that long
+SEEN_BATCH = 200  # old attempts looked at in one scan, so that a scan stays short
 STALL_LIMIT_S = 2.0  # wait for a load that cannot be ordered, before another server is tried
 
 
@@ -43,6 +47,7 @@
         "next_run",
         "next_scan",
         "runs",
+        "seen",
         "server_chart",
         "waiting",
     )
@@ -57,6 +62,7 @@
         self.desks = {}
         self.runs = {}  # running attempts by run id
         self.waiting = {}  # open attempts by sender, request id and number
+        self.seen = {}  # time until which an attempt is remembered, in the order of arrival
         self.next_run = 0
         self.next_scan = 0.0
 
@@ -79,6 +85,12 @@
 
     def submit(self, sender, forward, now, out):
         """Take an attempt into the queue of its backend server, or refuse it."""
+        key = self._key(sender, forward.request.request_id, forward.attempt)
+        if key in self.seen:
+            return  # repeated on the way, or overtaken by its cancellation
+        self._remember(key, now + forward.remaining_s)
+        if sender != self.node.settings.name:
+            forward.request.deadline = now + forward.remaining_s
         desk = self._find_desk(forward.server, now)
         failure = self._check(desk, forward, now)
         if failure is not None:
@@ -87,10 +99,10 @@
         self.next_run += 1
         settings = self.node.settings
         run_id = f"{settings.name}-{settings.incarnation}-r{self.next_run}"
-        deadline = now + forward.remaining_s
         state = self.attempt_chart.initial
+        deadline = forward.request.deadline
         attempt = Attempt(state, desk, sender, forward, run_id, deadline, now)
-        self.waiting[self._key(sender, forward.request.request_id, forward.attempt)] = attempt
+        self.waiting[key] = attempt
         displaced = desk.queue.push(attempt)
         if displaced is not None:
             displaced.failure = Failure(ErrorKind.OVERLOADED, f"queue of {forward.server} is full")
@@ -118,12 +130,23 @@
 
     def cancel(self, sender, cancel, now, out):
         """Cancel an attempt of `sender`."""
-        attempt = self.waiting.get(self._key(sender, cancel.request_id, cancel.attempt))
+        key = self._key(sender, cancel.request_id, cancel.attempt)
+        self._remember(key, now)
+        attempt = self.waiting.get(key)
         if attempt is not None:
             self._fire(attempt, "cancelled", now, out)
             self._forget(attempt)
             self._pump(attempt.desk, now, out)
 
+    def _remember(self, key, until):
+        # A non-idempotent attempt must not run again because a message arrives twice.
+        self.seen.setdefault(key, until + SEEN_S)
+
+    def _forget_old(self, now):
+        for key, until in list(islice(self.seen.items(), SEEN_BATCH)):
+            if until <= now:
+                del self.seen[key]
+
     def _key(self, sender, request_id, number):
         return f"{sender}/{request_id}/{number}"
 
@@ -219,8 +242,10 @@
             died = self.server_chart.has_tag(desk, "down") or bool(desk.lost)
         else:
             died = desk.incarnation not in ("", report.incarnation)
-            self._take_good_report(desk, report, died, now)
+        # The crash tracker identifies a death by the report before it.
         self._resolve_lost(desk, report, died, now, out)
+        if report.failure is None:
+            self._take_good_report(desk, report, died, now)
         if not self.server_chart.has_tag(desk, "accepting"):
             self._refuse_all(desk, now, out)
         self._pump(desk, now, out)
@@ -285,7 +310,7 @@
             if attempt is None:
                 break
             self._start(attempt, now, out)
-        self.loads.order_loads(desk, self._count_engines(now), now, out)
+        self.loads.order_loads(desk, self.node.ownership.count_engines(), now, out)
 
     def _is_ready(self, attempt, now):
         desk = attempt.desk
@@ -297,6 +322,7 @@
     def _start(self, attempt, now, out):
         desk = attempt.desk
         attempt.started_at = now
+        self.node.crashes.begin_run(attempt.request, now)
         if attempt.waited_for_load:
             attempt.load_wait_s = now - attempt.queued_at
         if attempt.model:
@@ -309,9 +335,6 @@
             RunOnServer(attempt.run_id, desk.server, attempt.model, attempt.request, forward.prefix)
         )
 
-    def _count_engines(self, now):
-        return sum(1 for v in self.node.ownership.view(now) if not v.server.service)
-
     # Actions of the charts
 
     def leave_queue(self, attempt, now, out):
@@ -434,6 +457,7 @@
     def tick(self, now, out):
         """Poll backend servers, enforce deadlines, and start what has become possible."""
         self.next_scan = now + SCAN_INTERVAL_S
+        self._forget_old(now)
         managed = {s.name for s in self.node.ownership.managed(now)}
         for name in managed:
             self._find_desk(name, now)
@@ -450,13 +474,19 @@
     def _check_time(self, attempt, now, out):
         if now >= attempt.deadline:
             self._fire(attempt, "deadline", now, out)
-        elif self.attempt_chart.has_tag(attempt, "queued") and attempt.waited_for_load:
-            stalled = now - attempt.queued_at > STALL_LIMIT_S
-            if stalled and not self._has_slot(attempt):
-                reason = f"no slot for {attempt.model} on {attempt.desk.server.name}"
-                attempt.failure = Failure(ErrorKind.LOAD_FAILED, reason)
+        elif self.attempt_chart.has_tag(attempt, "queued"):
+            attempt.failure = self._find_hopeless(attempt, now)
+            if attempt.failure is not None:
                 self._fire(attempt, "refused", now, out)
 
+    def _find_hopeless(self, attempt, now):
+        """Return the `Failure` of a waiting attempt that will not run here, else None."""
+        stalled = attempt.waited_for_load and now - attempt.queued_at > STALL_LIMIT_S
+        if stalled and not self._has_slot(attempt):
+            reason = f"no slot for {attempt.model} on {attempt.desk.server.name}"
+            return Failure(ErrorKind.LOAD_FAILED, reason)
+        return self.node.crashes.check(attempt.request, now)
+
     def _has_slot(self, attempt):
         adapter = attempt.desk.adapters.get(attempt.model)
         return adapter is not None and self.loads.chart.has_tag(adapter, "slot")
--- a/medlarbeam/node/tests/test_crashes.py
+++ b/medlarbeam/node/tests/test_crashes.py
@@ -136,7 +136,9 @@
             now = 50.0
         else:
             copy = int(step[-1])
-            assert node.crashes.may_start(make_request("x", copy, deadline=40.0), [], now)
+            trial = make_request("x", copy, deadline=40.0)
+            assert node.crashes.may_start(trial, [], now)
+            node.crashes.begin_run(trial, now)
     beside = [make_request(text) for text in running]
     assert node.crashes.may_start(make_request("x"), beside, now) is allowed
 
@@ -206,6 +208,7 @@
         if node.crashes.check(request, self.now):
             self.refused_innocents += request.body != "poison"
         elif node.crashes.may_start(request, self.servers[node, server], self.now):
+            node.crashes.begin_run(request, self.now)
             self.servers[node, server].append(request)
         else:
             waiting.append(request)
