--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -183,6 +183,7 @@
   revision @0 :UInt64;
   shardKeys @1 :List(Text);
   recent @2 :List(Text);
+  drained @3 :List(Text);
 }
 
 struct CatalogShard {
@@ -200,6 +201,7 @@
   strikes @1 :UInt32;
   server @2 :Text;
   remainingS @3 :Float64;
+  deathId @4 :Text;
 }
 
 struct Leaving {
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -72,7 +72,13 @@
     MapField("owners", "server", "node"),
 )
 _ADAPTER = Layout(AdapterVersion, "adapter version source must_confirm")
-_HEAD = Layout(CatalogHead, "revision", TextListField("shard_keys"), TextListField("recent"))
+_HEAD = Layout(
+    CatalogHead,
+    "revision",
+    TextListField("shard_keys"),
+    TextListField("recent"),
+    TextListField("drained"),
+)
 _SHARD = Layout(CatalogShard, "key", ListField("items", _ADAPTER))
 
 _LAYOUTS = {
@@ -105,7 +111,9 @@
     "fetchRecord": Layout(FetchRecord, "cell"),
     "fetchCatalog": Layout(FetchCatalog, "revision", TextListField("shard_keys")),
     "noteSpread": Layout(NoteSpread, "", RecordField("head", _HEAD), ListField("shards", _SHARD)),
-    "crashReport": Layout(CrashReport, "fingerprint strikes server", NumberField("remaining_s")),
+    "crashReport": Layout(
+        CrashReport, "fingerprint strikes server death_id", NumberField("remaining_s")
+    ),
     "leaving": Layout(Leaving, "node"),
 }
 _MEMBER_OF = {layout.kind: member for member, layout in _LAYOUTS.items()}
--- a/medlarbeam/readwrite/values.py
+++ b/medlarbeam/readwrite/values.py
@@ -13,7 +13,6 @@
 )
 from medlarbeam.classes.cells import BackendServer, CellRecord, Member
 from medlarbeam.exceptions import ErrorKind, Failure, FormatError, RunState
-from medlarbeam.node.component import ClaimOutcome
 from medlarbeam.readwrite.value_kinds import (
     ChoiceKind,
     FlagKind,
@@ -34,7 +33,6 @@
     "CATALOG_HEAD",
     "CATALOG_SHARD",
     "CELL_RECORD",
-    "CLAIM_OUTCOME",
     "FAILURE_KIND",
     "FORMAT_VERSION",
     "MAX_VALUE_BYTES",
@@ -160,7 +158,7 @@
 )
 CATALOG_HEAD = ValueFormat(
     "catalogue head",
-    RecordKind(CatalogHead, revision=_COUNT, shard_keys=_TEXTS, recent=_TEXTS),
+    RecordKind(CatalogHead, revision=_COUNT, shard_keys=_TEXTS, recent=_TEXTS, drained=_TEXTS),
 )
 CATALOG_SHARD = ValueFormat(
     "catalogue shard", RecordKind(CatalogShard, key=_TEXT, items=ListKind(_ADAPTER))
@@ -173,6 +171,8 @@
         operator=_TEXT,
         entries=ListKind(RecordKind(NoteEntry, action=ChoiceKind(NoteAction), item=_ADAPTER)),
         base_revision=OptionalKind(_COUNT),
+        drain=_TEXTS,
+        undrain=_TEXTS,
     ),
 )
 AUDIT_ENTRY = ValueFormat(
@@ -189,14 +189,3 @@
         outcome=_TEXT,
     ),
 )
-CLAIM_OUTCOME = ValueFormat(
-    "claim outcome",
-    RecordKind(
-        ClaimOutcome,
-        status=_COUNT,
-        body=_TEXT,
-        model=_TEXT,
-        server=_TEXT,
-        failure=OptionalKind(FAILURE_KIND),
-    ),
-)
