--- /dev/null
+++ b/medlarbeam/algorithms/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that need no state of a node."""
--- /dev/null
+++ b/medlarbeam/node/cell_planner.py
@@ -0,0 +1,171 @@
+"""Which change of a cell record this node wants to write, if any."""
+
+from medlarbeam.algorithms.assignment import rank_nodes
+from medlarbeam.node.cell_changes import drop_member, join_member, set_members
+
+__all__ = ["CellPlanner"]
+
+# Silence, in pledges, after which a member loses its backend servers. Two leave room for one
+# reconnection of the peer link.
+_SILENT_PLEDGES = 2.0
+# A member that the others set aside reclaims the cell only when it hears none of them for longer,
+# so that two members that both reach the platform do not take turns.
+_RECLAIM_PLEDGES = 6.0
+_TAKEOVER_PLEDGES = 4.0
+
+
+class CellPlanner:
+    """Decides on joins, hand-overs, removals and takeovers for one node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    pledges : Pledges
+    vms : VmWatch
+    started_at : float or None
+        Time (s) of the first tick; silence is counted from here at the earliest.
+    """
+
+    __slots__ = ("pledges", "settings", "started_at", "vms")
+
+    def __init__(self, settings, pledges, vms):
+        self.settings = settings
+        self.pledges = pledges
+        self.vms = vms
+        self.started_at = None
+
+    def is_silent(self, node, pledges, since, now):
+        """Return whether `node` answered no ping for a number of pledges, counted from `since`."""
+        last = max(self.pledges.last_contact(node), since)
+        return now - last > pledges * self.settings.pledge_s
+
+    def is_leaving(self, node, cell):
+        """Return whether the last pong of `node` about `cell` says that it takes no new work."""
+        heard = self.pledges.heard_about(node, cell)
+        return heard is not None and heard.pong.leaving
+
+    def plan(self, seat, change_id, now):
+        """Return the `CellRecord` that this node wants to write for `seat`, or None."""
+        if seat.has_tag("joins"):
+            return self._plan_join(seat, change_id)
+        if not seat.has_tag("listed"):
+            return self._plan_departure(seat, change_id)
+        if seat.has_tag("leaves"):
+            return self._plan_hand_over(seat, change_id, now)
+        if self._is_leader(seat, now):
+            return self._plan_upkeep(seat, change_id, now)
+        return None
+
+    def _plan_join(self, seat, change_id):
+        gone = [m.node for m in seat.list_others() if self.is_gone(m)]
+        # A cell is taken over only while all its members are silent.
+        silent = [] if seat.home else [m.node for m in seat.list_others()]
+        return join_member(
+            seat.record,
+            seat.cell,
+            seat.node,
+            seat.incarnation,
+            self._list_servers(seat),
+            gone,
+            silent,
+            change_id,
+        )
+
+    def _plan_departure(self, seat, change_id):
+        record = seat.record
+        me = record.find_member(seat.node) if record is not None else None
+        if me is None or me.incarnation != seat.incarnation or seat.has_tag("over"):
+            return None
+        return drop_member(record, seat.node, change_id)
+
+    def _plan_hand_over(self, seat, change_id, now):
+        """Give the backend servers to reachable members; without any, keep them to the end."""
+        reachable = self._find_reachable(seat, now)
+        reachable[seat.node] = False
+        if not any(reachable.values()):
+            return None
+        return set_members(seat.record, reachable, [], seat.record.servers, change_id)
+
+    def _plan_upkeep(self, seat, change_id, now):
+        reachable = self._find_reachable(seat, now)
+        reachable[seat.node] = True
+        gone = [m.node for m in seat.list_others() if self.is_gone(m)]
+        return set_members(seat.record, reachable, gone, self._list_servers(seat), change_id)
+
+    def is_gone(self, member):
+        """Return whether the process of a `Member` surely ended."""
+        newest = self.pledges.newest.get(member.node)
+        if newest is not None and newest.pong.incarnation > member.incarnation:
+            return True
+        # A VM that answers exists, whatever the list says.
+        heard_at = self.pledges.last_contact(member.node)
+        return self.vms.is_gone(member.node) and heard_at < self.vms.read_at - (
+            self.settings.pledge_s
+        )
+
+    def _find_reachable(self, seat, now):
+        """Return what is known of the other members; the rest is left out."""
+        found = {}
+        for member in seat.list_others():
+            node = member.node
+            if self.is_leaving(node, seat.cell) or self.is_silent(
+                node, _SILENT_PLEDGES, seat.joined_at, now
+            ):
+                found[node] = False
+            elif not self.is_silent(node, 1.0, seat.joined_at - self.settings.pledge_s, now):
+                found[node] = True
+        return found
+
+    def _is_leader(self, seat, now):
+        """Return whether no reachable member with a lower name answers this node."""
+        me = seat.record.find_member(seat.node)
+        limit = _SILENT_PLEDGES if me.reachable else _RECLAIM_PLEDGES
+        for member in seat.list_others():
+            if self.is_silent(member.node, limit, seat.joined_at, now):
+                continue
+            if not me.reachable or (member.reachable and member.node < seat.node):
+                return False
+        return True
+
+    def _list_servers(self, seat):
+        """Return the backend servers of the cell, of its own failure domain only."""
+        listed = {server.name: server for server in self.vms.list_servers(seat.cell)}
+        for server in seat.record.servers if seat.record is not None else ():
+            if not self.vms.is_gone(server.name):
+                listed.setdefault(server.name, server)
+        servers = list(listed.values())
+        if seat.home:
+            domain = self.settings.failure_domain
+            servers = [s for s in servers if s.failure_domain == domain]
+        return servers
+
+    def wants_takeover(self, record, peers, now):
+        """Return whether this node should take over the cell of another failure domain.
+
+        Parameters
+        ----------
+        record : CellRecord
+            Record of the cell, of which this node is no member.
+        peers : list of str
+            Peers that answer; the best ranked of them and this node takes the cell.
+        now : float
+        """
+        if (
+            not record.servers
+            or now - self.started_at <= _TAKEOVER_PLEDGES * self.settings.pledge_s
+        ):
+            return False
+        for member in record.members:
+            if not self.is_silent(member.node, _TAKEOVER_PLEDGES, self.started_at, now):
+                return False
+        return rank_nodes(record.cell, [*peers, self.settings.name])[0] == self.settings.name
+
+    def wants_return(self, seat, now):
+        """Return whether another member can take back a cell that this node took over."""
+        for member in seat.list_others():
+            heard = self.pledges.heard_about(member.node, seat.cell)
+            if heard is None or now - heard.sent_at > self.settings.pledge_s:
+                continue
+            if heard.pong.incarnation == member.incarnation and not heard.pong.leaving:
+                return True
+        return False
--- /dev/null
+++ b/medlarbeam/node/cell_store.py
@@ -0,0 +1,174 @@
+"""Reading and changing a cell record at the platform by compare-and-swap."""
+
+from math import inf
+
+from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.platform import KvCall, KvGet, KvOutcome, KvPut
+from medlarbeam.classes.record import Record
+from medlarbeam.exceptions import FormatError
+from medlarbeam.readwrite.values import decode_cell_record, encode_cell_record
+
+__all__ = ["CellStore", "Stored", "make_key"]
+
+_FIRST_DELAY_S = 0.2
+_LONGEST_DELAY_S = 10.0
+
+
+def make_key(cell):
+    """Return the platform key of the record of `cell`."""
+    return f"cell/{cell}"
+
+
+class Stored(Record):
+    """What a platform call told.
+
+    Parameters
+    ----------
+    record : CellRecord or None
+        None where the platform has no record.
+    sent_at : float
+        Send time (s) of the call; the record is no older than this.
+    """
+
+    __slots__ = ("record", "sent_at")
+
+    def __init__(self, record, sent_at):
+        self.record = record
+        self.sent_at = sent_at
+
+
+class CellStore:
+    """The platform's copy of one cell record, with at most one call under way.
+
+    Parameters
+    ----------
+    component : str
+        Name of the component that the results go to.
+    cell : str
+    rng : random.Random
+
+    Notes
+    -----
+    `revision` is the modification revision of the key for the record with epoch
+    `revision_epoch`; a write is based on that record. After a conflict or a lost answer the
+    record is read back, and `wrote_change` tells whether a change took effect.
+    """
+
+    __slots__ = (
+        "attempts",
+        "cell",
+        "change_id",
+        "component",
+        "pending",
+        "pending_until",
+        "retry_at",
+        "revision",
+        "revision_epoch",
+        "rng",
+        "serial",
+        "wrote",
+    )
+
+    def __init__(self, component, cell, rng):
+        self.component = component
+        self.cell = cell
+        self.rng = rng
+        self.revision = None
+        self.revision_epoch = None
+        self.pending = ""
+        self.pending_until = -inf
+        self.retry_at = -inf
+        self.attempts = 0
+        self.serial = 0
+        self.change_id = ""
+        self.wrote = False
+
+    def is_ready(self, now):
+        """Return whether a call may be sent at `now`."""
+        if self.pending and now > self.pending_until:
+            self.pending = ""  # the shell gave no result; treated like a lost answer
+            self._back_off(now)
+        return not self.pending and now >= self.retry_at
+
+    def knows_revision(self, epoch):
+        """Return whether a write on top of the record with `epoch` (0 for none) is possible."""
+        return self.revision is not None and self.revision_epoch == epoch
+
+    def read(self, now, out):
+        """Read the record."""
+        self._call(KvGet(make_key(self.cell)), "read", now, out)
+
+    def write(self, record, now, out):
+        """Write a record in place of the one that was last read.
+
+        Raises
+        ------
+        ValueError
+            If the platform's copy was never read.
+        """
+        if self.revision is None:
+            raise ValueError(f"the record of cell {self.cell} was not read before a write")
+        self.change_id = record.change_id
+        self.wrote = True
+        op = KvPut(make_key(self.cell), encode_cell_record(record), self.revision)
+        self._call(op, "write", now, out)
+
+    def _call(self, op, what, now, out):
+        self.serial += 1
+        self.pending = f"{what}:{self.cell}:{self.serial}"
+        call = KvCall(self.component, self.pending, op, now)
+        self.pending_until = now + 2 * call.timeout_s
+        out.emit(call)
+
+    def take_result(self, result, now, out):
+        """Take a result of a call of this store, also a late one.
+
+        Returns
+        -------
+        Stored or None
+            What the platform has, None if the result does not tell.
+        """
+        mine = result.call.token == self.pending
+        if mine:
+            self.pending = ""
+        read = isinstance(result.call.op, KvGet)
+        if result.outcome is KvOutcome.APPLIED and (read or result.entries):
+            if mine:
+                self.attempts = 0
+            return self._take_entries(result, now, out)
+        if result.outcome is KvOutcome.CONFLICT and mine:
+            self.revision = None
+            self.attempts += 1
+            self.retry_at = now + self.rng.uniform(0.0, _FIRST_DELAY_S)
+            if result.entries:
+                return self._take_entries(result, now, out)
+        elif mine:
+            # An unknown write may still take effect, so the record is read before the next one.
+            self.revision = None
+            self._back_off(now)
+        return None
+
+    def _take_entries(self, result, now, out):
+        if not result.entries:
+            if self.revision is None:
+                self.revision, self.revision_epoch = 0, 0
+            return Stored(None, result.call.sent_at)
+        entry = result.entries[0]
+        try:
+            record = decode_cell_record(entry.value)
+        except FormatError as error:
+            self._back_off(now)
+            out.emit(LogEvent("cell_record_unreadable", f"{entry.key}: {error}", level="error"))
+            return None
+        if self.revision is None or entry.revision > self.revision:
+            self.revision, self.revision_epoch = entry.revision, record.epoch
+        return Stored(record, result.call.sent_at)
+
+    def wrote_change(self, record):
+        """Return whether the last change of this node is the one that made `record`."""
+        return bool(self.change_id) and record.change_id == self.change_id
+
+    def _back_off(self, now):
+        delay = min(_LONGEST_DELAY_S, _FIRST_DELAY_S * 2**self.attempts)
+        self.attempts = min(self.attempts + 1, 10)
+        self.retry_at = now + self.rng.uniform(0.5, 1.0) * delay
--- /dev/null
+++ b/medlarbeam/readwrite/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings of messages and stored values."""
