--- /dev/null
+++ b/medlarbeam/node/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the drivable node; a package, so that schedules can be run from the command line."""
--- /dev/null
+++ b/medlarbeam/node/tests/run_schedules.py
@@ -0,0 +1,42 @@
+"""Run many schedules and print totals: ``python -m medlarbeam.node.tests.run_schedules``."""
+
+from argparse import ArgumentParser
+from collections import Counter
+from multiprocessing import Pool
+
+from medlarbeam.node.tests.sim_world import World
+
+
+def run_seed(seed):
+    world = World(seed)
+    violations = world.run()
+    totals = Counter(world.counters)
+    totals["orders to run that arrived"] = world.checker.runs
+    totals["orders to unload that arrived"] = world.checker.unloads
+    totals["process starts"] = world.starts
+    return seed, violations, totals
+
+
+def main():
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=0, help="first seed")
+    parser.add_argument("--count", type=int, default=100, help="number of seeds")
+    parser.add_argument("--processes", type=int, default=4)
+    args = parser.parse_args()
+    totals = Counter()
+    bad = 0
+    with Pool(args.processes) as pool:
+        seeds = range(args.first, args.first + args.count)
+        for seed, violations, counts in pool.imap_unordered(run_seed, seeds, chunksize=10):
+            totals.update(counts)
+            bad += bool(violations)
+            for line in violations[:1]:
+                print(f"seed {seed}: {line}", flush=True)
+    print(f"{args.count} schedules from seed {args.first}, {bad} with a violation")
+    for what, count in sorted(totals.items()):
+        print(f"  {what}: {count}")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/medlarbeam/node/tests/sim_platform.py
@@ -0,0 +1,85 @@
+"""A platform for the schedules: compare-and-swap with lost answers, and a lagging VM list."""
+
+from medlarbeam.classes.cells import VmEntry
+from medlarbeam.classes.messages import VmList
+from medlarbeam.classes.platform import KvEntry, KvOutcome, KvPut, KvResult
+
+
+class SimPlatform:
+    """Key-value service and VM list of one schedule; times are real seconds."""
+
+    __slots__ = ("changes", "cut", "down", "revision", "rng", "values", "world")
+
+    def __init__(self, world):
+        self.world = world
+        self.rng = world.rng
+        self.values = {}
+        self.revision = 0
+        self.down = False
+        self.cut = set()
+        self.changes = []  # (time, {name: VmEntry}) after each change
+
+    def reaches(self, node):
+        return not self.down and node not in self.cut
+
+    def call(self, sim_node, call):
+        rng = self.rng
+        reply = self.world.deliver_to(sim_node, call)
+        if not self.reaches(sim_node.name) and rng.random() < 0.5:
+            reply(0.01, KvResult(call, KvOutcome.UNAVAILABLE, []))
+            return
+        slow = rng.random() < 0.08
+        there = rng.uniform(0.0, 4.0) if slow else rng.uniform(0.001, 0.02)
+        back = there + rng.uniform(0.001, 0.02)
+        if rng.random() < 0.06 or back > call.timeout_s or not self.reaches(sim_node.name):
+            reply(call.timeout_s, KvResult(call, KvOutcome.UNKNOWN, []))
+            reply = None
+        self.world.after(there, lambda: self.apply(sim_node, call, reply, back - there))
+
+    def apply(self, sim_node, call, reply, back):
+        if not self.reaches(sim_node.name):
+            if reply is not None:
+                reply(call.timeout_s, KvResult(call, KvOutcome.UNKNOWN, []))
+            return
+        outcome = KvOutcome.APPLIED
+        present = self.values.get(call.op.key)
+        if isinstance(call.op, KvPut):
+            if call.op.expected_revision != (present.revision if present else 0):
+                outcome = KvOutcome.CONFLICT
+            else:
+                self.revision += 1
+                present = KvEntry(call.op.key, call.op.value, self.revision)
+                self.values[call.op.key] = present
+        shown = [present] if present and (outcome is KvOutcome.APPLIED or back < 0.01) else []
+        if reply is not None:
+            reply(back, KvResult(call, outcome, shown))
+
+    def set_vms(self, entries):
+        self.changes.append((self.world.time, entries))
+
+    def change_vm(self, name, entry):
+        entries = dict(self.changes[-1][1])
+        entries.pop(name, None)
+        if entry is not None:
+            entries[name] = entry
+        self.set_vms(entries)
+
+    def read_vms(self, sim_node, effect):
+        if not self.reaches(sim_node.name):
+            return
+        at = self.world.time - self.rng.uniform(0.0, 3.0)
+        entries = [c for c in self.changes if c[0] <= at] or self.changes[:1]
+        vms = list(entries[-1][1].values())
+        fate = self.rng.random()
+        if fate < 0.02:
+            vms = []
+        elif fate < 0.06:
+            vms = self.rng.sample(vms, len(vms) // 2)
+        delay = self.rng.uniform(0.001, 0.05)
+        self.world.deliver_to(sim_node, effect)(delay, VmList(effect.asked_at, vms))
+
+
+def make_entries(servers, nodes):
+    entries = {node: VmEntry(node, False) for node in nodes}
+    entries.update({s.name: VmEntry(s.name, False, s) for s in servers})
+    return entries
