--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -52,12 +52,15 @@
     )
 
     name = "ownership"
+    # Named here so that tests can take out one mechanism at a time.
+    pledges_class = Pledges
     rights_class = Rights
+    seat_class = Seat
 
     def __init__(self, node):
         super().__init__(node)
         settings = node.settings
-        self.pledges = Pledges(settings.pledge_s, node.rng.getrandbits(_SEQ_BITS))
+        self.pledges = self.pledges_class(settings.pledge_s, node.rng.getrandbits(_SEQ_BITS))
         self.vms = VmWatch(settings.name)
         self.rights = self.rights_class(settings, self.pledges, self.vms)
         self.planner = CellPlanner(settings, self.pledges, self.vms)
@@ -75,7 +78,7 @@
 
     def _add_seat(self, cell, home):
         settings = self.node.settings
-        seat = Seat(cell, settings.name, settings.incarnation, home)
+        seat = self.seat_class(cell, settings.name, settings.incarnation, home)
         seat.record = self.book.records.get(cell)
         self.seats[cell] = seat
         self.stores[cell] = CellStore(self.name, cell, self.node.rng)
--- a/medlarbeam/node/tests/fake_parts.py
+++ b/medlarbeam/node/tests/fake_parts.py
@@ -81,15 +81,18 @@
                 out.emit(PollServer(server, now))
         if now < self.next_try:
             return
-        self.next_try = now + self.node.rng.uniform(0.1, 0.5)
+        self.next_try = now + self.node.rng.uniform(0.05, 0.3)
         names = sorted(self.node.ownership.book.servers)
-        if names and not self.closed:
-            server = self.node.ownership.find_server(self.node.rng.choice(names))
-            model = self.node.rng.choice(MODELS)
-            if self.node.rng.random() < 0.4:
-                self.try_run(server, model, now, out)
-            else:
-                self.try_evict(server, model, now, out)
+        for _ in range(2 if names and not self.closed else 0):
+            self.try_one(self.node.rng.choice(names), self.node.rng.choice(MODELS), now, out)
+
+    def try_one(self, name, model, now, out):
+        """Run where another node owns the server, and mostly evict where this one does."""
+        server = self.node.ownership.find_server(name)
+        if self.node.ownership.is_owner(name) and self.node.rng.random() < 0.85:
+            self.try_evict(server, model, now, out)
+        else:
+            self.try_run(server, model, now, out)
 
     def try_run(self, server, model, now, out):
         ownership = self.node.ownership
--- a/medlarbeam/node/tests/sim_world.py
+++ b/medlarbeam/node/tests/sim_world.py
@@ -56,7 +56,7 @@
         self.alive = True
         self.paused = False
         self.inbox = []
-        self.rate = rng.uniform(0.99, 1.01)
+        self.rate = rng.choice((0.99, 1.01, rng.uniform(0.99, 1.01)))
         self.offset = rng.uniform(0.0, 1000.0)
         self.tick = 0
         peers = [n for n in world.homes if n != name]
@@ -224,7 +224,9 @@
                 self.platform.read_vms(sim_node, effect)
             elif isinstance(effect, (RunOnServer, UnloadAdapter, PollServer)):
                 write = lambda effect=effect: self.write(sim_node, effect)  # noqa: E731
-                delay = self.rng.uniform(0.0, 0.5) if self.rng.random() < 0.2 else 0.0
+                slow = self.rng.random() < 0.3
+                longest = 3.0 if isinstance(effect, UnloadAdapter) else 0.5
+                delay = self.rng.uniform(0.0, longest) if slow else 0.0
                 self.after(delay, lambda write=write: self.perform(sim_node, write))
 
     def short(self):
@@ -252,7 +254,7 @@
 
     def write(self, sim_node, effect):
         reply = self.deliver_to(sim_node)
-        transit = self.rng.uniform(0.001, LONGEST_TRANSIT_S)
+        transit = self.rng.choice((0.001, LONGEST_TRANSIT_S, self.rng.uniform(0.0, 0.4)))
         server = effect.server.name
         cut = self.is_cut(sim_node.name, server)
         if isinstance(effect, PollServer):
@@ -285,7 +287,7 @@
         server, run_id = effect.server.name, effect.run_id
         origin = f"{sim_node.name}.{sim_node.incarnation}"
         self.checker.run_arrives(self.time, server, effect.model, run_id, origin)
-        duration = self.rng.expovariate(1 / self.rng.choice((0.3, 5.0)))
+        duration = self.rng.expovariate(1 / self.rng.choice((0.3, 4.0)))
 
         def end():
             self.checker.run_ends(self.time, server, effect.model, run_id)
