Let a member own backend servers only once all others need its pledge

A joining node owned servers that it could not run on while another member was unreachable. It now joins without servers and marks itself reachable later. Pledges to a restarted process that cannot join no longer bind the others.

--- a/medlarbeam/node/cell_changes.py
+++ b/medlarbeam/node/cell_changes.py
@@ -27,7 +27,7 @@
     return CellRecord(cell, epoch, members, servers, owners, removed_at, change_id)
 
 
-def join_member(base, cell, node, incarnation, servers, gone, silent, change_id):
+def join_member(base, cell, node, incarnation, servers, gone, change_id):
     """Return the record with `node` as a member and without the members in `gone`.
 
     Parameters
@@ -38,15 +38,15 @@
     servers : list of BackendServer
     gone : list of str
         Members whose process ended.
-    silent : list of str
-        Members that lose their backend servers because they do not answer.
     change_id : str
+
+    Notes
+    -----
+    Among others, the new member owns nothing until all of them are known to need its pledge.
     """
     old = base.members if base is not None else []
     kept = [m for m in old if m.node != node and m.node not in gone]
-    members = [
-        Member(m.node, m.incarnation, m.reachable and m.node not in silent) for m in kept
-    ] + [Member(node, incarnation)]
+    members = [*kept, Member(node, incarnation, reachable=not kept)]
     return build_record(base, cell, members, servers, len(kept) < len(old), change_id)
 
 
--- a/medlarbeam/node/cell_planner.py
+++ b/medlarbeam/node/cell_planner.py
@@ -1,5 +1,7 @@
 """Which change of a cell record this node wants to write, if any."""
 
+from math import inf
+
 from medlarbeam.algorithms.assignment import rank_nodes
 from medlarbeam.node.cell_changes import drop_member, join_member, set_members
 
@@ -52,23 +54,13 @@
             return self._plan_departure(seat, change_id)
         if seat.has_tag("leaves"):
             return self._plan_hand_over(seat, change_id, now)
-        if self._is_leader(seat, now):
-            return self._plan_upkeep(seat, change_id, now)
-        return None
+        return self._plan_upkeep(seat, change_id, now)
 
     def _plan_join(self, seat, change_id):
         gone = [m.node for m in seat.list_others() if self.is_gone(m)]
-        # A cell is taken over only while all its members are silent.
-        silent = [] if seat.home else [m.node for m in seat.list_others()]
+        servers = self._list_servers(seat)
         return join_member(
-            seat.record,
-            seat.cell,
-            seat.node,
-            seat.incarnation,
-            self._list_servers(seat),
-            gone,
-            silent,
-            change_id,
+            seat.record, seat.cell, seat.node, seat.incarnation, servers, gone, change_id
         )
 
     def _plan_departure(self, seat, change_id):
@@ -80,22 +72,29 @@
 
     def _plan_hand_over(self, seat, change_id, now):
         """Give the backend servers to reachable members; without any, keep them to the end."""
-        reachable = self._find_reachable(seat, now)
-        reachable[seat.node] = False
-        if not any(reachable.values()):
+        heirs = [m for m in self._list_up(seat) if self._answers(m, now)]
+        if not heirs:
             return None
-        return set_members(seat.record, reachable, [], seat.record.servers, change_id)
+        return set_members(seat.record, {seat.node: False}, [], seat.record.servers, change_id)
 
     def _plan_upkeep(self, seat, change_id, now):
-        reachable = self._find_reachable(seat, now)
-        reachable[seat.node] = True
-        gone = [m.node for m in seat.list_others() if self.is_gone(m)]
-        return set_members(seat.record, reachable, gone, self._list_servers(seat), change_id)
+        """Return the record with what this node may change: itself, or all as the leader."""
+        reachable = {}
+        me = seat.record.find_member(seat.node)
+        if not me.reachable and self._may_come_up(seat, now):
+            reachable[seat.node] = True
+        gone, servers = [], seat.record.servers
+        if (me.reachable or reachable) and self._is_leader(seat, now):
+            for member in seat.list_others():
+                if self.is_leaving(member.node, seat.cell) or self._is_lost(member, now):
+                    reachable[member.node] = False
+            gone = [m.node for m in seat.list_others() if self.is_gone(m)]
+            servers = self._list_servers(seat)
+        return set_members(seat.record, reachable, gone, servers, change_id)
 
     def is_gone(self, member):
         """Return whether the process of a `Member` surely ended."""
-        newest = self.pledges.newest.get(member.node)
-        if newest is not None and newest.pong.incarnation > member.incarnation:
+        if self.pledges.is_replaced(member):
             return True
         # A VM that answers exists, whatever the list says.
         heard_at = self.pledges.last_contact(member.node)
@@ -103,29 +102,42 @@
             self.settings.pledge_s
         )
 
-    def _find_reachable(self, seat, now):
-        """Return what is known of the other members; the rest is left out."""
-        found = {}
-        for member in seat.list_others():
-            node = member.node
-            if self.is_leaving(node, seat.cell) or self.is_silent(
-                node, _SILENT_PLEDGES, seat.joined_at, now
-            ):
-                found[node] = False
-            elif not self.is_silent(node, 1.0, seat.joined_at - self.settings.pledge_s, now):
-                found[node] = True
-        return found
+    def _list_up(self, seat):
+        """Return the other members that may own backend servers."""
+        return [
+            m for m in seat.list_others() if m.reachable and not self.is_leaving(m.node, seat.cell)
+        ]
+
+    def _answers(self, member, now):
+        return not self.is_silent(member.node, 1.0, -inf, now)
+
+    def _is_lost(self, member, now):
+        return self.is_silent(member.node, _SILENT_PLEDGES, self.started_at, now)
+
+    def _may_come_up(self, seat, now):
+        """Return whether this node may own backend servers, as far as the others are concerned.
+
+        Notes
+        -----
+        Only the member itself marks itself reachable, and only if it hears all that are, so that
+        members which do not hear each other do not take turns.
+        """
+        if seat.find_stranger(self.pledges, now) is not None:
+            return False
+        if all(self._answers(member, now) for member in self._list_up(seat)):
+            return True
+        limit = _RECLAIM_PLEDGES if seat.home else _SILENT_PLEDGES
+        return all(
+            self.is_silent(member.node, limit, self.started_at, now)
+            for member in seat.list_others()
+        )
 
     def _is_leader(self, seat, now):
         """Return whether no reachable member with a lower name answers this node."""
-        me = seat.record.find_member(seat.node)
-        limit = _SILENT_PLEDGES if me.reachable else _RECLAIM_PLEDGES
-        for member in seat.list_others():
-            if self.is_silent(member.node, limit, seat.joined_at, now):
-                continue
-            if not me.reachable or (member.reachable and member.node < seat.node):
-                return False
-        return True
+        return not any(
+            member.node < seat.node and not self._is_lost(member, now)
+            for member in self._list_up(seat)
+        )
 
     def _list_servers(self, seat):
         """Return the backend servers of the cell, of its own failure domain only."""
--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -36,7 +36,6 @@
     __slots__ = (
         "book",
         "home",
-        "linked_at",
         "links",
         "next_ping",
         "next_vm_read",
@@ -62,11 +61,10 @@
         settings = node.settings
         self.pledges = self.pledges_class(settings.pledge_s, node.rng.getrandbits(_SEQ_BITS))
         self.vms = VmWatch(settings.name)
-        self.rights = self.rights_class(settings, self.pledges, self.vms)
+        self.rights = self.rights_class(settings, self.pledges)
         self.planner = CellPlanner(settings, self.pledges, self.vms)
         self.book = CellBook()
-        self.links = {}  # incarnation by peer
-        self.linked_at = {}
+        self.links = {}  # time (s) at which each link was set up
         self.silent = set()
         self.ticked_at = -inf
         self.seats = {}
@@ -117,7 +115,9 @@
         )
 
     def _find_target(self, server, owner, now):
-        if owner and owner != self.node.settings.name and self.is_reachable(owner):
+        member = self.book.find_record(server).find_member(owner)
+        away = member is None or owner == self.node.settings.name
+        if not away and self.is_reachable(owner) and not self.pledges.is_replaced(member):
             return owner
         return self.node.settings.name if self.may_run(server, now) is None else ""
 
@@ -216,22 +216,25 @@
 
     def take_peer_up(self, message, now, out):
         """Send all known records over a new link, since the peer may know none."""
-        self.links[message.node] = message.incarnation
-        self.linked_at[message.node] = now
+        self.pledges.note_incarnation(message.node, message.incarnation)
+        self.vms.expect(message.node)
+        self.links[message.node] = now
         self.book.spread_all(message.node, out)
         self._send_pings(message.node, now, out)
 
     def take_peer_down(self, message, now, out):
         """Forget a link that is closed."""
         self.links.pop(message.node, None)
-        self.linked_at.pop(message.node, None)
 
     def take_ping(self, sender, ping, now, out):
         """Answer with a pledge, dated at the other side by the ping's send time."""
         seat = self._find_seat_for(ping.cell)
-        self.rights.pinged_by[sender] = self._find_incarnation(sender)
+        self.pledges.note_ping(sender)
         pong = self._make_pong(sender, ping, seat, now)
-        self.pledges.note_given(sender, now)
+        member = seat.record.find_member(sender) if seat.record is not None else None
+        # A pledge to a process that is not the listed member counts for nobody.
+        if seat.cell != ping.cell or member is None or not self.pledges.is_replaced(member):
+            self.pledges.note_given(sender, now)
         out.emit(SendPeer(sender, pong))
         if ping.cell:
             self.book.compare_with(sender, ping.cell, ping.epoch, out)
@@ -240,11 +243,6 @@
         seat = self.seats.get(cell)
         return seat if seat is not None and seat.has_tag("listed") else self.home
 
-    def _find_incarnation(self, peer):
-        newest = self.pledges.newest.get(peer)
-        heard = newest.pong.incarnation if newest is not None else 0
-        return max(heard, self.links.get(peer, 0))
-
     def _make_pong(self, sender, ping, seat, now):
         node = self.node
         seat.finish_orders(node.runs)
@@ -414,12 +412,15 @@
             self.planner.started_at = now
         self.ticked_at = now
         self.silent = {
-            p for p, since in self.linked_at.items() if self.planner.is_silent(p, 1.0, since, now)
+            p for p, since in self.links.items() if self.planner.is_silent(p, 1.0, since, now)
         }
         if now >= self.next_ping:
             self.next_ping = now + self.node.settings.ping_interval_s
             for peer in self.node.settings.peers:
-                self._send_pings(peer, now, out)
+                # A new VM under the name of one that is gone is pinged from its link on, so that
+                # it takes no ping to the old one for its own.
+                if peer in self.links or not self.vms.is_gone(peer):
+                    self._send_pings(peer, now, out)
             self._ask_for_records(out)
             self._review_takeovers(now)
         if now >= self.next_vm_read:
--- a/medlarbeam/node/pledges.py
+++ b/medlarbeam/node/pledges.py
@@ -39,9 +39,23 @@
     first_seq : int
         Number before that of the first ping. It has to differ between starts of the process, or a
         late pong to an earlier process would be dated by a ping of this one.
+
+    Notes
+    -----
+    `incarnations` has the highest known incarnation of each peer, `pinged_by` the one known when
+    the peer last pinged this node.
     """
 
-    __slots__ = ("given", "heard", "newest", "pledge_s", "seq", "sent")
+    __slots__ = (
+        "given",
+        "heard",
+        "incarnations",
+        "newest",
+        "pinged_by",
+        "pledge_s",
+        "seq",
+        "sent",
+    )
 
     def __init__(self, pledge_s, first_seq):
         self.pledge_s = pledge_s
@@ -50,6 +64,8 @@
         self.heard = {}
         self.newest = {}
         self.given = {}
+        self.incarnations = {}
+        self.pinged_by = {}
 
     def number_ping(self, peer, now):
         """Return the number of a ping to `peer` that is sent at `now`."""
@@ -80,11 +96,24 @@
             return None
         heard = Heard(sent_at, pong)
         self.heard[peer, pong.cell] = heard
+        self.note_incarnation(peer, pong.incarnation)
         newest = self.newest.get(peer)
         if newest is None or newest.pong.seq < pong.seq:
             self.newest[peer] = heard
         return sent_at
 
+    def note_incarnation(self, peer, incarnation):
+        """Note that a process of `peer` with this incarnation was started."""
+        self.incarnations[peer] = max(incarnation, self.incarnations.get(peer, 0))
+
+    def note_ping(self, peer):
+        """Note that `peer` pings this node, so that its settings name this node."""
+        self.pinged_by[peer] = self.incarnations.get(peer, 0)
+
+    def is_replaced(self, member):
+        """Return whether a later process than that of a `Member` was started."""
+        return self.incarnations.get(member.node, 0) > member.incarnation
+
     def note_given(self, peer, now):
         """Remember that a pong goes to `peer` at `now`."""
         self.given[peer] = max(now, self.given.get(peer, now))
--- a/medlarbeam/node/rights.py
+++ b/medlarbeam/node/rights.py
@@ -15,7 +15,6 @@
     ----------
     settings : NodeSettings
     pledges : Pledges
-    vms : VmWatch
 
     Notes
     -----
@@ -23,13 +22,11 @@
     the schedules find the fault.
     """
 
-    __slots__ = ("pinged_by", "pledges", "settings", "vms")
+    __slots__ = ("pledges", "settings")
 
-    def __init__(self, settings, pledges, vms):
+    def __init__(self, settings, pledges):
         self.settings = settings
         self.pledges = pledges
-        self.vms = vms
-        self.pinged_by = {}  # incarnation of each peer when it last pinged this node
 
     @property
     def usable_s(self):
@@ -42,7 +39,7 @@
             return refuse(f"this node is no member of cell {seat.cell}")
         if now <= seat.quiet_until:
             return refuse("orders of a member that is gone may still be under way")
-        stranger = seat.find_stranger(self.pledges, self.pinged_by, now)
+        stranger = seat.find_stranger(self.pledges, now)
         if stranger is not None:
             return refuse(f"{stranger} may not know yet that this node is a member")
         past = seat.settle(server, self.pledges, now)
@@ -51,13 +48,15 @@
         owner = seat.record.owners.get(server)
         if owner == seat.node:
             return None
-        return self.check_fallback(owner, server, now)
+        return self.check_fallback(seat, owner, server, now)
 
-    def check_fallback(self, owner, server, now):
+    def check_fallback(self, seat, owner, server, now):
         """Return None if this node may run on `server` in place of its owner."""
-        if owner is None:
+        member = seat.record.find_member(owner)
+        if member is None:
             return refuse(f"{server} has no owner")
-        if self.pledges.last_contact(owner) > now - self.settings.pledge_s:
+        answers = self.pledges.last_contact(owner) > now - self.settings.pledge_s
+        if answers and not self.pledges.is_replaced(member):
             return refuse(f"{owner} owns {server} and answers")
         if now <= self.pledges.given_until(owner):
             return refuse(f"this node pledged to {owner}, which owns {server}")
@@ -141,9 +140,9 @@
         return min(ends, default=inf)
 
     def list_outside(self, seat):
-        """Return the configured peers that are no members and whose VMs exist."""
+        """Return the configured peers that are no members."""
         members = {member.node for member in seat.list_others()}
-        return [p for p in self.settings.peers if p not in members and not self.vms.is_gone(p)]
+        return [peer for peer in self.settings.peers if peer not in members]
 
 
 def refuse(reason):
--- a/medlarbeam/node/seat.py
+++ b/medlarbeam/node/seat.py
@@ -283,7 +283,7 @@
         for peer in peers:
             self.cover[peer] = max(self.cover.get(peer, -inf), sent_at + limit_s)
 
-    def find_stranger(self, pledges, pinged_by, now):
+    def find_stranger(self, pledges, now):
         """Return a member that may evict without regard to this node, or None.
 
         Notes
@@ -293,7 +293,7 @@
         """
         joined = now > self.joined_at + pledges.pledge_s * DRIFT_ALLOWANCE
         for node, incarnation in self.strangers.items():
-            known = joined and pinged_by.get(node) == incarnation
+            known = joined and pledges.pinged_by.get(node) == incarnation
             if not known or now <= pledges.given_until(node):
                 return node
         return None
