--- /dev/null
+++ b/medlarbeam/daemon/admin_server.py
@@ -0,0 +1,152 @@
+"""JSON interface for operators."""
+
+import asyncio
+from hmac import compare_digest
+
+from aiohttp.web import Application, Response, route
+from orjson import OPT_INDENT_2, dumps
+
+from medlarbeam.classes.effects import OperatorAnswer
+from medlarbeam.classes.messages import OperatorRequest
+from medlarbeam.daemon.caller_input import MAX_BODY_BYTES
+from medlarbeam.daemon.http_server import answer_http_errors, read_body, serve_app
+from medlarbeam.daemon.ports import PortService
+from medlarbeam.exceptions import ANSWERS, ErrorKind, Failure, FormatError
+
+__all__ = ["AdminServer"]
+
+# An order needs a few calls to the key-value service, each retried once or twice.
+ANSWER_TIMEOUT_S = 30.0
+PREFIX = "/admin/v1"
+
+
+class AdminServer(PortService):
+    """Turns operators' HTTP requests into `OperatorRequest`.
+
+    Parameters
+    ----------
+    driver : NodeDriver
+    settings : DaemonSettings
+    parse_note : callable
+        Returns the `ReleaseNote` of a text, or raises FormatError.
+    """
+
+    def __init__(self, driver, settings, parse_note):
+        super().__init__(driver)
+        self.settings = settings
+        self.parse_note = parse_note
+        self.counter = 0
+        self.open = {}
+        self.runner = None
+
+    async def on_start(self):
+        """Listen on the operators' address, where there is one apart from the callers'."""
+        if self.settings.admin_listen is not None:
+            app = Application(client_max_size=MAX_BODY_BYTES, middlewares=[answer_http_errors])
+            app.add_routes(self.routes())
+            self.runner = await serve_app(app, self.settings.admin_listen)
+
+    async def on_stop(self):
+        """Close the connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def effects(self):
+        """Return the handler of `OperatorAnswer`."""
+        return {OperatorAnswer: self._take_answer}
+
+    def routes(self):
+        """Return the routes of the interface."""
+        return [
+            route("POST", f"{PREFIX}/notes", self.handle_note),
+            self._route("GET", "notes", "list_notes"),
+            self._route("GET", "notes/{subject}", "show_note"),
+            self._route("GET", "status", "status"),
+            self._route("POST", "servers/{subject}/drain", "drain"),
+            self._route("POST", "servers/{subject}/undrain", "undrain"),
+            self._route("GET", "audit", "audit"),
+        ]
+
+    def _route(self, method, path, action):
+        async def handle(http_request):
+            subject = http_request.match_info.get("subject", "")
+            return await self._ask(http_request, action, subject)
+
+        return route(method, f"{PREFIX}/{path}", handle)
+
+    async def handle_note(self, http_request):
+        """Answer ``POST notes``: apply a release note, or only check it with ``?dry_run=1``."""
+        failure = self._check_secret(http_request)
+        if failure is not None:
+            return build_response(failure, {})
+        try:
+            dry_run = read_dry_run(http_request.query)
+            note = self.parse_note((await read_body(http_request)).decode("utf-8"))
+        except (FormatError, UnicodeDecodeError) as error:
+            return build_response(Failure(ErrorKind.NOTE_INVALID, str(error)), {})
+        action = "dry_run_note" if dry_run else "apply_note"
+        return await self._ask(http_request, action, note.note_id, note)
+
+    def _check_secret(self, http_request):
+        given = http_request.headers.get("Authorization", "").encode("utf-8", "replace")
+        if compare_digest(given, b"Bearer " + self.settings.operator_secret):
+            return None
+        reason = "expected the operators' secret in the header Authorization: Bearer"
+        return Failure(ErrorKind.NOT_AUTHORIZED, reason)
+
+    async def _ask(self, http_request, action, subject, note=None):
+        failure = self._check_secret(http_request)
+        if failure is not None:
+            return build_response(failure, {})
+        self.counter += 1
+        node = self.settings.node
+        op_id = f"{node.name}-{node.incarnation}-op-{self.counter}"
+        operator = http_request.headers.get("X-Operator", note.operator if note else "unnamed")
+        answer = self.open[op_id] = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                wall_time_s = self.driver.read_wall_clock()
+                self.driver.deliver(
+                    OperatorRequest(op_id, operator, action, subject, note, wall_time_s)
+                )
+                effect = await answer
+            return build_response(effect.failure, effect.document)
+        except TimeoutError:
+            reason = f"no answer within {ANSWER_TIMEOUT_S:g} s; the order may have taken effect"
+            return build_response(Failure(ErrorKind.INTERNAL, reason), {})
+        finally:
+            del self.open[op_id]
+
+    def _take_answer(self, effect):
+        answer = self.open.get(effect.op_id)
+        if answer is not None and not answer.done():
+            answer.set_result(effect)
+
+
+def read_dry_run(query):
+    """Return whether the query asks for a dry run only.
+
+    A misspelt query is refused, because it would apply a note that was meant to be checked.
+    """
+    unknown = sorted(set(query) - {"dry_run"})
+    if unknown:
+        raise FormatError(f"query: unknown parameters {', '.join(unknown)}")
+    value = query.get("dry_run", "0")
+    if value not in ("0", "1"):
+        raise FormatError("query: expected dry_run=0 or dry_run=1")
+    return value == "1"
+
+
+def build_response(failure, document):
+    """Return the HTTP response of an operator's request."""
+    status = 200
+    if failure is not None:
+        status = ANSWERS[failure.kind].status
+        error = {
+            "kind": failure.kind.value,
+            "reason": failure.reason,
+            "run_state": failure.run_state.value,
+        }
+        document = {**document, "error": error}
+    body = dumps(document, option=OPT_INDENT_2)
+    return Response(status=status, body=body, content_type="application/json")
--- /dev/null
+++ b/medlarbeam/daemon/logs.py
@@ -0,0 +1,111 @@
+"""Log lines as JSON or text, each with the node and its failure domain.
+
+No line carries request text, keys or payment data: events carry only names, ids and reasons.
+"""
+
+import logging
+from abc import ABC, abstractmethod
+
+from orjson import OPT_NON_STR_KEYS, dumps
+
+from medlarbeam.classes.effects import LogEvent
+from medlarbeam.daemon.ports import Port
+
+__all__ = ["EventLog", "JsonFormatter", "TextFormatter", "set_up_logs"]
+
+log = logging.getLogger("medlarbeam.events")
+
+LEVELS = {"info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+class NodeFormatter(logging.Formatter, ABC):
+    """Formatter that knows the node.
+
+    Parameters
+    ----------
+    node, failure_domain : str
+    """
+
+    __slots__ = ("failure_domain", "node")
+
+    def __init__(self, node, failure_domain):
+        super().__init__()
+        self.node = node
+        self.failure_domain = failure_domain
+
+    def format(self, record):
+        """Return the line of a log record."""
+        fields = {
+            "time_s": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "node": self.node,
+            "failure_domain": self.failure_domain,
+            "event": getattr(record, "event", record.name),
+            "message": record.getMessage(),
+        }
+        request_id = getattr(record, "request_id", "")
+        if request_id:
+            fields["request_id"] = request_id
+        if record.exc_info:
+            fields["traceback"] = self.formatException(record.exc_info)
+        return self.join_fields(fields)
+
+    @abstractmethod
+    def join_fields(self, fields):
+        """Return the line of a dictionary of fields."""
+
+
+class JsonFormatter(NodeFormatter):
+    """One JSON object a line."""
+
+    __slots__ = ()
+
+    def join_fields(self, fields):
+        """Return the JSON text of `fields`."""
+        return dumps(fields, default=str, option=OPT_NON_STR_KEYS).decode("utf-8")
+
+
+class TextFormatter(NodeFormatter):
+    """Fields as ``name=value``, for people who read along."""
+
+    __slots__ = ()
+
+    def join_fields(self, fields):
+        """Return the fields in one line, with line ends escaped."""
+        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        return text.replace("\r", "\\r").replace("\n", "\\n")
+
+
+FORMATTERS = {"json": JsonFormatter, "text": TextFormatter}
+
+
+def set_up_logs(settings, stream):
+    """Send all log lines to `stream`, in the format and from the level of the settings."""
+    handler = logging.StreamHandler(stream)
+    formatter = FORMATTERS[settings.log_format]
+    handler.setFormatter(formatter(settings.node.name, settings.node.failure_domain))
+    logging.basicConfig(level=settings.log_level.upper(), handlers=[handler], force=True)
+
+
+class EventLog(Port):
+    """Writes and counts the node's `LogEvent` effects.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    """
+
+    __slots__ = ("metrics",)
+
+    def __init__(self, metrics):
+        self.metrics = metrics
+
+    def effects(self):
+        """Return the handler of `LogEvent`."""
+        return {LogEvent: self.write}
+
+    def write(self, event):
+        """Write the line of an event and count it."""
+        self.metrics.count_event(event.name)
+        extra = {"event": event.name, "request_id": event.request_id}
+        log.log(LEVELS[event.level], "%s", event.detail, extra=extra)
--- /dev/null
+++ b/medlarbeam/daemon/main.py
@@ -0,0 +1,113 @@
+"""Entry point of medlarbeamd."""
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+import time
+from random import Random
+
+from medlarbeam.classes.messages import Shutdown
+from medlarbeam.daemon.admin_server import AdminServer
+from medlarbeam.daemon.engine_client import EngineClient
+from medlarbeam.daemon.http_server import HttpServer
+from medlarbeam.daemon.kv_client import KvClient
+from medlarbeam.daemon.logs import EventLog, set_up_logs
+from medlarbeam.daemon.metrics import Metrics
+from medlarbeam.daemon.settings import read_settings
+from medlarbeam.daemon.shell import Shell
+from medlarbeam.daemon.vm_list_client import VmListClient
+from medlarbeam.exceptions import SettingsError
+
+__all__ = ["Collaborators", "build_shell", "main", "run_daemon"]
+
+log = logging.getLogger(__name__)
+
+STATUS_CRASHED = 1
+STATUS_BAD_SETTINGS = 2
+
+
+class Collaborators:
+    """What the shell takes from other packages.
+
+    Parameters
+    ----------
+    build_node : callable
+        ``(NodeSettings, random.Random) -> Node``.
+    build_peer_links : callable
+        ``(NodeDriver, DaemonSettings) -> Port``.
+    parse_note : callable
+        ``(text) -> ReleaseNote``, raises FormatError.
+    decode_vm_list : callable
+        ``(text) -> list of VmEntry``, raises FormatError.
+    """
+
+    __slots__ = ("build_node", "build_peer_links", "decode_vm_list", "parse_note")
+
+    def __init__(self, build_node, build_peer_links, parse_note, decode_vm_list):
+        self.build_node = build_node
+        self.build_peer_links = build_peer_links
+        self.parse_note = parse_note
+        self.decode_vm_list = decode_vm_list
+
+
+def build_shell(settings, collaborators):
+    """Return the `Shell` with its node and ports, not started yet."""
+    node_settings = settings.node
+    seed = settings.seed
+    if seed is None:
+        seed = f"{node_settings.name}-{node_settings.incarnation}"
+    log.info("random seed: %s", seed, extra={"event": "seed"})
+    shell = Shell(collaborators.build_node(node_settings, Random(seed)))
+    metrics = Metrics()
+    admin = AdminServer(shell, settings, collaborators.parse_note)
+    routes = admin.routes() if settings.admin_listen is None else []
+    shell.attach(EventLog(metrics))
+    shell.attach(KvClient(shell, settings))
+    shell.attach(VmListClient(shell, settings, collaborators.decode_vm_list))
+    shell.attach(EngineClient(shell, settings))
+    shell.attach(collaborators.build_peer_links(shell, settings))
+    shell.attach(admin)
+    shell.attach(HttpServer(shell, settings, metrics, routes))
+    return shell
+
+
+async def run_daemon(settings, collaborators):
+    """Serve until the node exits; return the status of the process."""
+    shell = build_shell(settings, collaborators)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lambda: shell.deliver(Shutdown()))
+    try:
+        await shell.start()
+        await shell.wait(shell.exited.wait())
+    finally:
+        await shell.stop()
+    if shell.crashed:
+        log.error("crashed: %r", shell.crash_reason, extra={"event": "crashed"})
+        return STATUS_CRASHED
+    return 0
+
+
+def main():
+    """Run medlarbeamd."""
+    # The incarnation has to grow with each start, and the VM keeps nothing: the wall clock in ms.
+    incarnation = int(time.time() * 1000)
+    try:
+        settings = read_settings(sys.argv[1:], os.environ, incarnation)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(STATUS_BAD_SETTINGS)
+    set_up_logs(settings, sys.stderr)
+    sys.exit(asyncio.run(run_daemon(settings, import_collaborators())))
+
+
+def import_collaborators():
+    """Return the `Collaborators` that the daemon runs with."""
+    from medlarbeam.daemon.peer_links import PeerLinks
+    from medlarbeam.node.assembly import build_node
+    from medlarbeam.readwrite.notes import parse_note
+    from medlarbeam.readwrite.vm_list import decode_vm_list
+
+    return Collaborators(build_node, PeerLinks, parse_note, decode_vm_list)
--- /dev/null
+++ b/medlarbeam/daemon/vm_list_client.py
@@ -0,0 +1,70 @@
+"""Client of the platform's VM list."""
+
+import logging
+
+from aiohttp import ClientTimeout
+
+from medlarbeam.classes.effects import ReadVmList
+from medlarbeam.classes.messages import VmList
+from medlarbeam.daemon.http_client import (
+    CALL_ERRORS,
+    CallGuard,
+    describe_error,
+    guard_call,
+    open_session,
+)
+from medlarbeam.daemon.ports import PortService
+from medlarbeam.daemon.setting_kinds import join_address
+from medlarbeam.exceptions import FormatError
+
+__all__ = ["VmListClient"]
+
+log = logging.getLogger(__name__)
+
+
+class VmListClient(PortService):
+    """Carries out `ReadVmList`.
+
+    Parameters
+    ----------
+    driver : NodeDriver
+    settings : DaemonSettings
+    decode : callable
+        Returns the list of `VmEntry` of a text, or raises FormatError.
+    """
+
+    def __init__(self, driver, settings, decode):
+        super().__init__(driver)
+        self.url = f"http://{join_address(settings.vm_list_address)}/vms"
+        self.timeout = ClientTimeout(
+            total=settings.poll_timeout_s, connect=settings.connect_timeout_s
+        )
+        self.decode = decode
+        self.session = None
+
+    async def on_start(self):
+        """Open the client session."""
+        self.session = open_session(self.timeout)
+
+    async def on_stop(self):
+        """Cancel what is open and close the session."""
+        await self.cancel_tasks()
+        await self.session.close()
+
+    def effects(self):
+        """Return the handler of `ReadVmList`."""
+        return {ReadVmList: lambda effect: self.spawn(self._read(effect))}
+
+    async def _read(self, effect):
+        try:
+            with guard_call(CallGuard(resend=True)):
+                async with self.session.get(self.url, allow_redirects=False) as response:
+                    text = await response.text("utf-8")
+            if response.status != 200:
+                raise FormatError(f"VM list: HTTP {response.status}")
+            vms = self.decode(text)
+        except CALL_ERRORS as error:
+            reason = describe_error(error)
+            log.warning("VM list not read: %s", reason, extra={"event": "vm_list_unreadable"})
+            return
+        self.driver.deliver(VmList(effect.asked_at, vms))
