--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -138,6 +138,26 @@
     def fencing(self, server):
         """Return the fencing number for orders to `server`."""
 
+    @abstractmethod
+    def live_members(self):
+        """Return the names of the members of this node's cell that answer, itself included."""
+
+    @abstractmethod
+    def ping_sent_at(self, peer, seq):
+        """Return when (s) the ping `seq` to `peer` was sent, None if that is not known."""
+
+    @abstractmethod
+    def is_known(self):
+        """Return whether this node has the records that it needs to route requests."""
+
+    @abstractmethod
+    def start_leaving(self, now, out):
+        """Hand over the owned backend servers and leave the cell."""
+
+    @abstractmethod
+    def has_left(self):
+        """Return whether the cell record no longer contains this node."""
+
     @abstractmethod
     def is_reachable(self, node):
         """Return whether there is a working link to `node` (True for this node itself)."""
@@ -152,10 +172,18 @@
     def check(self, model, now):
         """Return None if `model` may be served, else a `Failure`."""
 
+    @abstractmethod
+    def is_known(self):
+        """Return whether this node has a catalogue."""
+
     @abstractmethod
     def source_of(self, model):
         """Return the path of the model's weights, "" if it is unknown."""
 
+    @abstractmethod
+    def is_drained(self, server):
+        """Return whether an operator's order keeps new work from `server` (a name)."""
+
     @abstractmethod
     def revision(self):
         """Return the revision of the catalogue in force here."""
