--- /dev/null
+++ b/medlarbeam/daemon/tests/test_engine_client.py
@@ -0,0 +1,290 @@
+import json
+
+import pytest
+from daemon_support import (
+    RecordingDriver,
+    ScriptedServer,
+    find_free_port,
+    make_backend,
+    make_settings,
+    reply,
+    run,
+    stream,
+)
+
+from medlarbeam.classes.effects import (
+    CancelOnServer,
+    LoadAdapter,
+    PollServer,
+    RunOnServer,
+    UnloadAdapter,
+)
+from medlarbeam.classes.messages import (
+    EngineChunk,
+    EngineEnd,
+    EngineReport,
+    LoadResult,
+    UnloadResult,
+)
+from medlarbeam.classes.peer_messages import ModelCount
+from medlarbeam.classes.requests import Rank, Request
+from medlarbeam.daemon.engine_client import EngineClient
+from medlarbeam.exceptions import ErrorKind, RunState
+
+CLOSE = "Connection: close"
+MODEL = "a@1"
+REFUSED = ("failure", ErrorKind.SERVER_REFUSED, RunState.NOT_RUN)
+LOST = ("failure", ErrorKind.SERVER_LOST, RunState.MAY_HAVE_RUN)
+ERROR = ("failure", ErrorKind.SERVER_ERROR, RunState.MAY_HAVE_RUN)
+DONE = b"[DONE]"
+
+
+def event(text, model=MODEL):
+    return json.dumps({"model": model, "choices": [{"index": 0, "text": text}]}).encode()
+
+
+def make_run(port, run_id="r1", service="", **fields):
+    request = Request("q1", "caller", Rank.URGENT, 130.0, [MODEL], "hi", service=service, **fields)
+    return RunOnServer(run_id, make_backend(port, service), MODEL, request, prefix="so far")
+
+
+def summarize(message):
+    if isinstance(message, EngineChunk):
+        return ("chunk", message.position, message.text, message.model)
+    if isinstance(message, EngineEnd):
+        return ("end", message.chunks, message.model, message.status)
+    return ("failure", message.failure.kind, message.failure.run_state)
+
+
+class Rig:
+    """An engine client with its driver."""
+
+    __slots__ = ("client", "driver")
+
+    def __init__(self, **settings):
+        self.driver = RecordingDriver()
+        self.client = EngineClient(self.driver, make_settings(**settings))
+
+    async def __aenter__(self):
+        await self.client.start()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.client.stop()
+
+    async def perform(self, effect):
+        """Carry out an effect, wait for its end and return the messages."""
+        self.driver.messages.clear()
+        task = self.client.effects()[type(effect)](effect) or self.client.runs[effect.run_id]
+        await task
+        return self.driver.messages
+
+
+BROKEN = stream(event("x"))[:-7].replace(b"\r\n\r\n", f"\r\n{CLOSE}\r\n\r\n".encode(), 1)
+ENGINE_RUNS = [
+    (
+        "text-out-of-order-or-lost",
+        stream(event("x"), event(""), event("y"), DONE),
+        [("chunk", 0, "x", MODEL), ("chunk", 1, "y", MODEL), ("end", 2, MODEL, 200)],
+    ),
+    (
+        "model-name-of-order-instead-of-answer",
+        stream(event("x", "b@2"), DONE),
+        [("chunk", 0, "x", "b@2"), ("end", 1, "b@2", 200)],
+    ),
+    ("refusal-told-as-may-have-run", reply(503, b"", "X-Not-Run: true"), [REFUSED]),
+    ("full-engine-told-as-may-have-run", reply(429), [REFUSED]),
+    ("unloaded-model-told-as-may-have-run", reply(404), [REFUSED]),
+    ("unmarked-503-told-as-not-run", reply(503), [ERROR]),
+    ("server-error-told-as-not-run", reply(500), [ERROR]),
+    ("redirect-sends-body-twice", reply(307, b"", "Location: /v1/completions"), [ERROR]),
+    ("closed-before-answer-told-as-not-run", b"", [LOST]),
+    ("closed-mid-stream-told-as-complete", BROKEN, [("chunk", 0, "x", MODEL), LOST]),
+    ("end-without-done-told-as-complete", stream(event("x")), [("chunk", 0, "x", MODEL), LOST]),
+    ("error-event-told-as-text", stream(b'{"error": {"message": "x"}}'), [ERROR]),
+    ("not-json-raises", stream(b"{"), [ERROR]),
+    ("choice-without-text-raises", stream(b'{"model": "a@1", "choices": [1]}'), [ERROR]),
+    ("no-utf8-raises", stream(b"\xff"), [ERROR]),
+]
+
+
+@pytest.mark.parametrize(
+    "answer, expected", [r[1:] for r in ENGINE_RUNS], ids=[r[0] for r in ENGINE_RUNS]
+)
+def test_engine_run(answer, expected):
+    async def check():
+        async with ScriptedServer([answer]) as server, Rig() as rig:
+            messages = await rig.perform(make_run(server.port, max_tokens=9))
+            assert [summarize(m) for m in messages] == expected
+            assert len(server.requests) == 1
+            head, body = server.requests[0]
+            assert "X-Request-Id: r1\r\n" in head
+            assert json.loads(body) == {
+                "model": MODEL,
+                "prompt": "hi",
+                "max_tokens": 9,
+                "stream": True,
+                "priority": 0,
+                "continue_from": "so far",
+            }
+
+    run(check())
+
+
+PLAIN_RUNS = [
+    ("answer-lost", reply(200, b'{"ok": 1}'), [("chunk", 0, '{"ok": 1}', ""), ("end", 1, "", 200)]),
+    ("declined-payment-hidden", reply(402, b"{}"), [("chunk", 0, "{}", ""), ("end", 1, "", 402)]),
+    ("unknown-item-told-as-not-run", reply(404), [("chunk", 0, "", ""), ("end", 1, "", 404)]),
+    ("server-error-told-as-ran", reply(500), [ERROR]),
+    ("refusal-told-as-may-have-run", reply(503, b"", "X-Not-Run: true"), [REFUSED]),
+    ("closed-told-as-not-run", b"", [LOST]),
+    ("cut-answer-told-as-complete", reply(200, b"abc", CLOSE)[:-1], [LOST]),
+]
+
+
+@pytest.mark.parametrize(
+    "answer, expected", [r[1:] for r in PLAIN_RUNS], ids=[r[0] for r in PLAIN_RUNS]
+)
+def test_plain_run(answer, expected):
+    async def check():
+        async with ScriptedServer([answer]) as server, Rig() as rig:
+            effect = make_run(
+                server.port, service="till", path="charge", non_idempotent=True, key="k"
+            )
+            messages = await rig.perform(effect)
+            assert [summarize(m) for m in messages] == expected
+            assert [r[0].split()[:2] for r in server.requests] == [["POST", "/charge"]]
+            assert server.requests[0][1] == b"hi"
+
+    run(check())
+
+
+STALE = [
+    ("repeatable-run-sent-twice", False, [b""], [LOST]),
+    # On a connection of its own a payment does not meet the closed one.
+    (
+        "payment-on-stale-connection",
+        True,
+        [reply(200)],
+        [("chunk", 0, "", ""), ("end", 1, "", 200)],
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    "single, second, expected", [s[1:] for s in STALE], ids=[s[0] for s in STALE]
+)
+def test_stale_connection(single, second, expected):
+    async def check():
+        async with ScriptedServer([reply(200), *second]) as server, Rig() as rig:
+            await rig.perform(make_run(server.port, service="till", path="stock"))
+            effect = make_run(
+                server.port, "r2", service="till", path="charge", non_idempotent=single, key="k"
+            )
+            messages = await rig.perform(effect)
+            assert [summarize(m) for m in messages] == expected
+            assert [r[0].split()[1] for r in server.requests] == ["/stock", "/charge"]
+
+    run(check())
+
+
+@pytest.mark.parametrize("service", ["", "till"], ids=["engine", "plain-service"])
+def test_refused_connection_is_told_as_not_run(service):
+    async def check():
+        async with Rig() as rig:
+            messages = await rig.perform(make_run(find_free_port(), service=service, path="charge"))
+            assert [summarize(m) for m in messages] == [REFUSED]
+
+    run(check())
+
+
+def test_silent_stream_is_told_as_lost():
+    async def check():
+        async with ScriptedServer([None]) as server, Rig(idle_timeout_s="0.1") as rig:
+            assert [summarize(m) for m in await rig.perform(make_run(server.port))] == [LOST]
+
+    run(check())
+
+
+def test_cancelled_run_closes_its_connection_without_a_message():
+    async def check():
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data = b"data: " + event("x") + b"\n\n"
+        opened = start + b"%x\r\n%s\r\n" % (len(data), data)
+        async with ScriptedServer([opened]) as server, Rig() as rig:
+            rig.client.start_run(make_run(server.port))
+            await rig.driver.wait_for(EngineChunk)
+            rig.client.cancel_run(CancelOnServer("r1"))
+            await server.closed.wait()
+            assert [type(m) for m in rig.driver.messages] == [EngineChunk]
+            assert rig.client.runs == {}
+
+    run(check())
+
+
+LOAD = "load"
+ORDERS = [
+    ("success-told-as-failure", LOAD, reply(200), None),
+    ("failed-load-told-as-success", LOAD, reply(500), ErrorKind.LOAD_FAILED),
+    ("old-fencing-number", LOAD, reply(412), ErrorKind.NOT_OWNER),
+    ("lost-load", LOAD, b"", ErrorKind.SERVER_LOST),
+    ("unload-in-time-dropped", 100.0, reply(200), None),
+    ("unload-sent-after-its-time", 99.9, None, ErrorKind.SERVER_REFUSED),
+    ("unloaded-already", 100.0, reply(404), ErrorKind.SERVER_REFUSED),
+    ("unload-under-old-fencing-number", 100.0, reply(412), ErrorKind.NOT_OWNER),
+    ("lost-unload", 100.0, b"", ErrorKind.SERVER_LOST),
+]
+
+
+@pytest.mark.parametrize(
+    "not_after, answer, kind", [o[1:] for o in ORDERS], ids=[o[0] for o in ORDERS]
+)
+def test_adapter_order(not_after, answer, kind):
+    async def check():
+        async with ScriptedServer([answer]) as server, Rig() as rig:
+            backend = make_backend(server.port)
+            effect = UnloadAdapter(backend, MODEL, 12, not_after)
+            document, result = {"lora_name": MODEL}, UnloadResult
+            if not_after is LOAD:
+                effect = LoadAdapter(backend, MODEL, "w/a", 12)
+                document, result = {"lora_name": MODEL, "lora_path": "w/a"}, LoadResult
+            (message,) = await rig.perform(effect)
+            assert (type(message), message.server, message.model) == (result, "b1", MODEL)
+            assert (message.failure.kind if message.failure else None) is kind
+            assert len(server.requests) == (answer is not None)
+            for head, body in server.requests:
+                assert "X-Fencing-Number: 12\r\n" in head
+                assert json.loads(body) == document
+
+    run(check())
+
+
+GOOD_REPORT = {"incarnation": "i", "resident": [MODEL], "running": {MODEL: 2}, "leaving": True}
+REPORTS = [
+    ("good-report-lost", reply(200, json.dumps(GOOD_REPORT).encode()), None),
+    ("unreachable-told-as-idle", b"", ErrorKind.SERVER_LOST),
+    ("error-told-as-idle", reply(500), ErrorKind.SERVER_ERROR),
+    ("not-json", reply(200, b"{"), ErrorKind.SERVER_ERROR),
+    ("no-incarnation", reply(200, b"{}"), ErrorKind.SERVER_ERROR),
+    (
+        "count-is-text",
+        reply(200, json.dumps(GOOD_REPORT | {"running": {"a": "2"}}).encode()),
+        ErrorKind.SERVER_ERROR,
+    ),
+]
+
+
+@pytest.mark.parametrize("answer, kind", [r[1:] for r in REPORTS], ids=[r[0] for r in REPORTS])
+def test_load_report(answer, kind):
+    async def check():
+        # The second reply is for the repeat of a GET, which the library may send after a close.
+        async with ScriptedServer([answer, answer]) as server, Rig() as rig:
+            (report,) = await rig.perform(PollServer(make_backend(server.port), 99.5))
+            assert (report.failure.kind if report.failure else None) is kind
+            if kind is None:
+                expected = EngineReport(
+                    "b1", 99.5, "i", [MODEL], [ModelCount("b1", MODEL, 2)], True
+                )
+                assert report == expected
+
+    run(check())
