--- /dev/null
+++ b/medlarbeam/daemon/tests/test_shell.py
@@ -0,0 +1,212 @@
+import asyncio
+import io
+import json
+import logging
+import math
+import os
+import signal
+import threading
+
+import pytest
+from daemon_support import make_settings, run
+
+from medlarbeam.classes.effects import CancelOnServer, Exit, LogEvent
+from medlarbeam.classes.messages import CallerGone, Shutdown
+from medlarbeam.daemon.logs import EventLog, set_up_logs
+from medlarbeam.daemon.main import Collaborators, run_daemon
+from medlarbeam.daemon.metrics import Metrics
+from medlarbeam.daemon.ports import Port
+from medlarbeam.daemon.shell import EFFECTS, Shell
+from medlarbeam.exceptions import SettingsError
+
+
+class ScriptedNode:
+    """Answers each message with the effects that `script` gives, and notes what it was asked."""
+
+    __slots__ = ("calls", "deadline", "is_inside", "script")
+
+    def __init__(self, script=None):
+        self.script = script or {}
+        self.calls = []
+        self.deadline = math.inf
+        self.is_inside = False
+
+    def handle(self, message, now):
+        assert not self.is_inside
+        self.calls.append(message)
+        return self.script.get(type(message), lambda m: [])(message)
+
+    def tick(self, now):
+        assert now >= self.deadline or math.isinf(self.deadline)
+        self.calls.append("tick")
+        self.deadline = math.inf
+        return self.script.get("tick", lambda: [])()
+
+    def next_deadline(self):
+        return self.deadline
+
+
+class PastNode(ScriptedNode):
+    """Always has a deadline in the past, as after a tick that raised."""
+
+    __slots__ = ()
+
+    def next_deadline(self):
+        return 0.0
+
+
+class RecordingPort(Port):
+    """Takes every effect except Exit; `react` is called with each one."""
+
+    __slots__ = ("react", "taken")
+
+    def __init__(self, react=None):
+        self.taken = []
+        self.react = react
+
+    def effects(self):
+        return {kind: self.take for kind in EFFECTS - {Exit}}
+
+    def take(self, effect):
+        self.taken.append(effect)
+        if self.react is not None:
+            self.react(effect)
+
+
+def fail(*arguments):
+    raise RuntimeError("planted")
+
+
+def test_message_during_effects_is_queued_and_the_node_is_not_entered_twice():
+    async def check():
+        node = ScriptedNode()
+        shell = Shell(node)
+
+        def react(effect):
+            node.is_inside = True
+            shell.deliver(CallerGone("from-effect"))
+            node.is_inside = False
+
+        port = RecordingPort(lambda e: react(e) if e.run_id == "1" else None)
+        node.script[Shutdown] = lambda m: [CancelOnServer("1"), CancelOnServer("2")]
+        shell.attach(port)
+        shell.deliver(Shutdown())
+        assert [e.run_id for e in port.taken] == ["1", "2"]
+        assert node.calls == [Shutdown(), CallerGone("from-effect")]
+
+    run(check())
+
+
+FAILURES = [
+    (
+        "failing-effect-loses-the-next",
+        lambda m: [CancelOnServer("1"), CancelOnServer("2")],
+        fail,
+        2,
+    ),
+    ("failing-node-stops-the-shell", fail, None, 0),
+]
+
+
+@pytest.mark.parametrize(
+    "script, react, taken", [f[1:] for f in FAILURES], ids=[f[0] for f in FAILURES]
+)
+def test_failure_does_not_stop_the_shell(script, react, taken):
+    async def check():
+        node = ScriptedNode({Shutdown: script})
+        shell = Shell(node)
+        port = RecordingPort(react)
+        shell.attach(port)
+        shell.deliver(Shutdown())
+        shell.deliver(CallerGone("later"))
+        assert len(port.taken) == taken
+        assert node.calls[-1] == CallerGone("later")
+
+    run(check())
+
+
+def test_one_timer_follows_the_deadline_and_no_tick_comes_early():
+    async def check():
+        node = ScriptedNode()
+        shell = Shell(node)
+        ticked = asyncio.Event()
+        node.script["tick"] = lambda: ticked.set() or []
+        node.deadline = shell.read_clock() + 3600.0
+        shell.deliver(CallerGone("far"))
+        far = shell.timer
+        node.deadline = shell.read_clock() + 0.01
+        shell.deliver(CallerGone("near"))
+        assert far.cancelled() and shell.timer.when() == node.deadline
+        await ticked.wait()
+        assert node.calls[-1] == "tick" and shell.timer is None
+
+    run(check())
+
+
+@pytest.mark.parametrize(
+    "script, shortest_s",
+    [(lambda: [], 0.0005), (fail, 0.5)],
+    ids=["past-deadline-spins", "failing-tick-spins"],
+)
+def test_past_deadline_leaves_time_for_the_sockets(script, shortest_s):
+    async def check():
+        shell = Shell(PastNode({"tick": script}))
+        before = shell.read_clock()
+        shell.wake()
+        assert shell.timer.when() - before > shortest_s
+        shell.timer.cancel()
+
+    run(check())
+
+
+def test_missing_port_is_found_at_start():
+    async def check():
+        shell = Shell(ScriptedNode())
+        shell.attach(EventLog(Metrics()))
+        with pytest.raises(SettingsError) as caught:
+            await shell.start()
+        assert "CancelOnServer" in str(caught.value) and "LogEvent" not in str(caught.value)
+
+    run(check())
+
+
+def test_sigterm_ends_the_process_with_status_0_and_without_threads():
+    async def check():
+        node = ScriptedNode({Shutdown: lambda m: [LogEvent("stopped"), Exit()]})
+        node.script["tick"] = lambda: os.kill(os.getpid(), signal.SIGTERM) or []
+        settings = make_settings()
+        parts = Collaborators(lambda s, rng: node, lambda shell, s: RecordingPort(), None, None)
+        assert await run_daemon(settings, parts) == 0
+        assert node.calls == ["tick", Shutdown()]
+        assert threading.active_count() == 1
+
+    run(check())
+
+
+LINES = [
+    ("json", "request_id", lambda line: json.loads(line)["request_id"] == "q1"),
+    ("json", "node", lambda line: json.loads(line)["node"] == "n1"),
+    ("json", "failure-domain", lambda line: json.loads(line)["failure_domain"] == "d1"),
+    ("json", "event", lambda line: json.loads(line)["event"] == "refused"),
+    ("text", "request_id", lambda line: " request_id=q1" in line),
+    ("text", "line-end-forges-a-line", lambda line: line.count("\n") == 1),
+]
+
+
+@pytest.mark.parametrize(
+    "log_format, check", [(x[0], x[2]) for x in LINES], ids=[f"{x[0]}-{x[1]}" for x in LINES]
+)
+def test_log_line_names_its_origin(log_format, check):
+    root = logging.getLogger()
+    kept = root.handlers[:], root.level
+    output = io.StringIO()
+    metrics = Metrics()
+    try:
+        set_up_logs(make_settings(log_format=log_format), output)
+        EventLog(metrics).write(LogEvent("refused", "why\nforged", "q1", "warning"))
+    finally:
+        root.handlers[:], level = kept
+        root.setLevel(level)
+    assert check(output.getvalue())
+    page, _ = metrics.render(0, 1, 2.0, [])
+    assert b'medlarbeam_events_total{event="refused"} 1' in page
