--- a/medlarbeam/daemon/http_server.py
+++ b/medlarbeam/daemon/http_server.py
@@ -86,7 +86,7 @@
         app.add_routes(
             [
                 route("POST", "/v1/completions", self.handle_completion),
-                route("POST", "/v1/services/{service}/{path:.+}", self.handle_service_call),
+                route("POST", "/v1/services/{service}/{path:(?s:.+)}", self.handle_service_call),
                 route("GET", "/healthz", self.handle_health),
                 route("GET", "/readyz", self.handle_readiness),
                 route("GET", "/metrics", self.handle_metrics),
--- /dev/null
+++ b/medlarbeam/daemon/tests/test_http_server.py
@@ -0,0 +1,313 @@
+import asyncio
+import io
+import json
+import math
+
+import pytest
+from aiohttp import ClientSession
+from daemon_support import RecordingDriver, make_settings, run
+from yarl import URL
+
+from medlarbeam.classes.effects import AnswerChunk, AnswerEnd, AnswerStart
+from medlarbeam.classes.messages import CallerGone, CallerRequest
+from medlarbeam.classes.requests import Rank, Request
+from medlarbeam.daemon.caller_input import MAX_BODY_BYTES
+from medlarbeam.daemon.caller_output import AnswerOrigin, build_headers
+from medlarbeam.daemon.http_server import HttpServer
+from medlarbeam.daemon.metrics import Metrics
+from medlarbeam.exceptions import ErrorKind, Failure
+
+COMPLETIONS = "v1/completions"
+CHARGE = "v1/services/till/charge"
+ONCE = {"X-Non-Idempotent": "true", "Idempotency-Key": "k1", "X-Caller": "c"}
+GOOD = {"model": "a@1", "prompt": "hi"}
+
+
+class Rig:
+    """An HTTP server whose node answers each request with `script(request)`, a list of effects."""
+
+    __slots__ = ("base", "driver", "metrics", "server", "session")
+
+    def __init__(self, script=lambda request: [], **settings):
+        self.driver = RecordingDriver(self.answer_by(script))
+        self.metrics = Metrics()
+        checked = make_settings(**settings)
+        self.server = HttpServer(self.driver, checked, self.metrics)
+        self.base = f"http://127.0.0.1:{checked.http_listen.port}/"
+        self.session = None
+
+    def answer_by(self, script):
+        def answer(message):
+            if isinstance(message, CallerRequest):
+                for effect in script(message.request):
+                    self.server.effects()[type(effect)](effect)
+
+        return answer
+
+    async def __aenter__(self):
+        await self.server.start()
+        self.session = ClientSession()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.session.close()
+        await self.server.stop()
+
+    async def post(self, path, body, headers=None):
+        data = io.BytesIO(body) if isinstance(body, bytes) else json.dumps(body).encode()
+        url = URL(self.base + path, encoded=True)  # the client would resolve ".." itself
+        async with self.session.post(url, data=data, headers=headers) as response:
+            return response.status, response.headers, (await response.read()).decode()
+
+
+BAD_INPUTS = [
+    ("not-json", COMPLETIONS, {}, b"{", "body: not valid JSON"),
+    ("not-utf8", COMPLETIONS, {}, b'{"prompt": "\xff"}', "body: not valid JSON"),
+    ("not-an-object", COMPLETIONS, {}, [], "expected a JSON object"),
+    ("field-silently-ignored", COMPLETIONS, {}, GOOD | {"temperature": 1}, "fields temperature"),
+    ("no-prompt", COMPLETIONS, {}, {"model": "a@1"}, "prompt:"),
+    ("prompt-of-other-type", COMPLETIONS, {}, GOOD | {"prompt": ["hi"]}, "prompt:"),
+    ("no-model", COMPLETIONS, {}, {"prompt": "hi"}, "exactly one"),
+    ("model-and-models", COMPLETIONS, {}, GOOD | {"models": ["a@1"]}, "exactly one"),
+    ("model-without-version", COMPLETIONS, {}, GOOD | {"model": "a"}, "adapter@version"),
+    ("line-end-in-model", COMPLETIONS, {}, GOOD | {"model": "a@1\r\nx"}, "adapter@version"),
+    ("no-models", COMPLETIONS, {}, {"models": [], "prompt": "hi"}, "1 to 64"),
+    ("model-twice", COMPLETIONS, {}, {"models": ["a@1", "a@1"], "prompt": "hi"}, "twice"),
+    ("true-as-number", COMPLETIONS, {}, GOOD | {"max_tokens": True}, "max_tokens:"),
+    ("no-tokens", COMPLETIONS, {}, GOOD | {"max_tokens": 0}, "max_tokens:"),
+    ("text-as-flag", COMPLETIONS, {}, GOOD | {"stream": "yes"}, "stream:"),
+    ("unknown-rank", COMPLETIONS, {}, GOOD | {"rank": "high"}, "rank: expected urgent"),
+    ("no-time", COMPLETIONS, {}, GOOD | {"deadline_s": 0}, "deadline_s:"),
+    ("endless-deadline", COMPLETIONS, {}, GOOD | {"deadline_s": 1e9}, "deadline_s:"),
+    ("body-too-large", COMPLETIONS, {}, b" " * (MAX_BODY_BYTES + 1), "above 4194304 bytes"),
+    ("payment-without-key", CHARGE, {"X-Non-Idempotent": "true"}, {}, "Idempotency-Key: missing"),
+    ("keys-of-callers-collide", CHARGE, ONCE | {"X-Caller": ""}, {}, "X-Caller"),
+    ("misspelt-mark-runs-twice", CHARGE, ONCE | {"X-Non-Idempotent": "1"}, {}, "true or false"),
+    ("key-too-long", CHARGE, ONCE | {"Idempotency-Key": "k" * 257}, {}, "Idempotency-Key"),
+    ("climbing-path", "v1/services/till/a/%2E%2E/b", {}, {}, "path:"),
+    ("second-request-in-path", "v1/services/till/a%0D%0Ab", {}, {}, "path:"),
+    ("query-lost", CHARGE + "?a=1", {}, {}, "query: not supported"),
+    ("service-body-not-json", CHARGE, {}, b"x", "body: not valid JSON"),
+    ("unknown-rank-of-service", CHARGE, {"X-Rank": "high"}, {}, "header X-Rank"),
+    ("deadline-not-a-number", CHARGE, {"X-Deadline-S": "nan"}, {}, "header X-Deadline-S"),
+]
+
+
+@pytest.mark.parametrize(
+    "path, headers, body, reason", [b[1:] for b in BAD_INPUTS], ids=[b[0] for b in BAD_INPUTS]
+)
+def test_bad_input_is_refused_before_the_node_sees_it(path, headers, body, reason):
+    async def check():
+        async with Rig() as rig:
+            status, _, text = await rig.post(path, body, headers)
+            document = json.loads(text)
+            assert (status, document["error"]["kind"]) == (400, "invalid_request")
+            assert document["error"]["run_state"] == "not_run"
+            assert reason in document["error"]["reason"]
+            assert document["medlarbeam"]["request_id"] == "n1-7-1"
+            assert rig.driver.messages == []
+
+    run(check())
+
+
+INPUTS = [
+    (
+        "defaults",
+        COMPLETIONS,
+        {},
+        GOOD,
+        Request("n1-7-1", "anonymous", Rank.ORDINARY, 130.0, ["a@1"], "hi"),
+    ),
+    (
+        "all-fields",
+        COMPLETIONS,
+        ONCE,
+        {"models": ["a@1", "b@2"], "prompt": "p", "max_tokens": 5, "rank": "urgent"}
+        | {"deadline_s": 2.5, "stream": True},
+        Request(
+            "n1-7-1",
+            "c",
+            Rank.URGENT,
+            102.5,
+            ["a@1", "b@2"],
+            "p",
+            max_tokens=5,
+            stream=True,
+            non_idempotent=True,
+            key="k1",
+        ),
+    ),
+    (
+        "service",
+        "v1/services/till/a/charge",
+        ONCE | {"X-Rank": "yielding", "X-Deadline-S": "4"},
+        b'{"x": 1.0}',
+        Request(
+            "n1-7-1",
+            "c",
+            Rank.YIELDING,
+            104.0,
+            [],
+            '{"x": 1.0}',
+            service="till",
+            path="a/charge",
+            non_idempotent=True,
+            key="k1",
+        ),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    "path, headers, body, expected", [i[1:] for i in INPUTS], ids=[i[0] for i in INPUTS]
+)
+def test_request_reaches_the_node_unchanged(path, headers, body, expected):
+    async def check():
+        async with Rig(lambda request: [AnswerEnd(request.request_id)]) as rig:
+            await rig.post(path, body, headers)
+            assert rig.driver.messages == [CallerRequest(expected)]
+
+    run(check())
+
+
+START = ("a@1", "b1", 1)
+FAILURE = Failure(ErrorKind.SERVER_LOST, "b1 is gone")
+FAILED = {"kind": "server_lost", "reason": "b1 is gone", "run_state": "may_have_run"}
+ORIGIN = {"request_id": "n1-7-1", "adapter": "a", "version": "1", "server": "b1", "attempts": 2}
+ORIGIN |= {"catalog_revision": 41, "catalog_age_s": 1.5, "load_wait_s": 0.25, "replayed": False}
+
+
+def play(texts, failure=None, status=200):
+    """Return a script that answers with these texts and the end."""
+
+    def script(request):
+        i = request.request_id
+        yield AnswerStart(i, *START)
+        for text in texts:
+            yield AnswerChunk(i, text)
+        yield AnswerEnd(i, failure, "a@1", "b1", status, attempts=2, load_wait_s=0.25)
+
+    return script
+
+
+def parse_events(text):
+    for block in text.split("\n\n")[:-1]:
+        name, _, data = block.rpartition("data: ")
+        yield name.strip(), data if data == "[DONE]" else json.loads(data)
+
+
+STREAM = GOOD | {"stream": True}
+STREAMS = [
+    ("text-lost", play("xy"), ["x", "y", ""], ["", "", "", ""]),
+    ("no-text", play(""), [""], ["", ""]),
+    ("failure-part-way-in-silence", play("x", FAILURE), ["x"], ["", "event: error"]),
+]
+
+
+@pytest.mark.parametrize(
+    "script, texts, names", [s[1:] for s in STREAMS], ids=[s[0] for s in STREAMS]
+)
+def test_stream_ends_explicitly(script, texts, names):
+    async def check():
+        async with Rig(script) as rig:
+            status, headers, body = await rig.post(COMPLETIONS, STREAM)
+            events = list(parse_events(body))
+            assert (status, headers["Content-Type"]) == (200, "text/event-stream")
+            assert [name for name, _ in events] == names
+            documents = [data for _, data in events if data != "[DONE]"]
+            chunks = [d for d in documents if "choices" in d]
+            assert [d["choices"][0]["text"] for d in chunks] == texts
+            assert documents[-1]["medlarbeam"] == ORIGIN
+            is_done = events[-1][1] == "[DONE]"
+            assert is_done or events[-1][1]["error"] == FAILED
+
+    run(check())
+
+
+WHOLE = [
+    ("text-lost", COMPLETIONS, GOOD, play(["x", "y"]), 200),
+    ("failure-told-as-success", COMPLETIONS, GOOD, play(["x"], FAILURE), 502),
+    ("failure-before-the-first-text-told-as-200", COMPLETIONS, STREAM, play([], FAILURE), 502),
+    ("status-of-the-service-lost", CHARGE, {}, play(['{"ok": 1}'], status=402), 402),
+    ("failure-of-the-service", CHARGE, {}, play([], FAILURE), 502),
+]
+
+
+@pytest.mark.parametrize(
+    "path, body, script, status", [w[1:] for w in WHOLE], ids=[w[0] for w in WHOLE]
+)
+def test_whole_answer_names_its_origin(path, body, script, status):
+    async def check():
+        async with Rig(script) as rig:
+            got, headers, text = await rig.post(path, body, ONCE)
+            document = json.loads(text)
+            assert got == status
+            expected = build_headers(AnswerOrigin("n1-7-1", 41, 1.5, "a@1", "b1", 2))
+            assert expected.items() <= headers.items()
+            if status == 502:
+                assert (document["error"], document["medlarbeam"]) == (FAILED, ORIGIN)
+            elif path == CHARGE:
+                assert document == {"ok": 1}
+            else:
+                assert document["choices"][0]["text"] == "xy"
+                assert (document["model"], document["medlarbeam"]) == ("a@1", ORIGIN)
+
+    run(check())
+
+
+@pytest.mark.parametrize("body", [GOOD, STREAM], ids=["waiting-caller", "streaming-caller"])
+def test_caller_that_disconnects_is_told_to_the_node(body):
+    async def check():
+        async with Rig(lambda r: [AnswerChunk(r.request_id, "x")]) as rig:
+            task = asyncio.ensure_future(rig.post(COMPLETIONS, body))
+            await rig.driver.wait_for(CallerRequest)
+            task.cancel()
+            assert (await rig.driver.wait_for(CallerGone)).request_id == "n1-7-1"
+            assert rig.server.open == {}
+
+    run(check())
+
+
+def test_request_that_the_node_never_ends_gets_an_error(monkeypatch):
+    monkeypatch.setattr("medlarbeam.daemon.http_server.DEADLINE_GRACE_S", 0.01)
+
+    async def check():
+        async with Rig() as rig:
+            status, _, text = await rig.post(COMPLETIONS, GOOD | {"deadline_s": 0.01})
+            assert status == 500
+            assert json.loads(text)["error"]["run_state"] == "may_have_run"
+            assert rig.driver.messages[1:] == [CallerGone("n1-7-1")]
+
+    run(check())
+
+
+PAGES = [
+    ("healthz", 200, b'"healthy": true'),
+    ("readyz", 503, b'"ready": false'),
+    ("metrics", 200, b'medlarbeam_answers_total{outcome="ok",rank="urgent"} 1'),
+    ("metrics", 200, b"medlarbeam_catalog_revision 41"),
+    ("metrics", 200, b"medlarbeam_open_requests 0"),
+    ("metrics", 200, b'medlarbeam_first_token_seconds_count{rank="urgent"} 1'),
+    ("nowhere", 404, b'"kind": "not_found"'),
+    ("v1/completions", 405, b'"kind": "invalid_request"'),
+]
+
+
+@pytest.mark.parametrize(
+    "path, status, part", PAGES, ids=[f"{p[0]}-{p[2].decode()}" for p in PAGES]
+)
+def test_page(path, status, part):
+    async def check():
+        async with Rig(play("x")) as rig:
+            await rig.post(COMPLETIONS, GOOD | {"rank": "urgent"})
+            async with rig.session.get(rig.base + path) as response:
+                assert response.status == status
+                assert part in await response.read()
+
+    run(check())
+
+
+def test_catalogue_that_was_never_confirmed_has_no_age():
+    origin = AnswerOrigin("q1", 0, math.inf)
+    assert origin.build_document()["catalog_age_s"] is None
+    assert build_headers(origin)["X-Catalog-Age-S"] == "unconfirmed"
