End overdue streams with an error event and keep request data out of library log lines

aiohttp quotes the malformed line of a request in its log, which may hold a key. A shutdown now waits up to 60 s for callers that still read their answers; 5 s cut off slow readers.

--- a/medlarbeam/daemon/admin_server.py
+++ b/medlarbeam/daemon/admin_server.py
@@ -8,7 +8,7 @@
 
 from medlarbeam.classes.effects import OperatorAnswer
 from medlarbeam.classes.messages import OperatorRequest
-from medlarbeam.daemon.caller_input import MAX_BODY_BYTES
+from medlarbeam.daemon.caller_input import MAX_BODY_BYTES, read_header
 from medlarbeam.daemon.http_server import answer_http_errors, read_body, serve_app
 from medlarbeam.daemon.ports import PortService
 from medlarbeam.exceptions import ANSWERS, ErrorKind, Failure, FormatError
@@ -98,10 +98,14 @@
         failure = self._check_secret(http_request)
         if failure is not None:
             return build_response(failure, {})
+        try:
+            operator = read_header(http_request.headers, "X-Operator")
+        except FormatError as error:
+            return build_response(Failure(ErrorKind.INVALID_REQUEST, str(error)), {})
+        operator = operator or (note.operator if note is not None else "unnamed")
         self.counter += 1
         node = self.settings.node
         op_id = f"{node.name}-{node.incarnation}-op-{self.counter}"
-        operator = http_request.headers.get("X-Operator", note.operator if note else "unnamed")
         answer = self.open[op_id] = asyncio.get_running_loop().create_future()
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
--- a/medlarbeam/daemon/caller_input.py
+++ b/medlarbeam/daemon/caller_input.py
@@ -8,7 +8,13 @@
 from medlarbeam.classes.requests import Rank, Request
 from medlarbeam.exceptions import FormatError
 
-__all__ = ["MAX_BODY_BYTES", "DeadlineLimits", "read_completion", "read_service_call"]
+__all__ = [
+    "MAX_BODY_BYTES",
+    "DeadlineLimits",
+    "read_completion",
+    "read_header",
+    "read_service_call",
+]
 
 MAX_BODY_BYTES = 4 << 20
 MAX_MODELS = 64
@@ -51,7 +57,7 @@
 
     Parameters
     ----------
-    headers : mapping of str to str
+    headers : multidict.MultiMapping of str
 
     Raises
     ------
@@ -64,22 +70,25 @@
     def __init__(self, headers):
         self.caller = read_header(headers, "X-Caller") or ANONYMOUS
         self.key = read_header(headers, "Idempotency-Key")
-        mark = headers.get("X-Non-Idempotent", "false").lower()
+        mark = (read_header(headers, "X-Non-Idempotent") or "false").lower()
         if mark not in ("true", "false"):
             raise FormatError("header X-Non-Idempotent: expected true or false")
         self.non_idempotent = mark == "true"
         if self.non_idempotent and not self.key:
             raise FormatError("header Idempotency-Key: missing, required with X-Non-Idempotent")
-        if self.non_idempotent and "X-Caller" not in headers:
+        if self.non_idempotent and self.caller == ANONYMOUS:
             # Keys belong to a caller; those of several anonymous callers would collide.
             raise FormatError("header X-Caller: missing, required with X-Non-Idempotent")
 
 
 def read_header(headers, name):
     """Return the value of a header, "" where it is absent."""
-    value = headers.get(name)
-    if value is None:
+    values = headers.getall(name, [])
+    if len(values) > 1:
+        raise FormatError(f"header {name}: given more than once")
+    if not values:
         return ""
+    value = values[0]
     if not HEADER_PATTERN.fullmatch(value):
         raise FormatError(f"header {name}: expected 1 to 256 printable ASCII characters, no space")
     return value
@@ -90,7 +99,7 @@
 
     Parameters
     ----------
-    headers : mapping of str to str
+    headers : multidict.MultiMapping of str
     body : bytes
         JSON document.
     request_id : str
@@ -138,7 +147,7 @@
 
     Parameters
     ----------
-    headers : mapping of str to str
+    headers : multidict.MultiMapping of str
         ``X-Rank`` and ``X-Deadline-S`` stand for the fields of a completion request.
     service, path, query : str
     body : bytes
--- a/medlarbeam/daemon/engine_client.py
+++ b/medlarbeam/daemon/engine_client.py
@@ -68,14 +68,8 @@
             connect=self.settings.connect_timeout_s,
             sock_read=self.settings.idle_timeout_s,
         )
-        self.session = open_session(timeout)
-        self.single_session = open_session(timeout, keep_alive=False)
-
-    async def on_stop(self):
-        """Cancel what is open and close the sessions."""
-        await self.cancel_tasks()
-        await self.session.close()
-        await self.single_session.close()
+        self.session = await self.add_async_context(open_session(timeout))
+        self.single_session = await self.add_async_context(open_session(timeout, keep_alive=False))
 
     def effects(self):
         """Return the handlers of the effects on backend servers."""
--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -4,7 +4,14 @@
 from contextlib import contextmanager
 from contextvars import ContextVar
 
-from aiohttp import ClientError, ClientRequest, ClientSession, DummyCookieJar, TCPConnector
+from aiohttp import (
+    ClientError,
+    ClientRequest,
+    ClientResponseError,
+    ClientSession,
+    DummyCookieJar,
+    TCPConnector,
+)
 from aiohttp.abc import AbstractResolver
 
 from medlarbeam.exceptions import MedlarbeamError
@@ -123,6 +130,12 @@
 
 
 def describe_error(error):
-    """Return one line that says what went wrong."""
+    """Return one line that says what went wrong.
+
+    Only the type is named where the text may quote what the other side sent.
+    """
+    is_quoting = isinstance(error, (ClientResponseError, ValueError))
+    if is_quoting and not isinstance(error, MedlarbeamError):
+        return type(error).__name__
     text = " ".join(str(error).split())
     return f"{type(error).__name__}: {text}" if text else type(error).__name__
--- a/medlarbeam/daemon/http_server.py
+++ b/medlarbeam/daemon/http_server.py
@@ -1,6 +1,7 @@
 """HTTP front end for callers."""
 
 import asyncio
+import logging
 
 from aiohttp.web import (
     Application,
@@ -26,14 +27,18 @@
 )
 from medlarbeam.daemon.caller_output import AnswerOrigin, round_age
 from medlarbeam.daemon.ports import PortService
-from medlarbeam.exceptions import ErrorKind, Failure, FormatError
+from medlarbeam.daemon.setting_kinds import join_address
+from medlarbeam.exceptions import ErrorKind, Failure, FormatError, SettingsError
 
 __all__ = ["HttpServer", "answer_http_errors", "read_body", "serve_app"]
 
+log = logging.getLogger(__name__)
+
 BODY_TIMEOUT_S = 30.0
 # Time beyond the deadline in which the node ends a request itself; then the shell gives up on it.
 DEADLINE_GRACE_S = 5.0
-SHUTDOWN_TIMEOUT_S = 5.0
+OVERDUE_WRITE_S = 1.0
+SHUTDOWN_TIMEOUT_S = 60.0  # for callers that read slowly what the node has answered
 
 
 class Exchange:
@@ -46,7 +51,17 @@
         Monotonic time (s).
     """
 
-    __slots__ = ("arrived_at", "effects", "ended", "has_text", "model", "request", "server")
+    __slots__ = (
+        "arrived_at",
+        "effects",
+        "ended",
+        "has_text",
+        "load_wait_s",
+        "model",
+        "outcome",
+        "request",
+        "server",
+    )
 
     def __init__(self, request, arrived_at):
         self.request = request
@@ -56,6 +71,8 @@
         self.server = ""
         self.has_text = False
         self.ended = False
+        self.outcome = ErrorKind.CANCELLED.value  # until something else is known
+        self.load_wait_s = 0.0
 
 
 class HttpServer(PortService):
@@ -97,7 +114,8 @@
 
     async def on_stop(self):
         """Write the answers that have ended, then close all connections."""
-        await self.runner.cleanup()
+        if self.runner is not None:
+            await self.runner.cleanup()
 
     def effects(self):
         """Return the handlers of the effects on answers."""
@@ -154,6 +172,7 @@
             return await self._answer(http_request, exchange)
         finally:
             del self.open[request_id]
+            self.metrics.count_answer(request.rank, exchange.outcome, exchange.load_wait_s)
             if not exchange.ended:
                 self.driver.deliver(CallerGone(request_id))
 
@@ -166,14 +185,21 @@
                 self.driver.deliver(CallerRequest(request))
                 return await self._relay(exchange, writer)
         except TimeoutError:
-            reason = "no end of the request within its deadline"
-            self.metrics.count_event("answer_overdue")
-            if exchange.has_text and http_request.transport is not None:
-                # The caller does not read its stream, so it would not get an error event either.
+            return await self._fail_overdue(http_request, exchange, writer)
+
+    async def _fail_overdue(self, http_request, exchange, writer):
+        """End a request that the node did not end, or whose caller does not read the answer."""
+        self.metrics.count_event("answer_overdue")
+        exchange.outcome = ErrorKind.INTERNAL.value
+        failure = Failure(ErrorKind.INTERNAL, "no end of the answer within the deadline")
+        origin = self._origin(exchange.request.request_id, exchange.model, exchange.server)
+        try:
+            async with asyncio.timeout(OVERDUE_WRITE_S):
+                return await writer.fail(failure, origin)
+        except TimeoutError:
+            if http_request.transport is not None:
                 http_request.transport.abort()
-            failure = Failure(ErrorKind.INTERNAL, reason)
-            self.metrics.count_answer(request.rank, failure.kind.value, 0.0)
-            return build_error_response(failure, self._origin(request.request_id))
+            return build_error_response(failure, origin)
 
     async def _relay(self, exchange, writer):
         """Pass effects to the writer until the end; return the HTTP response."""
@@ -192,8 +218,8 @@
             await writer.write(effect.text, origin)
 
     async def _finish(self, exchange, end, writer):
-        outcome = end.failure.kind.value if end.failure is not None else "ok"
-        self.metrics.count_answer(exchange.request.rank, outcome, end.load_wait_s)
+        exchange.outcome = end.failure.kind.value if end.failure is not None else "ok"
+        exchange.load_wait_s = end.load_wait_s
         origin = self._origin(
             end.request_id,
             end.model or exchange.model,
@@ -237,7 +263,10 @@
 
 @middleware
 async def answer_http_errors(http_request, handler):
-    """Turn errors of the HTTP library, such as an unknown path, into the error document."""
+    """Turn errors of the HTTP library, such as an unknown path, into the error document.
+
+    Other exceptions are logged here, because the log lines of the library are cut short.
+    """
     try:
         return await handler(http_request)
     except HTTPException as error:
@@ -245,6 +274,12 @@
         document = {"error": {"kind": kind.value, "reason": error.reason, "run_state": "not_run"}}
         allow = {"Allow": error.headers["Allow"]} if "Allow" in error.headers else {}
         return json_response(document, status=error.status, headers=allow)
+    except ConnectionError:
+        raise  # the caller is gone
+    except Exception:
+        log.exception("request handler failed", extra={"event": "handler_failed"})
+        error = {"kind": "internal", "reason": "internal error", "run_state": "may_have_run"}
+        return json_response({"error": error}, status=500)
 
 
 async def read_body(http_request):
@@ -269,5 +304,10 @@
         app, handler_cancellation=True, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
     )
     await runner.setup()
-    await TCPSite(runner, address.ip, address.port).start()
+    try:
+        await TCPSite(runner, address.ip, address.port).start()
+    except OSError as error:
+        await runner.cleanup()
+        place = join_address(address)
+        raise SettingsError(f"cannot listen on {place}: {error.strerror}") from error
     return runner
--- a/medlarbeam/daemon/kv_client.py
+++ b/medlarbeam/daemon/kv_client.py
@@ -56,12 +56,8 @@
 
     async def on_start(self):
         """Open the client session; the total time of a call is in its effect."""
-        self.session = open_session(ClientTimeout(total=None, connect=self.connect_timeout_s))
-
-    async def on_stop(self):
-        """Cancel what is open and close the session."""
-        await self.cancel_tasks()
-        await self.session.close()
+        timeout = ClientTimeout(total=None, connect=self.connect_timeout_s)
+        self.session = await self.add_async_context(open_session(timeout))
 
     def effects(self):
         """Return the handler of `KvCall`."""
--- a/medlarbeam/daemon/logs.py
+++ b/medlarbeam/daemon/logs.py
@@ -79,8 +79,20 @@
 FORMATTERS = {"json": JsonFormatter, "text": TextFormatter}
 
 
+def hide_traceback(record):
+    """Log filter that keeps only the type of an exception."""
+    if record.exc_info:
+        record.msg, record.args = f"{record.getMessage()}: {record.exc_info[0].__name__}", ()
+        record.exc_info = None
+    return True
+
+
 def set_up_logs(settings, stream):
-    """Send all log lines to `stream`, in the format and from the level of the settings."""
+    """Send all log lines to `stream`, in the format and from the level of the settings.
+
+    The HTTP library quotes the offending line of a malformed request, which may hold a key.
+    """
+    logging.getLogger("aiohttp.server").addFilter(hide_traceback)
     handler = logging.StreamHandler(stream)
     formatter = FORMATTERS[settings.log_format]
     handler.setFormatter(formatter(settings.node.name, settings.node.failure_domain))
--- a/medlarbeam/daemon/main.py
+++ b/medlarbeam/daemon/main.py
@@ -96,11 +96,12 @@
     incarnation = int(time.time() * 1000)
     try:
         settings = read_settings(sys.argv[1:], os.environ, incarnation)
+        set_up_logs(settings, sys.stderr)
+        status = asyncio.run(run_daemon(settings, import_collaborators()))
     except SettingsError as error:
         print(error, file=sys.stderr)
-        sys.exit(STATUS_BAD_SETTINGS)
-    set_up_logs(settings, sys.stderr)
-    sys.exit(asyncio.run(run_daemon(settings, import_collaborators())))
+        status = STATUS_BAD_SETTINGS
+    sys.exit(status)
 
 
 def import_collaborators():
--- a/medlarbeam/daemon/ports.py
+++ b/medlarbeam/daemon/ports.py
@@ -79,8 +79,8 @@
         if not task.cancelled() and task.exception() is not None:
             log.error("task failed", exc_info=task.exception(), extra={"event": "task_failed"})
 
-    async def cancel_tasks(self):
-        """Cancel the tasks and wait for their end."""
+    async def on_stop(self):
+        """Cancel the tasks and wait for their end; async contexts are closed after this."""
         tasks = list(self.tasks)
         for task in tasks:
             task.cancel()
--- a/medlarbeam/daemon/tests/test_http_server.py
+++ b/medlarbeam/daemon/tests/test_http_server.py
@@ -83,6 +83,7 @@
     ("payment-without-key", CHARGE, {"X-Non-Idempotent": "true"}, {}, "Idempotency-Key: missing"),
     ("keys-of-callers-collide", CHARGE, ONCE | {"X-Caller": ""}, {}, "X-Caller"),
     ("misspelt-mark-runs-twice", CHARGE, ONCE | {"X-Non-Idempotent": "1"}, {}, "true or false"),
+    ("key-twice", CHARGE, [*ONCE.items(), ("Idempotency-Key", "k2")], {}, "more than once"),
     ("key-too-long", CHARGE, ONCE | {"Idempotency-Key": "k" * 257}, {}, "Idempotency-Key"),
     ("climbing-path", "v1/services/till/a/%2E%2E/b", {}, {}, "path:"),
     ("second-request-in-path", "v1/services/till/a%0D%0Ab", {}, {}, "path:"),
@@ -268,19 +269,40 @@
     run(check())
 
 
-def test_request_that_the_node_never_ends_gets_an_error(monkeypatch):
+OVERDUE = [("silent-node", [], 500, '"error"'), ("silent-stream", ["x"], 200, "event: error")]
+
+
+@pytest.mark.parametrize(
+    "texts, status, part", [o[1:] for o in OVERDUE], ids=[o[0] for o in OVERDUE]
+)
+def test_request_that_the_node_never_ends_gets_an_error(monkeypatch, texts, status, part):
     monkeypatch.setattr("medlarbeam.daemon.http_server.DEADLINE_GRACE_S", 0.01)
 
     async def check():
-        async with Rig() as rig:
-            status, _, text = await rig.post(COMPLETIONS, GOOD | {"deadline_s": 0.01})
-            assert status == 500
-            assert json.loads(text)["error"]["run_state"] == "may_have_run"
+        async with Rig(lambda r: [AnswerChunk(r.request_id, t) for t in texts]) as rig:
+            got, _, text = await rig.post(COMPLETIONS, STREAM | {"deadline_s": 0.01})
+            assert (got, part in text, '"may_have_run"' in text) == (status, True, True)
             assert rig.driver.messages[1:] == [CallerGone("n1-7-1")]
 
     run(check())
 
 
+@pytest.mark.parametrize("body", [GOOD, STREAM], ids=["document", "stream"])
+def test_shutdown_cuts_off_no_answer_that_a_caller_still_reads(body):
+    async def check():
+        texts = ["x" * (1 << 20)] * 8  # more than the buffers between server and caller hold
+        async with Rig(play(texts)) as rig:
+            data = json.dumps(body).encode()
+            async with rig.session.post(rig.base + COMPLETIONS, data=data) as response:
+                stopping = asyncio.ensure_future(rig.server.stop())
+                await asyncio.sleep(0)
+                text = (await response.read()).decode()
+                await stopping
+            assert text.count("x") >= 8 << 20 and '"finish_reason":"stop"' in text
+
+    run(check())
+
+
 PAGES = [
     ("healthz", 200, b'"healthy": true'),
     ("readyz", 503, b'"ready": false'),
--- a/medlarbeam/daemon/tests/test_shell.py
+++ b/medlarbeam/daemon/tests/test_shell.py
@@ -8,10 +8,11 @@
 import threading
 
 import pytest
-from daemon_support import make_settings, run
+from daemon_support import RecordingDriver, make_settings, run
 
 from medlarbeam.classes.effects import CancelOnServer, Exit, LogEvent
 from medlarbeam.classes.messages import CallerGone, Shutdown
+from medlarbeam.daemon.http_server import HttpServer
 from medlarbeam.daemon.logs import EventLog, set_up_logs
 from medlarbeam.daemon.main import Collaborators, run_daemon
 from medlarbeam.daemon.metrics import Metrics
@@ -183,6 +184,17 @@
     run(check())
 
 
+@pytest.fixture
+def log_output():
+    """Send the log lines of a test to a buffer."""
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    output = io.StringIO()
+    yield output
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
 LINES = [
     ("json", "request_id", lambda line: json.loads(line)["request_id"] == "q1"),
     ("json", "node", lambda line: json.loads(line)["node"] == "n1"),
@@ -196,17 +208,41 @@
 @pytest.mark.parametrize(
     "log_format, check", [(x[0], x[2]) for x in LINES], ids=[f"{x[0]}-{x[1]}" for x in LINES]
 )
-def test_log_line_names_its_origin(log_format, check):
-    root = logging.getLogger()
-    kept = root.handlers[:], root.level
-    output = io.StringIO()
+def test_log_line_names_its_origin(log_format, check, log_output):
     metrics = Metrics()
-    try:
-        set_up_logs(make_settings(log_format=log_format), output)
-        EventLog(metrics).write(LogEvent("refused", "why\nforged", "q1", "warning"))
-    finally:
-        root.handlers[:], level = kept
-        root.setLevel(level)
-    assert check(output.getvalue())
+    set_up_logs(make_settings(log_format=log_format), log_output)
+    EventLog(metrics).write(LogEvent("refused", "why\nforged", "q1", "warning"))
+    assert check(log_output.getvalue())
     page, _ = metrics.render(0, 1, 2.0, [])
     assert b'medlarbeam_events_total{event="refused"} 1' in page
+
+
+def test_log_line_of_a_malformed_request_does_not_quote_it(log_output):
+    async def check():
+        settings = make_settings(log_level="debug")
+        set_up_logs(settings, log_output)
+        server = HttpServer(RecordingDriver(), settings, Metrics())
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", settings.http_listen.port)
+        writer.write(b"POST / HTTP/1.1\r\nIdempotency Key: planted\r\n\r\n")
+        assert b"400" in await reader.readline()
+        writer.close()
+        await server.stop()
+        assert "BadHttpMessage" in log_output.getvalue()
+        assert "planted" not in log_output.getvalue()
+
+    run(check())
+
+
+def test_address_in_use_is_a_clear_error():
+    async def check():
+        settings = make_settings()
+        blocker = await asyncio.start_server(fail, "127.0.0.1", settings.http_listen.port)
+        parts = Collaborators(
+            lambda s, rng: ScriptedNode(), lambda shell, s: RecordingPort(), None, None
+        )
+        with pytest.raises(SettingsError, match="cannot listen on 127.0.0.1"):
+            await run_daemon(settings, parts)
+        blocker.close()
+
+    run(check())
--- a/medlarbeam/daemon/vm_list_client.py
+++ b/medlarbeam/daemon/vm_list_client.py
@@ -44,12 +44,7 @@
 
     async def on_start(self):
         """Open the client session."""
-        self.session = open_session(self.timeout)
-
-    async def on_stop(self):
-        """Cancel what is open and close the session."""
-        await self.cancel_tasks()
-        await self.session.close()
+        self.session = await self.add_async_context(open_session(self.timeout))
 
     def effects(self):
         """Return the handler of `ReadVmList`."""
