--- a/medlarbeam/daemon/tests/daemon_support.py
+++ b/medlarbeam/daemon/tests/daemon_support.py
@@ -85,11 +85,12 @@
     Closes the connection behind an empty reply and one that announces it; never answers None.
     """
 
-    __slots__ = ("closed", "replies", "requests", "server")
+    __slots__ = ("closed", "connections", "replies", "requests", "server")
 
     def __init__(self, replies):
         self.replies = list(replies)
         self.requests = []
+        self.connections = 0
         self.closed = asyncio.Event()
         self.server = None
 
@@ -105,6 +106,7 @@
         return self.server.sockets[0].getsockname()[1]
 
     async def talk(self, reader, writer):
+        self.connections += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
--- a/medlarbeam/daemon/tests/test_engine_client.py
+++ b/medlarbeam/daemon/tests/test_engine_client.py
@@ -160,11 +160,12 @@
 
 
 STALE = [
-    ("repeatable-run-sent-twice", False, [b""], [LOST]),
+    ("repeatable-run-sent-twice", False, 1, [b""], [LOST]),
     # On a connection of its own a payment does not meet the closed one.
     (
         "payment-on-stale-connection",
         True,
+        2,
         [reply(200)],
         [("chunk", 0, "", ""), ("end", 1, "", 200)],
     ),
@@ -172,9 +173,9 @@
 
 
 @pytest.mark.parametrize(
-    "single, second, expected", [s[1:] for s in STALE], ids=[s[0] for s in STALE]
+    "single, connections, second, expected", [s[1:] for s in STALE], ids=[s[0] for s in STALE]
 )
-def test_stale_connection(single, second, expected):
+def test_stale_connection(single, connections, second, expected):
     async def check():
         async with ScriptedServer([reply(200), *second]) as server, Rig() as rig:
             await rig.perform(make_run(server.port, service="till", path="stock"))
@@ -184,6 +185,7 @@
             messages = await rig.perform(effect)
             assert [summarize(m) for m in messages] == expected
             assert [r[0].split()[1] for r in server.requests] == ["/stock", "/charge"]
+            assert server.connections == connections
 
     run(check())
 
