--- a/medlarbeam/daemon/__init__.py
+++ b/medlarbeam/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""I/O shell of the entry daemon: sockets in, messages to the node, effects out."""
+"""I/O shell around a node: sockets, clients, settings, logs and metrics."""
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -138,6 +138,10 @@
     def fencing(self, server):
         """Return the fencing number for orders to `server`."""
 
+    @abstractmethod
+    def count_engines(self):
+        """Return the number of model engines in all known cells."""
+
     @abstractmethod
     def live_members(self):
         """Return the names of the members of this node's cell that answer, itself included."""
@@ -203,16 +207,19 @@
     body : str
     model, server : str
     failure : Failure or None
+    truncated : bool
+        The body was too long to be recorded; `body` is then a notice that says so.
     """
 
-    __slots__ = ("body", "failure", "model", "server", "status")
+    __slots__ = ("body", "failure", "model", "server", "status", "truncated")
 
-    def __init__(self, status, body, model, server, failure=None):
+    def __init__(self, status, body, model, server, failure=None, truncated=False):
         self.status = status
         self.body = body
         self.model = model
         self.server = server
         self.failure = failure
+        self.truncated = truncated
 
 
 class Claims(Component):
@@ -251,6 +258,10 @@
     def may_start(self, request, running, now):
         """Return whether `request` may start beside the `running` list of Request on a server."""
 
+    @abstractmethod
+    def begin_run(self, request, now):
+        """Note that `request` starts now."""
+
     @abstractmethod
     def server_died(self, server, requests, now, out):
         """Note that `server` (a name) died while `requests` (list of Request) ran there."""
