--- a/medlarbeam/daemon/admin_server.py
+++ b/medlarbeam/daemon/admin_server.py
@@ -1,6 +1,7 @@
 """JSON interface for operators."""
 
 import asyncio
+import re
 from hmac import compare_digest
 
 from aiohttp.web import Application, Response, route
@@ -17,6 +18,7 @@
 
 # An order needs a few calls to the key-value service, each retried once or twice.
 ANSWER_TIMEOUT_S = 30.0
+NOTE_ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 PREFIX = "/admin/v1"
 
 
@@ -28,7 +30,7 @@
     driver : NodeDriver
     settings : DaemonSettings
     parse_note : callable
-        Returns the `ReleaseNote` of a text, or raises FormatError.
+        ``(bytes, note id, operator) -> ReleaseNote``, raises FormatError.
     """
 
     def __init__(self, driver, settings, parse_note):
@@ -81,8 +83,10 @@
             return build_response(failure, {})
         try:
             dry_run = read_dry_run(http_request.query)
-            note = self.parse_note((await read_body(http_request)).decode("utf-8"))
-        except (FormatError, UnicodeDecodeError) as error:
+            note_id = read_note_id(http_request.headers)
+            operator = read_operator(http_request.headers)
+            note = self.parse_note(await read_body(http_request), note_id, operator)
+        except FormatError as error:
             return build_response(Failure(ErrorKind.NOTE_INVALID, str(error)), {})
         action = "dry_run_note" if dry_run else "apply_note"
         return await self._ask(http_request, action, note.note_id, note)
@@ -99,10 +103,9 @@
         if failure is not None:
             return build_response(failure, {})
         try:
-            operator = read_header(http_request.headers, "X-Operator")
+            operator = read_operator(http_request.headers)
         except FormatError as error:
             return build_response(Failure(ErrorKind.INVALID_REQUEST, str(error)), {})
-        operator = operator or (note.operator if note is not None else "unnamed")
         self.counter += 1
         node = self.settings.node
         op_id = f"{node.name}-{node.incarnation}-op-{self.counter}"
@@ -127,6 +130,19 @@
             answer.set_result(effect)
 
 
+def read_operator(headers):
+    """Return the name of the operator for the audit trail."""
+    return read_header(headers, "X-Operator") or "unnamed"
+
+
+def read_note_id(headers):
+    """Return the id of a note, which the operator's tool makes so that a repeat is recognised."""
+    note_id = read_header(headers, "X-Note-Id")
+    if not NOTE_ID_PATTERN.fullmatch(note_id):
+        raise FormatError("header X-Note-Id: expected 1 to 128 letters, digits, '.', '_' or '-'")
+    return note_id
+
+
 def read_dry_run(query):
     """Return whether the query asks for a dry run only.
 
--- a/medlarbeam/daemon/main.py
+++ b/medlarbeam/daemon/main.py
@@ -15,10 +15,14 @@
 from medlarbeam.daemon.kv_client import KvClient
 from medlarbeam.daemon.logs import EventLog, set_up_logs
 from medlarbeam.daemon.metrics import Metrics
+from medlarbeam.daemon.peer_port import PeerPort
 from medlarbeam.daemon.settings import read_settings
 from medlarbeam.daemon.shell import Shell
 from medlarbeam.daemon.vm_list_client import VmListClient
 from medlarbeam.exceptions import SettingsError
+from medlarbeam.node.assembly import build_node
+from medlarbeam.readwrite.notes import parse_note
+from medlarbeam.readwrite.vm_list import parse_vm_list
 
 __all__ = ["Collaborators", "build_shell", "main", "run_daemon"]
 
@@ -38,18 +42,18 @@
     build_peer_links : callable
         ``(NodeDriver, DaemonSettings) -> Port``.
     parse_note : callable
-        ``(text) -> ReleaseNote``, raises FormatError.
-    decode_vm_list : callable
-        ``(text) -> list of VmEntry``, raises FormatError.
+        ``(bytes, note id, operator) -> ReleaseNote``, raises FormatError.
+    parse_vm_list : callable
+        ``(bytes) -> list of VmEntry``, raises FormatError.
     """
 
-    __slots__ = ("build_node", "build_peer_links", "decode_vm_list", "parse_note")
+    __slots__ = ("build_node", "build_peer_links", "parse_note", "parse_vm_list")
 
-    def __init__(self, build_node, build_peer_links, parse_note, decode_vm_list):
+    def __init__(self, build_node, build_peer_links, parse_note, parse_vm_list):
         self.build_node = build_node
         self.build_peer_links = build_peer_links
         self.parse_note = parse_note
-        self.decode_vm_list = decode_vm_list
+        self.parse_vm_list = parse_vm_list
 
 
 def build_shell(settings, collaborators):
@@ -65,7 +69,7 @@
     routes = admin.routes() if settings.admin_listen is None else []
     shell.attach(EventLog(metrics))
     shell.attach(KvClient(shell, settings))
-    shell.attach(VmListClient(shell, settings, collaborators.decode_vm_list))
+    shell.attach(VmListClient(shell, settings, collaborators.parse_vm_list))
     shell.attach(EngineClient(shell, settings))
     shell.attach(collaborators.build_peer_links(shell, settings))
     shell.attach(admin)
@@ -97,18 +101,13 @@
     try:
         settings = read_settings(sys.argv[1:], os.environ, incarnation)
         set_up_logs(settings, sys.stderr)
-        status = asyncio.run(run_daemon(settings, import_collaborators()))
+        status = asyncio.run(run_daemon(settings, choose_collaborators()))
     except SettingsError as error:
         print(error, file=sys.stderr)
         status = STATUS_BAD_SETTINGS
     sys.exit(status)
 
 
-def import_collaborators():
+def choose_collaborators():
     """Return the `Collaborators` that the daemon runs with."""
-    from medlarbeam.daemon.peer_links import PeerLinks
-    from medlarbeam.node.assembly import build_node
-    from medlarbeam.readwrite.notes import parse_note
-    from medlarbeam.readwrite.vm_list import decode_vm_list
-
-    return Collaborators(build_node, PeerLinks, parse_note, decode_vm_list)
+    return Collaborators(build_node, PeerPort, parse_note, parse_vm_list)
--- a/medlarbeam/daemon/settings.py
+++ b/medlarbeam/daemon/settings.py
@@ -22,6 +22,8 @@
 __all__ = ["SETTINGS", "DaemonSettings", "Setting", "read_settings", "render_settings_page"]
 
 ENV_PREFIX = "MEDLARBEAM_"
+# Variables of medlarctl and bin/demo, which may be set in the same environment.
+OTHER_VARIABLES = {"MEDLARBEAM_BIN", "MEDLARBEAM_NODE", "MEDLARBEAM_OPERATOR"}
 NODE_FIELDS = signature(NodeSettings.__init__).parameters
 
 
@@ -229,7 +231,7 @@
 
 def find_unknown_variables(environ):
     """Return an error for each variable with our prefix that is no setting, as a typo would be."""
-    known = {setting.env for setting in SETTINGS}
+    known = {setting.env for setting in SETTINGS} | OTHER_VARIABLES
     return [
         f"{name}: unknown setting"
         for name in sorted(environ)
--- a/medlarbeam/daemon/vm_list_client.py
+++ b/medlarbeam/daemon/vm_list_client.py
@@ -29,17 +29,17 @@
     ----------
     driver : NodeDriver
     settings : DaemonSettings
-    decode : callable
-        Returns the list of `VmEntry` of a text, or raises FormatError.
+    parse : callable
+        Returns the list of `VmEntry` of a document (bytes), or raises FormatError.
     """
 
-    def __init__(self, driver, settings, decode):
+    def __init__(self, driver, settings, parse):
         super().__init__(driver)
         self.url = f"http://{join_address(settings.vm_list_address)}/vms"
         self.timeout = ClientTimeout(
             total=settings.poll_timeout_s, connect=settings.connect_timeout_s
         )
-        self.decode = decode
+        self.parse = parse
         self.session = None
 
     async def on_start(self):
@@ -54,10 +54,10 @@
         try:
             with guard_call(CallGuard(resend=True)):
                 async with self.session.get(self.url, allow_redirects=False) as response:
-                    text = await response.text("utf-8")
+                    data = await response.read()
             if response.status != 200:
                 raise FormatError(f"VM list: HTTP {response.status}")
-            vms = self.decode(text)
+            vms = self.parse(data)
         except CALL_ERRORS as error:
             reason = describe_error(error)
             log.warning("VM list not read: %s", reason, extra={"event": "vm_list_unreadable"})
--- a/medlarbeam/node/tests/mutants.py
+++ b/medlarbeam/node/tests/mutants.py
@@ -1,8 +1,8 @@
 """Nodes without one of the mechanisms; the schedules have to catch each of them."""
 
-from medlarbeam.algorithms.naive_claims import NaiveClaims
 from medlarbeam.node.membership import Membership
 
+from medlarbeam.algorithms.naive_claims import NaiveClaims
 from medlarbeam.exceptions import RunState
 from medlarbeam.node.answer import Answer
 from medlarbeam.node.assembly import build_parts
