--- a/medlarbeam/daemon/caller_output.py
+++ b/medlarbeam/daemon/caller_output.py
@@ -114,23 +114,30 @@
     }
 
 
-def build_completion(text, origin, created, finish_reason="stop"):
-    """Return the JSON document of a completion; `created` is in seconds since the epoch."""
+def build_completion(text, origin, created):
+    """Return the JSON document of a completion; `created` is in seconds since the epoch.
+
+    The end of a run carries no reason, so that "stop" also stands for a spent allowance.
+    """
+    document = build_piece(text, origin, created, "stop")
+    document["medlarbeam"] = origin.build_document()
+    return document
+
+
+def build_piece(text, origin, created, finish_reason=None):
+    """Return the JSON document of a piece of a completion, without its origin."""
     return {
         "id": origin.request_id,
         "object": "text_completion",
         "created": int(created),
         "model": origin.model,
         "choices": [{"index": 0, "text": text, "finish_reason": finish_reason}],
-        "medlarbeam": origin.build_document(),
     }
 
 
 def format_chunk(text, origin, created):
     """Return the event of a piece of text."""
-    document = build_completion(text, origin, created, finish_reason=None)
-    del document["medlarbeam"]  # only the last event carries it
-    return format_event(dumps(document))
+    return format_event(dumps(build_piece(text, origin, created)))
 
 
 def format_last_chunk(origin, created):
--- a/medlarbeam/daemon/shell.py
+++ b/medlarbeam/daemon/shell.py
@@ -101,6 +101,9 @@
 
     def wake(self):
         """Let the node do what is due."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
         self._take(self.node.tick)
 
     def _take(self, step):
@@ -133,14 +136,14 @@
         return True
 
     def _set_timer(self, wait_s):
+        deadline = max(self.node.next_deadline(), self.read_clock() + wait_s)
+        if self.timer is not None and self.timer.when() == deadline:
+            return  # most messages leave the deadline as it is
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        deadline = self.node.next_deadline()
         if not math.isinf(deadline) and not self.should_stop:
-            earliest = self.read_clock() + wait_s
-            loop = asyncio.get_running_loop()
-            self.timer = loop.call_at(max(deadline, earliest), self.wake)
+            self.timer = asyncio.get_running_loop().call_at(deadline, self.wake)
 
     def _exit(self, effect):
         self.exited.set()
--- /dev/null
+++ b/medlarbeam/daemon/tests/test_small_ports.py
@@ -0,0 +1,59 @@
+import pytest
+from daemon_support import RecordingDriver, ScriptedServer, make_settings, reply, run
+
+from medlarbeam.classes.cells import VmEntry
+from medlarbeam.classes.effects import ReadVmList, SendPeer
+from medlarbeam.classes.messages import PeerDown, PeerMessage, PeerUp, VmList
+from medlarbeam.classes.peer_messages import Leaving
+from medlarbeam.daemon.peer_port import DriverListener, PeerPort
+from medlarbeam.daemon.vm_list_client import VmListClient
+from medlarbeam.exceptions import FormatError
+
+
+def parse(data):
+    if data != b"n1":
+        raise FormatError("planted")
+    return [VmEntry("n1", False)]
+
+
+READS = [
+    ("good-list-lost", [reply(200, b"n1")], [VmList(99.0, [VmEntry("n1", False)])]),
+    ("error-page-told-as-empty-list", [reply(503, b"n1")], []),
+    ("malformed-list-told-as-empty", [reply(200, b"x")], []),
+    ("cut-off-list-told-as-whole", [reply(200, b"n1.", "Connection: close")[:-1]] * 2, []),
+]
+
+
+@pytest.mark.parametrize("replies, expected", [r[1:] for r in READS], ids=[r[0] for r in READS])
+def test_vm_list_is_told_only_when_it_is_whole(replies, expected):
+    async def check():
+        async with ScriptedServer(replies) as server:
+            driver = RecordingDriver()
+            settings = make_settings(vm_list_address=f"127.0.0.1:{server.port}")
+            client = VmListClient(driver, settings, parse)
+            await client.start()
+            await client.effects()[ReadVmList](ReadVmList(99.0))
+            await client.stop()
+            assert driver.messages == expected
+
+    run(check())
+
+
+def test_link_events_become_messages():
+    driver = RecordingDriver()
+    listener = DriverListener(driver)
+    listener.on_up("n2", 5)
+    listener.on_message("n2", Leaving("n2"))
+    listener.on_down("n2")
+    assert driver.messages == [PeerUp("n2", 5), PeerMessage("n2", Leaving("n2")), PeerDown("n2")]
+
+
+def test_node_without_peers_needs_no_links_and_drops_messages():
+    async def check():
+        port = PeerPort(RecordingDriver(), make_settings())
+        await port.start()
+        port.effects()[SendPeer](SendPeer("n2", Leaving("n1")))
+        await port.stop()
+        assert port.links is None
+
+    run(check())
