--- a/medlarbeam/node/tests/mutants.py
+++ b/medlarbeam/node/tests/mutants.py
@@ -1,13 +1,12 @@
 """Nodes without one of the mechanisms; the schedules have to catch each of them."""
 
-from medlarbeam.node.membership import Membership
-
 from medlarbeam.algorithms.naive_claims import NaiveClaims
 from medlarbeam.exceptions import RunState
 from medlarbeam.node.answer import Answer
 from medlarbeam.node.assembly import build_parts
 from medlarbeam.node.component import EvictionGrant
 from medlarbeam.node.intake import Intake
+from medlarbeam.node.membership import Membership
 from medlarbeam.node.node import Node
 
 __all__ = ["MUTANTS", "build_with"]
