Keep an adapter until a report shows that a run that was given up has ended

Cause: an engine notices a closed connection late, so a cancelled run was still served when its adapter was evicted. Ruled out: ownership, since the same node ran and evicted. The same holds for runs on the backend servers of another owner, which pongs now report until they are settled.

--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -94,7 +94,8 @@
     def _is_idle(self, desk, model, attempt, waiting):
         other = waiting.get(model)
         wanted = other is not None and other.request.rank <= attempt.request.rank
-        return not wanted and not desk.count_runs(model)
+        settled = desk.adapters[model].unsettled_at is None
+        return not wanted and settled and not desk.count_runs(model)
 
     def _evict(self, desk, adapter, now, out):
         grant = self.node.ownership.may_evict(desk.server.name, adapter.model, now)
@@ -125,12 +126,29 @@
         adapter = self._find(desk, result.model, now)
         self.fire(adapter, "unloaded" if result.failure is None else "unload_failed", now)
 
+    def note_unsettled(self, desk, model, now):
+        """Keep an adapter, because the backend server may still serve a run that was given up.
+
+        Engines notice a closed connection late: evicting at once cut off such runs.
+        """
+        if model in desk.adapters:
+            desk.adapters[model].unsettled_at = now
+
+    def _settle(self, desk, report, dated):
+        running = {count.model for count in report.running if count.count}
+        for adapter in desk.adapters.values():
+            since = adapter.unsettled_at
+            if since is not None and dated > since and adapter.model not in running:
+                adapter.unsettled_at = None
+
     def take_report(self, desk, report, restarted, now):
         """Bring the belief in line with a report that is newer than the belief."""
         if restarted:
             for adapter in desk.adapters.values():
                 self.fire(adapter, "restarted", now)
+                adapter.unsettled_at = None
         dated = report.asked_at - self.node.settings.report_lag_s
+        self._settle(desk, report, dated)
         for model in report.resident:
             known = model in desk.adapters
             adapter = self._find(desk, model, now)
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -320,7 +320,10 @@
 
     @abstractmethod
     def foreign_runs(self, owner):
-        """Return a list of `ModelCount` of runs here on backend servers that `owner` owns."""
+        """Return a list of `ModelCount` of runs here on backend servers that this node does not own.
+
+        `owner` is the node that asks; runs on the backend servers of others may be included.
+        """
 
     @abstractmethod
     def orders_in_flight(self, servers):
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -179,7 +179,7 @@
         attempt.failure = Failure(
             ErrorKind.WRONG_MODEL, f"{attempt.desk.server.name} answered from {model!r}"
         )
-        out.emit(CancelOnServer(attempt.run_id))
+        self.cancel_run(attempt, now, out)
         self._fire(attempt, "failed", now, out)
         self._pump(attempt.desk, now, out)
 
@@ -348,11 +348,13 @@
 
     def cancel_run(self, attempt, now, out):
         """Cancel a run on its backend server."""
+        self.loads.note_unsettled(attempt.desk, attempt.model, now)
         out.emit(CancelOnServer(attempt.run_id))
 
     def await_report(self, attempt, now, out):
         """Keep a lost run until a report says whether the backend server died."""
         attempt.desk.lost.append(attempt)
+        self.loads.note_unsettled(attempt.desk, attempt.model, now)
         self.server_chart.fire(attempt.desk, "connection_lost")
 
     def send_failure(self, attempt, now, out):
@@ -421,11 +423,6 @@
             for count in desk.model_counts()
         ]
 
-    def runs_on(self, server):
-        """Return a list of `ModelCount` of the runs on `server`."""
-        desk = self.desks.get(server)
-        return desk.model_counts() if desk is not None else []
-
     def orders_in_flight(self, servers):
         """Return whether an unload order to one of `servers` has no result yet."""
         desks = [self.desks[n] for n in servers if n in self.desks]
@@ -485,7 +482,10 @@
         if stalled and not self._has_slot(attempt):
             reason = f"no slot for {attempt.model} on {attempt.desk.server.name}"
             return Failure(ErrorKind.LOAD_FAILED, reason)
-        return self.node.crashes.check(attempt.request, now)
+        failure = self.node.crashes.check(attempt.request, now)
+        if failure is None and attempt.model:
+            failure = self.node.catalog.check(attempt.model, now)
+        return failure
 
     def _has_slot(self, attempt):
         adapter = attempt.desk.adapters.get(attempt.model)
--- a/medlarbeam/node/server_desk.py
+++ b/medlarbeam/node/server_desk.py
@@ -67,15 +67,19 @@
     model : str
     state : str
         State in the chart ``residency``.
+    unsettled_at : float or None
+        Time (s) at which a run was cancelled or lost that the backend server may still serve; None
+        once a later report shows no run.
     """
 
-    __slots__ = ("changed_at", "failed_loads", "model", "state", "use")
+    __slots__ = ("changed_at", "failed_loads", "model", "state", "unsettled_at", "use")
 
     def __init__(self, model, state, now):
         self.model = model
         self.state = state
         self.changed_at = now
         self.failed_loads = 0
+        self.unsettled_at = None
         self.use = AdapterUse(model, 0.0, now)
 
 
@@ -122,7 +126,11 @@
 
     def is_open(self):
         """Return whether attempts wait, run or await a report."""
-        return bool(len(self.queue) or self.runs or self.lost)
+        return bool(len(self.queue) or self.runs or self.lost or self.list_unsettled())
+
+    def list_unsettled(self):
+        """Return the models of which the backend server may still serve a run that was given up."""
+        return [a.model for a in self.adapters.values() if a.unsettled_at is not None]
 
     def summarize(self, residency, accepting):
         """Return the `ServerSummary`; `residency` is the chart of the adapters."""
@@ -130,6 +138,10 @@
         return ServerSummary(self.server.name, accepting, len(self.queue), len(self.runs), resident)
 
     def model_counts(self):
-        """Return a list of `ModelCount` of the runs."""
-        models = {a.model for a in self.runs.values()}
-        return [ModelCount(self.server.name, m, self.count_runs(m)) for m in sorted(models)]
+        """Return a list of `ModelCount` of the runs, with 1 for a model that is unsettled."""
+        unsettled = self.list_unsettled()
+        models = {a.model for a in self.runs.values()} | set(unsettled)
+        return [
+            ModelCount(self.server.name, m, self.count_runs(m) + (m in unsettled))
+            for m in sorted(models)
+        ]
--- a/medlarbeam/node/tests/world_setup.py
+++ b/medlarbeam/node/tests/world_setup.py
@@ -43,6 +43,7 @@
 def apply_note(world, node, note, action="apply_note"):
     """Have a node apply a note; return the id of the order."""
     op_id = f"op{len(world.told)}-{note.note_id}-{node}"
+    world.orders[op_id] = note
     order = OperatorRequest(op_id, "kira", action, note.note_id, note, 1000.0 + world.now)
     world.deliver(world.hosts[node], order)
     return op_id
