Add tests of assignment, VM list, platform writes, spreading and leaving

A node that got a platform result before its first tick failed; silence is now counted from its first decision. A takeover falls to the next ranked node when the first does not act.

--- a/medlarbeam/node/cell_planner.py
+++ b/medlarbeam/node/cell_planner.py
@@ -25,7 +25,7 @@
     pledges : Pledges
     vms : VmWatch
     started_at : float or None
-        Time (s) of the first tick; silence is counted from here at the earliest.
+        Time (s) of the first decision; silence is counted from here at the earliest.
     """
 
     __slots__ = ("pledges", "settings", "started_at", "vms")
@@ -36,6 +36,11 @@
         self.vms = vms
         self.started_at = None
 
+    def note_start(self, now):
+        """Note the time (s) of the first decision."""
+        if self.started_at is None:
+            self.started_at = now
+
     def is_silent(self, node, pledges, since, now):
         """Return whether `node` answered no ping for a number of pledges, counted from `since`."""
         last = max(self.pledges.last_contact(node), since)
@@ -158,18 +163,15 @@
         record : CellRecord
             Record of the cell, of which this node is no member.
         peers : list of str
-            Peers that answer; the best ranked of them and this node takes the cell.
+            Peers that answer. The best ranked of them and this node goes first, the next one
+            follows if the first does not, for example because it does not reach the platform.
         now : float
         """
-        if (
-            not record.servers
-            or now - self.started_at <= _TAKEOVER_PLEDGES * self.settings.pledge_s
-        ):
+        ranked = rank_nodes(record.cell, [*peers, self.settings.name])
+        limit = _TAKEOVER_PLEDGES * (1 + ranked.index(self.settings.name))
+        if not record.servers or now - self.started_at <= limit * self.settings.pledge_s:
             return False
-        for member in record.members:
-            if not self.is_silent(member.node, _TAKEOVER_PLEDGES, self.started_at, now):
-                return False
-        return rank_nodes(record.cell, [*peers, self.settings.name])[0] == self.settings.name
+        return all(self.is_silent(m.node, limit, self.started_at, now) for m in record.members)
 
     def wants_return(self, seat, now):
         """Return whether another member can take back a cell that this node took over."""
--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -79,7 +79,8 @@
         seat = self.seat_class(cell, settings.name, settings.incarnation, home)
         seat.record = self.book.records.get(cell)
         self.seats[cell] = seat
-        self.stores[cell] = CellStore(self.name, cell, self.node.rng)
+        if cell not in self.stores:
+            self.stores[cell] = CellStore(self.name, cell, self.node.rng)
         return seat
 
     # Interface of the other components
@@ -313,11 +314,14 @@
         if store is None:
             return
         stored = store.take_result(result, now, out)
-        seat = self.seats[cell]
+        if stored is not None and stored.record is not None:
+            self._adopt(stored.record, "", now, out)
+        seat = self.seats.get(cell)
+        if seat is None:
+            return
         if stored is not None:
-            if stored.record is not None:
-                self._adopt(stored.record, "", now, out)
-            if self.book.epoch_of(cell) == (stored.record.epoch if stored.record else 0):
+            epoch = stored.record.epoch if stored.record is not None else 0
+            if self.book.epoch_of(cell) == epoch:
                 self._confirm(seat, stored)
         self._review(seat, now, out)
 
@@ -370,6 +374,7 @@
 
     def _review(self, seat, now, out):
         """Send the platform call that `seat` needs next, if any."""
+        self.planner.note_start(now)
         self._finish_seat(seat, now)
         store = self.stores[seat.cell]
         if not store.is_ready(now) or seat.has_tag("over"):
@@ -413,8 +418,7 @@
 
     def tick(self, now, out):
         """Send pings, read the VM list, and go on with changes that wait."""
-        if self.planner.started_at is None:
-            self.planner.started_at = now
+        self.planner.note_start(now)
         self.ticked_at = now
         self.silent = {
             p for p, since in self.links.items() if self.planner.is_silent(p, 1.0, since, now)
@@ -458,7 +462,7 @@
             if seat.has_tag("evicts") and self.planner.wants_return(seat, now):
                 MEMBERSHIP.fire(seat, "leave", seat, self.stores[seat.cell])
             if seat.has_tag("over"):
-                del self.seats[seat.cell], self.stores[seat.cell]
+                del self.seats[seat.cell]  # the store stays for late results
         if not self.home.has_tag("evicts"):
             return
         answering = [p for p in self.links if p not in self.silent]
--- a/medlarbeam/node/tests/run_schedules.py
+++ b/medlarbeam/node/tests/run_schedules.py
@@ -30,7 +30,9 @@
     dark = 0
     with Pool(args.processes) as pool:
         seeds = range(args.first, args.first + args.count)
-        for seed, violations, unserved, counts in pool.imap_unordered(run_seed, seeds, chunksize=10):
+        for seed, violations, unserved, counts in pool.imap_unordered(
+            run_seed, seeds, chunksize=10
+        ):
             totals.update(counts)
             bad += bool(violations)
             dark += bool(unserved)
--- a/medlarbeam/node/tests/sim_world.py
+++ b/medlarbeam/node/tests/sim_world.py
@@ -125,8 +125,7 @@
             self.after(self.rng.uniform(0.0, 1.0), lambda name=name: self.start(name))
         self.after(5.0, self.make_fault)
         self.run_until(DURATION_S)
-        for sim_node in self.nodes.values():
-            self.collect(sim_node)
+        self.collect_all()
         return self.checker.violations
 
     def run_until(self, end):
@@ -157,6 +156,7 @@
             running = [n for n in self.nodes.values() if n.alive]
             waiting -= {i for i in waiting if any(self.serves(n, self.servers[i]) for n in running)}
             self.run_until(DURATION_S + CALM_S + second)
+        self.collect_all()
         return [self.servers[i].name for i in sorted(waiting)]
 
     def serves(self, sim_node, server):
@@ -169,6 +169,10 @@
             and hasattr(ownership.may_evict(server.name, "unused", now), "not_after")
         )
 
+    def collect_all(self):
+        for sim_node in self.nodes.values():
+            self.collect(sim_node)
+
     def collect(self, sim_node):
         for what, count in sim_node.node.runs.counters.items():
             self.counters[what] = self.counters.get(what, 0) + count
--- /dev/null
+++ b/medlarbeam/node/tests/test_membership_parts.py
@@ -0,0 +1,231 @@
+"""Parts of the membership: the VM list, platform writes, and what a fresh node learns."""
+
+from random import Random
+
+import pytest
+
+from medlarbeam.classes.cells import BackendServer, CellRecord, Member, VmEntry
+from medlarbeam.classes.effects import SendPeer
+from medlarbeam.classes.messages import PeerUp, VmList
+from medlarbeam.classes.peer_messages import FetchRecord, Leaving, Pong, RecordSpread
+from medlarbeam.classes.platform import KvCall, KvEntry, KvGet, KvOutcome, KvPut, KvResult
+from medlarbeam.node.cell_store import CellStore
+from medlarbeam.node.component import Outbox
+from medlarbeam.node.membership import Membership
+from medlarbeam.node.tests.rule_cases import Drive
+from medlarbeam.node.vm_watch import VmWatch
+from medlarbeam.readwrite.values import decode_cell_record, encode_cell_record
+
+SERVER = BackendServer("s", "", "c", "c")
+
+READS = [
+    ("absent-once", ["n s x", "n s"], False),
+    ("absent-twice", ["n s x", "n s", "n s"], True),
+    ("absent-but-not-in-succession", ["n s x", "n", "n s x", "n"], False),
+    ("empty-reads-change-nothing", ["n s x", "", "", ""], False),
+    ("reads-without-this-node-are-truncated", ["n s x", "s", "s", "s"], False),
+    ("new-vm-that-the-list-does-not-show-yet", ["n s"] * 14, False),
+    ("vm-that-was-gone-before-the-first-read", ["n s"] * 15, True),
+    ("vm-that-returned", ["n s x", "n s", "n s", "n s x"], False),
+]
+
+
+@pytest.mark.parametrize(("reads", "gone"), [r[1:] for r in READS], ids=[r[0] for r in READS])
+def test_vm_is_gone(reads, gone):
+    watch = VmWatch("n")
+    for time, names in enumerate(reads):
+        watch.watch({"x"})
+        vms = [VmEntry(n, False, SERVER if n == "s" else None) for n in names.split()]
+        assert watch.take(VmList(float(time), vms)) is bool(names)
+    assert watch.is_gone("x") is gone
+
+
+def make_record(epoch, members="n", change_id=""):
+    listed = [Member(name, 1) for name in members.split()]
+    return CellRecord("c", epoch, listed, [SERVER], {"s": "n"}, 0, change_id)
+
+
+WRITES = [
+    ("lost-answer-of-applied-write", KvOutcome.UNKNOWN, True, True),
+    ("lost-answer-of-write-without-effect", KvOutcome.UNKNOWN, False, False),
+    ("platform-down", KvOutcome.UNAVAILABLE, False, False),
+    ("conflict-without-entry", KvOutcome.CONFLICT, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "applied", "expected"), [w[1:] for w in WRITES], ids=[w[0] for w in WRITES]
+)
+def test_unclear_write_is_read_back(outcome, applied, expected):
+    store, out = CellStore("ownership", "c", Random(1)), Outbox()
+    old, new = make_record(1, change_id="other.1"), make_record(2, change_id="n.1.1")
+    store.read(0.0, out)
+    store.take_result(entry_result(out.effects[-1], old, 7), 0.1, out)
+    store.write(new, 0.2, out)
+    assert out.effects[-1].op.expected_revision == 7
+    assert store.take_result(KvResult(out.effects[-1], outcome, []), 0.3, out) is None
+    assert not store.is_ready(0.3) and not store.knows_revision(1)
+    assert store.is_ready(1.0)
+    store.read(1.0, out)
+    found = new if applied else old
+    stored = store.take_result(entry_result(out.effects[-1], found, 8 if applied else 7), 1.1, out)
+    assert stored.record == found and store.wrote_change(stored.record) is expected
+    assert store.knows_revision(found.epoch)
+
+
+def entry_result(call, record, revision):
+    entry = KvEntry("cell/c", encode_cell_record(record), revision)
+    return KvResult(call, KvOutcome.APPLIED, [entry])
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"cell": "c"}'], ids=repr)
+def test_unreadable_record_is_reported(data):
+    store, out = CellStore("ownership", "c", Random(1)), Outbox()
+    store.read(0.0, out)
+    result = KvResult(out.effects[-1], KvOutcome.APPLIED, [KvEntry("cell/c", data, 1)])
+    assert store.take_result(result, 0.1, out) is None
+    assert out.effects[-1].name == "cell_record_unreadable" and not store.is_ready(0.1)
+
+
+def bodies(effects, kind):
+    return [e.body for e in effects if isinstance(e, SendPeer) and isinstance(e.body, kind)]
+
+
+def pong_of(cell, epoch):
+    return lambda d: d.peer(1.1, "x", Pong(d.seqs["x", 1.0], 1, cell, epoch, 1, 0.0, [], []))
+
+
+KNOWN = CellRecord("d", 5, [Member("x", 1)], [BackendServer("t", "", "d", "d")], {"t": "x"})
+SPREADS = [
+    ("unknown-cell-is-asked-for", pong_of("e", 3), FetchRecord, ["e"]),
+    ("newer-record-is-asked-for", pong_of("d", 6), FetchRecord, ["d"]),
+    ("older-record-is-answered-with-newer", pong_of("d", 4), RecordSpread, [KNOWN]),
+    ("same-record-costs-nothing", pong_of("d", 5), (RecordSpread, FetchRecord), []),
+    ("fresh-peer-gets-all", lambda d: d.node.handle(PeerUp("y", 1), 1.1), RecordSpread, [KNOWN]),
+    (
+        "fetch-is-answered",
+        lambda d: d.peer(1.1, "y", FetchRecord("d")),
+        RecordSpread,
+        [KNOWN],
+    ),
+    (
+        "lower-epoch-is-not-passed-on",
+        lambda d: d.peer(1.1, "y", RecordSpread(make_other(4))),
+        RecordSpread,
+        [],
+    ),
+    (
+        "higher-epoch-is-passed-on",
+        lambda d: d.peer(1.1, "y", RecordSpread(make_other(6))),
+        RecordSpread,
+        ["passed"],
+    ),
+]
+
+
+def make_other(epoch):
+    return CellRecord("d", epoch, KNOWN.members, KNOWN.servers, KNOWN.owners)
+
+
+@pytest.mark.parametrize(
+    ("act", "kind", "expected"), [s[1:] for s in SPREADS], ids=[s[0] for s in SPREADS]
+)
+def test_records_spread(act, kind, expected):
+    drive = Drive(Membership, ["x"])
+    drive.node.handle(PeerUp("x", 1), 0.0)
+    drive.peer(0.1, "x", RecordSpread(KNOWN))
+    drive.tick(1.0)
+    found = [getattr(b, "cell", None) or b.record for b in bodies(act(drive), kind)]
+    assert found == [make_other(6) if e == "passed" else e for e in expected]
+
+
+VIEWS = [
+    ("forwards-to-owner", True, "x"),
+    ("has-no-fallback-right", False, ""),
+]
+
+
+@pytest.mark.parametrize(("linked", "target"), [v[1:] for v in VIEWS], ids=[v[0] for v in VIEWS])
+def test_fresh_node_while_platform_is_down(linked, target):
+    """A fresh node routes by records of its peers and runs nothing itself."""
+    drive = Drive(Membership, ["x"])
+    drive.record(0.0, 3, "x y", "x")
+    if linked:
+        drive.link(0.1, "x", 1)
+    drive.tick(0.2)
+    view = drive.node.ownership.view(0.2)
+    assert [(v.server.name, v.target, v.live) for v in view] == [("s", target, True)]
+    assert drive.node.ownership.may_run("s", 60.0) is not None
+    assert drive.node.ownership.managed(60.0) == []
+
+
+class Platform:
+    """Answers the platform calls of one node at once."""
+
+    __slots__ = ("entry", "out")
+
+    def __init__(self):
+        self.entry = None
+
+    def answer(self, node, effects, now):
+        for effect in effects:
+            if not isinstance(effect, KvCall):
+                continue
+            if isinstance(effect.op, KvPut):
+                revision = self.entry.revision if self.entry else 0
+                assert effect.op.expected_revision == revision
+                self.entry = KvEntry(effect.op.key, effect.op.value, revision + 1)
+            entries = [self.entry] if self.entry else []
+            assert isinstance(effect.op, (KvGet, KvPut))
+            result = KvResult(effect, KvOutcome.APPLIED, entries)
+            self.answer(node, node.handle(result, now), now)
+
+
+LEAVES = [
+    ("waits-for-its-runs", ["r"], [], "n"),
+    ("waits-for-its-orders", [], [("s", "m")], "n"),
+    ("leaves-at-once-when-idle", [], [], ""),
+]
+
+
+@pytest.mark.parametrize(
+    ("runs", "orders", "members"), [x[1:] for x in LEAVES], ids=[x[0] for x in LEAVES]
+)
+def test_graceful_leave(runs, orders, members):
+    drive, platform, out = Drive(Membership, ["x"]), Platform(), Outbox()
+    node = drive.node
+    vms = VmList(0.0, [VmEntry("n", False), VmEntry("s", False, SERVER)])
+    platform.answer(node, node.handle(vms, 0.0), 0.0)
+    drive.link(0.5, "x", 1)
+    assert node.ownership.is_owner("s")
+    node.runs.runs = {run: ("s", "m") for run in runs}
+    node.runs.orders = set(orders)
+    node.ownership.start_leaving(1.0, out)
+    assert bodies(out.effects, Leaving) == [Leaving("n")]
+    platform.answer(node, out.effects, 1.0)
+    record = decode_cell_record(platform.entry.value)
+    assert " ".join(m.node for m in record.members) == members
+    assert node.ownership.has_left() is (members == "")
+    assert node.ownership.may_evict("s", "m", 1.0).reason
+    node.runs.runs, node.runs.orders = {}, set()
+    platform.answer(node, node.tick(2.0), 2.0)
+    assert node.ownership.has_left()
+
+
+DRAINS = [
+    ("leaving-server-is-drained", [True], False, {"s"}),
+    ("server-that-stays-is-resumed", [True, False], True, set()),
+]
+
+
+@pytest.mark.parametrize(
+    ("leaving", "live", "drained"), [d[1:] for d in DRAINS], ids=[d[0] for d in DRAINS]
+)
+def test_leaving_backend_server(leaving, live, drained):
+    drive = Drive(Membership, [])
+    drive.record(0.0, 1, "n", "n")
+    for time, flag in enumerate(leaving):
+        vms = [VmEntry("n", False), VmEntry("s", flag, SERVER)]
+        drive.node.handle(VmList(float(time), vms), float(time))
+    assert drive.node.runs.drained == drained
+    assert [v.live for v in drive.node.ownership.view(5.0)] == [live]
