--- a/medlarbeam/algorithms/__init__.py
+++ b/medlarbeam/algorithms/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions that need no state of a node."""
+"""Decisions behind abstract base classes, each with a naive version for comparison."""
--- a/medlarbeam/node/cell_store.py
+++ b/medlarbeam/node/cell_store.py
@@ -6,7 +6,7 @@
 from medlarbeam.classes.platform import KvCall, KvGet, KvOutcome, KvPut
 from medlarbeam.classes.record import Record
 from medlarbeam.exceptions import FormatError
-from medlarbeam.readwrite.values import decode_cell_record, encode_cell_record
+from medlarbeam.readwrite.values import CELL_RECORD
 
 __all__ = ["CellStore", "Stored", "make_key"]
 
@@ -110,7 +110,7 @@
             raise ValueError(f"the record of cell {self.cell} was not read before a write")
         self.change_id = record.change_id
         self.wrote = True
-        op = KvPut(make_key(self.cell), encode_cell_record(record), self.revision)
+        op = KvPut(make_key(self.cell), CELL_RECORD.encode(record), self.revision)
         self._call(op, "write", now, out)
 
     def _call(self, op, what, now, out):
@@ -155,7 +155,7 @@
             return Stored(None, result.call.sent_at)
         entry = result.entries[0]
         try:
-            record = decode_cell_record(entry.value)
+            record = CELL_RECORD.decode(entry.value)
         except FormatError as error:
             self._back_off(now)
             out.emit(LogEvent("cell_record_unreadable", f"{entry.key}: {error}", level="error"))
--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -179,6 +179,20 @@
             return True
         return node in self.links and node not in self.silent
 
+    def is_known(self):
+        """Return whether this node has the record of its own cell."""
+        return self.home.record is not None
+
+    def count_engines(self):
+        """Return the number of model engines in all known cells."""
+        return sum(not s.service for r in self.book.records.values() for s in r.servers)
+
+    def live_members(self):
+        """Return the names of the members of this node's cell that answer, itself included."""
+        record = self.home.record
+        names = [m.node for m in record.members] if record is not None else []
+        return [n for n in names if self.is_reachable(n)]
+
     def ping_sent_at(self, peer, seq):
         """Return the send time (s) of the ping to `peer` with number `seq`, or None."""
         return self.pledges.ping_sent_at(peer, seq)
--- a/medlarbeam/node/tests/test_membership_parts.py
+++ b/medlarbeam/node/tests/test_membership_parts.py
@@ -14,7 +14,7 @@
 from medlarbeam.node.membership import Membership
 from medlarbeam.node.tests.rule_cases import Drive
 from medlarbeam.node.vm_watch import VmWatch
-from medlarbeam.readwrite.values import decode_cell_record, encode_cell_record
+from medlarbeam.readwrite.values import CELL_RECORD
 
 SERVER = BackendServer("s", "", "c", "c")
 
@@ -74,7 +74,7 @@
 
 
 def entry_result(call, record, revision):
-    entry = KvEntry("cell/c", encode_cell_record(record), revision)
+    entry = KvEntry("cell/c", CELL_RECORD.encode(record), revision)
     return KvResult(call, KvOutcome.APPLIED, [entry])
 
 
@@ -203,7 +203,7 @@
     node.ownership.start_leaving(1.0, out)
     assert bodies(out.effects, Leaving) == [Leaving("n")]
     platform.answer(node, out.effects, 1.0)
-    record = decode_cell_record(platform.entry.value)
+    record = CELL_RECORD.decode(platform.entry.value)
     assert " ".join(m.node for m in record.members) == members
     assert node.ownership.has_left() is (members == "")
     assert node.ownership.may_evict("s", "m", 1.0).reason
--- a/medlarbeam/readwrite/__init__.py
+++ b/medlarbeam/readwrite/__init__.py
@@ -1,1 +1,1 @@
-"""Encodings of messages and stored values."""
+"""Encodings: peer frames, key-value values, release note files and the VM list."""
