Keep a cell that was taken over until the runs there have ended

A node that gave a cell back while nobody could own it left the record with runs in progress on its own backend servers, because only foreign runs were counted.

--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -322,6 +322,10 @@
     def foreign_runs(self, owner):
         """Return a list of `ModelCount` of runs here on backend servers that `owner` owns."""
 
+    @abstractmethod
+    def runs_on(self, server):
+        """Return a list of `ModelCount` of the runs here on `server` (a name)."""
+
     @abstractmethod
     def orders_in_flight(self, servers):
         """Return whether an unload order to one of `servers` (names) has no result yet."""
--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -421,12 +421,7 @@
         if seat.home and runs.open_count() > 0:
             return True
         servers = [server.name for server in seat.record.servers]
-        owners = {seat.record.owners.get(name, "") for name in servers}
-        return runs.orders_in_flight(servers) or any(
-            item.count > 0 and item.server in servers
-            for owner in owners
-            for item in runs.foreign_runs(owner)
-        )
+        return runs.orders_in_flight(servers) or any(runs.runs_on(name) for name in servers)
 
     # Time
 
--- a/medlarbeam/node/tests/fake_parts.py
+++ b/medlarbeam/node/tests/fake_parts.py
@@ -132,11 +132,13 @@
         return [ServerSummary(n, n not in self.drained, 0, 0, []) for n in names]
 
     def foreign_runs(self, owner):
-        found = {}
-        for key in self.runs.values():
-            if self.node.ownership.owner_of(key[0]) == owner:
-                found[key] = found.get(key, 0) + 1
-        return [ModelCount(server, model, count) for (server, model), count in found.items()]
+        servers = sorted({server for server, _ in self.runs.values()})
+        mine = [s for s in servers if self.node.ownership.owner_of(s) == owner]
+        return [count for server in mine for count in self.runs_on(server)]
+
+    def runs_on(self, server):
+        models = [model for name, model in self.runs.values() if name == server]
+        return [ModelCount(server, m, models.count(m)) for m in MODELS if m in models]
 
     def orders_in_flight(self, servers):
         return any(server in servers for server, _ in self.orders)
