--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -320,7 +320,7 @@
 
     @abstractmethod
     def foreign_runs(self, owner):
-        """Return a list of `ModelCount` of runs here on backend servers that this node does not own.
+        """Return a list of `ModelCount` of runs here on backend servers of other owners.
 
         `owner` is the node that asks; runs on the backend servers of others may be included.
         """
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -423,6 +423,11 @@
             for count in desk.model_counts()
         ]
 
+    def runs_on(self, server):
+        """Return a list of `ModelCount` of the runs on `server`."""
+        desk = self.desks.get(server)
+        return desk.model_counts() if desk is not None else []
+
     def orders_in_flight(self, servers):
         """Return whether an unload order to one of `servers` has no result yet."""
         desks = [self.desks[n] for n in servers if n in self.desks]
