Let a failure domain that is cut off go on evicting

Cause: a node of another failure domain took over a cell whose members were silent, so an owner could not evict without contact to all peers or the platform. Now a cell is taken over only once the VM list no longer has its members, and only peers of the same cell are waited for. Cost: a lone node that hangs, with its VM alive, leaves its backend servers without work until the VM is replaced.

Also: a request keeps the models that its caller named through retries and withdrawals, because its fingerprint and its claim digest depend on them; a note id that is used again for another note is a conflict; the audit trail shows no change of revision for a note applied twice.

--- a/medlarbeam/algorithms/routing.py
+++ b/medlarbeam/algorithms/routing.py
@@ -45,12 +45,14 @@
     __slots__ = ()
 
     @abstractmethod
-    def choose(self, request, views, sent, failure_domain):
+    def choose(self, request, models, views, sent, failure_domain):
         """Return a `Route`, or None if no server will do.
 
         Parameters
         ----------
         request : Request
+        models : list of str
+            Models of the request that may be served, best first; empty for a plain service.
         views : list of ServerView
             Live and reachable servers of the request's kind that were not tried yet.
         sent : dict of str to int
@@ -71,11 +73,11 @@
 
     __slots__ = ()
 
-    def choose(self, request, views, sent, failure_domain):
+    def choose(self, request, models, views, sent, failure_domain):
         """Return the cheapest `Route`; see `RoutingPolicy.choose`."""
         best = None
         best_cost = float("inf")
-        for model in request.models or [""]:
+        for model in models or [""]:
             order = rank_servers(model or request.request_id, [v.server.name for v in views])
             place = {name: index for index, name in enumerate(order)}
             for view in views:
@@ -100,9 +102,9 @@
 
     __slots__ = ()
 
-    def choose(self, request, views, sent, failure_domain):
+    def choose(self, request, models, views, sent, failure_domain):
         """Return the least loaded `Route`; see `RoutingPolicy.choose`."""
         if not views:
             return None
         view = min(views, key=lambda v: (v.queued + v.running, v.server.name))
-        return Route(view, request.models[0] if request.models else "")
+        return Route(view, models[0] if models else "")
--- a/medlarbeam/algorithms/tests/test_policies.py
+++ b/medlarbeam/algorithms/tests/test_policies.py
@@ -66,18 +66,20 @@
     ("views", "sent", "expected"), [r[1:] for r in ROUTES], ids=[r[0] for r in ROUTES]
 )
 def test_route(views, sent, expected):
-    route = HashRouting().choose(make_request(), views, sent, "fd1")
+    route = HashRouting().choose(make_request(), ["a@1"], views, sent, "fd1")
     assert route.view.server.name == expected
 
 
 @pytest.mark.parametrize("policy", [HashRouting(), NaiveRouting()], ids=["hash", "naive"])
 def test_no_server_gives_no_route(policy):
-    assert policy.choose(make_request(), [], {}, "fd1") is None
+    assert policy.choose(make_request(), ["a@1"], [], {}, "fd1") is None
 
 
 def test_choice_among_models_prefers_resident():
     request = make_request(models=["cold@1", "warm@1"])
-    route = HashRouting().choose(request, [make_view("e0", 0, ["warm@1"])], {}, "fd1")
+    route = HashRouting().choose(
+        request, request.models, [make_view("e0", 0, ["warm@1"])], {}, "fd1"
+    )
     assert route.model == "warm@1"
 
 
@@ -88,7 +90,7 @@
     misses = 0
     for _ in range(600):
         model = f"m{min(int(rng.paretovariate(1.0)), 200)}@1"
-        view = policy.choose(make_request(models=[model]), views, {}, "fd1").view
+        view = policy.choose(make_request(), [model], views, {}, "fd1").view
         view.queued = rng.randrange(4)
         if model not in view.resident:
             misses += 1
--- a/medlarbeam/classes/catalog.py
+++ b/medlarbeam/classes/catalog.py
@@ -92,6 +92,14 @@
         self.drain = list(drain)
         self.undrain = list(undrain)
 
+    def has_content_of(self, other):
+        """Return whether both notes make the same changes, whoever applies them."""
+        return (self.entries, self.drain, self.undrain) == (
+            other.entries,
+            other.drain,
+            other.undrain,
+        )
+
 
 class CatalogHead(Record):
     """The value that says which shards make up the catalogue.
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -98,6 +98,8 @@
         State of the backend servers that the sender owns.
     leaving : bool
         The sender takes no new work.
+    home_cell : str
+        Cell in the sender's settings; `cell` may be one that it took over.
     """
 
     __slots__ = (
@@ -105,6 +107,7 @@
         "confirm_age_s",
         "epoch",
         "foreign_runs",
+        "home_cell",
         "incarnation",
         "leaving",
         "revision",
@@ -123,8 +126,10 @@
         foreign_runs,
         summaries,
         leaving=False,
+        home_cell="",
     ):
         self.seq = seq
+        self.home_cell = home_cell
         self.incarnation = incarnation
         self.cell = cell
         self.epoch = epoch
--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -55,8 +55,8 @@
             if not model:
                 return  # a plain service has no adapters
             adapter = self._find(desk, model, now)
-            if self.chart.has_tag(adapter, "slot"):
-                continue
+            if self.chart.has_tag(adapter, "slot") or not self.node.catalog.source_of(model):
+                continue  # there already, or withdrawn since the attempt came
             attempt.waited_for_load = True
             if not self._make_room(desk, attempt, waiting, now, out):
                 return
--- a/medlarbeam/node/cell_planner.py
+++ b/medlarbeam/node/cell_planner.py
@@ -171,7 +171,11 @@
         limit = _TAKEOVER_PLEDGES * (1 + ranked.index(self.settings.name))
         if not record.servers or now - self.started_at <= limit * self.settings.pledge_s:
             return False
-        return all(self.is_silent(m.node, limit, self.started_at, now) for m in record.members)
+        # A member that is only silent may be cut off and go on evicting, so the VM list decides.
+        return all(
+            self.is_gone(m) and self.is_silent(m.node, limit, self.started_at, now)
+            for m in record.members
+        )
 
     def wants_return(self, seat, now):
         """Return whether another member can take back a cell that this node took over."""
--- a/medlarbeam/node/intake.py
+++ b/medlarbeam/node/intake.py
@@ -36,6 +36,7 @@
         "failure",
         "load_wait_s",
         "model",
+        "models",
         "pinned",
         "request",
         "retry_at",
@@ -57,6 +58,7 @@
         self.failure = None
         self.load_wait_s = 0.0
         self.model = ""
+        self.models = []  # acceptable models that the catalogue has
         self.pinned = False  # text of this model was sent to the caller
         self.retry_at = 0.0
         self.run_state = RunState.NOT_RUN  # of all attempts together
@@ -124,18 +126,9 @@
     def _check(self, request, now):
         if not self.node.lifecycle.is_accepting():
             return Failure(ErrorKind.SHUTTING_DOWN, "this node takes no new requests")
-        failure = self.node.crashes.check(request, now)
-        if failure is not None or request.service:
-            return failure
-        allowed = []
-        for model in request.models:
-            failure = self.node.catalog.check(model, now)
-            if failure is None:
-                allowed.append(model)
-        if allowed:
-            request.models = allowed
-            return None
-        return failure or Failure(ErrorKind.INVALID_REQUEST, "the request names no model")
+        if not request.service and not request.models:
+            return Failure(ErrorKind.INVALID_REQUEST, "the request names no model")
+        return self.node.crashes.check(request, now)
 
     def take_caller_gone(self, message, now, out):
         """Give up a request whose caller has closed the connection."""
@@ -253,18 +246,37 @@
 
     def choose_route(self, entry, now, out):
         """Send the next attempt, or find that no server will do."""
-        request = entry.request
-        views = [v for v in self.node.ownership.view(now) if self._suits(entry, v)]
-        if entry.pinned:
-            request.models = [entry.model]
-        route = self.routing.choose(request, views, self.sent, self.node.settings.failure_domain)
+        views = self.node.ownership.view(now)
+        entry.failure = self._find_refusal(entry, views, now)
+        if entry.failure is not None:
+            self._fire(entry, "refused", now, out)
+            return
+        usable = [v for v in views if self._suits(entry, v)]
+        domain = self.node.settings.failure_domain
+        route = self.routing.choose(entry.request, entry.models, usable, self.sent, domain)
         if route is None:
-            what = f"service {request.service}" if request.service else "the engines"
+            what = f"service {entry.request.service}" if entry.request.service else "the engines"
             entry.failure = Failure(ErrorKind.NO_SERVER, f"no live backend server of {what}")
             self._fire(entry, "unroutable", now, out)
             return
         self._send_attempt(entry, route, now, out)
 
+    def _find_refusal(self, entry, views, now):
+        """Return the `Failure` of a request that no backend server may run, else None.
+
+        The request itself keeps all models that the caller named: its digest and its fingerprint
+        have to be the same in each try.
+        """
+        service = entry.request.service
+        if service:
+            if views and not any(v.server.service == service for v in views):
+                return Failure(ErrorKind.UNKNOWN_SERVICE, f"there is no service {service}")
+            return None
+        models = [entry.model] if entry.pinned else entry.request.models
+        failures = [self.node.catalog.check(model, now) for model in models]
+        entry.models = [m for m, failure in zip(models, failures, strict=True) if failure is None]
+        return None if entry.models else failures[0]
+
     def _suits(self, entry, view):
         server = view.server
         usable = view.live and view.target and server.service == entry.request.service
--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -271,6 +271,7 @@
             node.runs.foreign_runs(sender),
             node.runs.summaries(now),
             seat.has_tag("leaves"),
+            node.settings.cell,
         )
 
     def _choose_epoch(self, seat, ping):
@@ -464,7 +465,7 @@
                 out.emit(SendPeer(self.node.rng.choice(peers), FetchRecord(cell)))
 
     def _review_takeovers(self, now):
-        """Begin to take over cells whose members are silent, and give back those that answer."""
+        """Begin to take over cells whose members are gone, and give back those that answer."""
         for seat in list(self.seats.values()):
             if seat.home:
                 continue
--- a/medlarbeam/node/notes.py
+++ b/medlarbeam/node/notes.py
@@ -17,6 +17,11 @@
 SPREAD_LIMIT_S = 14.0  # within which a change has to be in force everywhere
 
 
+def find_note_key(note):
+    """Return the key of a note on the platform."""
+    return f"catalog/note/{note.note_id}"
+
+
 class OpenChange:
     """A change of the catalogue on its way.
 
@@ -116,6 +121,8 @@
             self._fail_platform(change, now, out)
         elif isinstance(op, KvGet) and op.key == HEAD_KEY:
             self._take_head(change, result, now, out)
+        elif isinstance(op, KvGet) and op.key == find_note_key(change.note):
+            self._take_note(change, result, now, out)
         elif isinstance(op, KvGet):
             self._take_shard(change, result, now, out)
         elif op.key == HEAD_KEY:
@@ -134,12 +141,21 @@
             change.head = make_empty_head(self.node.settings.catalog_shards)
         else:
             change.head = CATALOG_HEAD.decode(change.head_entry.value)
-        if change.note.note_id in change.head.recent:
-            self._fire(change, "accepted", now, out)
-        elif change.change is None:
-            self._fire(change, "head_read", now, out)
+        known = change.note.note_id in change.head.recent
+        if change.change is None:
+            self._fire(change, "known_id" if known else "head_read", now, out)
         else:
-            self._fire(change, "conflict", now, out)
+            self._fire(change, "accepted" if known else "conflict", now, out)
+
+    def _take_note(self, change, result, now, out):
+        """Compare the note with the one that was accepted under its id."""
+        earlier = [RELEASE_NOTE.decode(entry.value) for entry in result.entries]
+        if earlier and earlier[0].has_content_of(change.note):
+            self._fire(change, "accepted", now, out)
+            return
+        reason = f"the id {change.note.note_id} belongs to another note"
+        change.failure = Failure(ErrorKind.NOTE_CONFLICT, reason)
+        self._fire(change, "refused", now, out)
 
     def _take_shard(self, change, result, now, out):
         for entry in result.entries:
@@ -175,6 +191,10 @@
         """Read the present head."""
         self._call(change, KvGet(HEAD_KEY), now, out)
 
+    def read_note(self, change, now, out):
+        """Read the note that was accepted under this id."""
+        self._call(change, KvGet(find_note_key(change.note)), now, out)
+
     def read_shards(self, change, now, out):
         """Read the shards that the note touches and that this node does not hold."""
         keys = [change.head.shard_keys[n] for n in touched_shards(change.note, change.head)]
@@ -212,8 +232,8 @@
 
     def write_note(self, change, now, out):
         """Write the note itself, for operators to read."""
-        key = f"catalog/note/{change.note.note_id}"
-        self._call(change, KvPut(key, RELEASE_NOTE.encode(change.note)), now, out)
+        value = RELEASE_NOTE.encode(change.note)
+        self._call(change, KvPut(find_note_key(change.note), value), now, out)
 
     def write_head(self, change, now, out):
         """Accept the note: compare-and-swap of the head."""
--- a/medlarbeam/node/operations.py
+++ b/medlarbeam/node/operations.py
@@ -164,8 +164,10 @@
         settings = self.node.settings
         unique = f"{settings.name}-{settings.incarnation}-{self.serial}"
         entry_id = f"{int(order.wall_time_s * 1000):015d}-{unique}"
-        before = change.head.revision if change.head is not None else 0
-        after = before + 1 if outcome == "accepted" else before
+        before = change.head.revision if change.head is not None else self.node.catalog.revision()
+        # A note that was accepted earlier changes nothing when it is applied again.
+        changed = outcome == "accepted" and change.change is not None
+        after = before + 1 if changed else before
         subject = order.subject or change.note.note_id
         entry = AuditEntry(
             entry_id,
--- a/medlarbeam/node/pledges.py
+++ b/medlarbeam/node/pledges.py
@@ -42,13 +42,14 @@
 
     Notes
     -----
-    `incarnations` has the highest known incarnation of each peer, `pinged_by` the one known when
-    the peer last pinged this node.
+    `homes` has the cell in the settings of each peer that was heard, `incarnations` the highest
+    known incarnation of each peer, `pinged_by` the one known when the peer last pinged this node.
     """
 
     __slots__ = (
         "given",
         "heard",
+        "homes",
         "incarnations",
         "newest",
         "pinged_by",
@@ -62,6 +63,7 @@
         self.seq = first_seq
         self.sent = {}
         self.heard = {}
+        self.homes = {}
         self.newest = {}
         self.given = {}
         self.incarnations = {}
@@ -96,6 +98,8 @@
             return None
         heard = Heard(sent_at, pong)
         self.heard[peer, pong.cell] = heard
+        if pong.home_cell:
+            self.homes[peer] = pong.home_cell
         self.note_incarnation(peer, pong.incarnation)
         newest = self.newest.get(peer)
         if newest is None or newest.pong.seq < pong.seq:
--- a/medlarbeam/node/rights.py
+++ b/medlarbeam/node/rights.py
@@ -89,7 +89,7 @@
         if limit == inf:
             limit = now + self.usable_s
         if now >= limit:
-            return refuse("a pledge, or the proof that no other node took the cell over, expired")
+            return refuse("a pledge, or the proof that no other node joined the cell, expired")
         return EvictionGrant(seat.epoch, limit)
 
     def check_members(self, seat, now):
@@ -135,14 +135,22 @@
         return min(ends)
 
     def find_cover_end(self, seat):
-        """Return the time (s) up to which surely no node outside has taken the cell over."""
+        """Return the time (s) up to which surely no node outside has joined the cell."""
         ends = [seat.cover.get(peer, -inf) for peer in self.list_outside(seat)]
         return min(ends, default=inf)
 
     def list_outside(self, seat):
-        """Return the configured peers that are no members."""
+        """Return the configured peers that are no members and might join the cell unnoticed.
+
+        Notes
+        -----
+        A peer whose own cell is another one joins only once all members are gone. Waiting for such
+        peers stopped all evictions in a failure domain that was cut off.
+        """
         members = {member.node for member in seat.list_others()}
-        return [peer for peer in self.settings.peers if peer not in members]
+        homes = self.pledges.homes
+        peers = [peer for peer in self.settings.peers if peer not in members]
+        return [peer for peer in peers if homes.get(peer, seat.cell) == seat.cell]
 
 
 def refuse(reason):
--- a/medlarbeam/node/tests/driver.py
+++ b/medlarbeam/node/tests/driver.py
@@ -25,6 +25,7 @@
     CallerRequest,
     EngineEnd,
     EngineFailure,
+    EngineReport,
     PeerDown,
     PeerMessage,
     PeerUp,
@@ -331,7 +332,11 @@
             self.deliver(host, self.servers[effect.server.name].unload(effect))
 
     def poll(self, host, effect):
-        report = self.servers[effect.server.name].report(effect.asked_at)
+        server = self.servers[effect.server.name]
+        report = server.report(effect.asked_at)
+        if host.name in server.unreachable_from:
+            failure = Failure(ErrorKind.SERVER_REFUSED, "not reached")
+            report = EngineReport(server.server.name, effect.asked_at, failure=failure)
         self.at(self.delay(), self.deliver, host, report)
 
     def answer_start(self, host, effect):
--- a/medlarbeam/node/tests/fakes.py
+++ b/medlarbeam/node/tests/fakes.py
@@ -105,6 +105,7 @@
         "runs",
         "server",
         "started",
+        "unreachable_from",
         "up",
     )
 
@@ -113,6 +114,7 @@
         self.crash_word = crash_word
         self.incarnation = 1
         self.up = True
+        self.unreachable_from = set()
         self.resident = set()
         self.runs = {}
         self.started = []
@@ -122,7 +124,7 @@
 
     def begin(self, node, effect, now):
         """Start a run; return it, or the `Failure` if the server refuses."""
-        if not self.up:
+        if not self.up or node in self.unreachable_from:
             return Failure(ErrorKind.SERVER_REFUSED, "not reached")
         if effect.model and effect.model not in self.resident:
             return Failure(ErrorKind.SERVER_REFUSED, f"{effect.model} is not loaded")
--- a/medlarbeam/node/tests/test_whole_path.py
+++ b/medlarbeam/node/tests/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from medlarbeam.classes.catalog import NoteAction
 from medlarbeam.classes.messages import CallerGone, OperatorRequest, Shutdown
 from medlarbeam.exceptions import ErrorKind, RunState
 from medlarbeam.node.tests.world_checker import check_world
@@ -13,6 +14,7 @@
     make_request,
     make_world,
 )
+from medlarbeam.readwrite.values import AUDIT_ENTRY
 
 
 def finish(world, answered, limit_s=20.0):
@@ -81,7 +83,7 @@
 
 REFUSALS = [
     ("unknown-version", {"models": ["a0@9"]}, ErrorKind.UNKNOWN_ADAPTER),
-    ("unknown-service", {"models": [], "service": "bank"}, ErrorKind.NO_SERVER),
+    ("unknown-service", {"models": [], "service": "bank"}, ErrorKind.UNKNOWN_SERVICE),
     ("deadline-already-passed", {"deadline_s": 0.0}, ErrorKind.DEADLINE_IN_QUEUE),
 ]
 
@@ -119,6 +121,37 @@
     assert check_world(world, quiet=True) == []
 
 
+WITHDRAWN = [("one-of-two", ["a1@1"]), ("all", ["a0@1", "a1@1"])]
+
+
+@pytest.mark.parametrize("models", [w[1] for w in WITHDRAWN], ids=[w[0] for w in WITHDRAWN])
+def test_repeat_after_a_withdrawal_gets_the_recorded_outcome(models):
+    world = make_world()
+    marked = {"models": ["a0@1", "a1@1"], "non_idempotent": True, "key": "k"}
+    first = world.ask("n1", make_request(world, "n1", **marked))
+    assert finish(world, first).failure is None
+    op = apply_note(world, "n1", make_note("w", models, NoteAction.WITHDRAW))
+    assert world.run_until(lambda: op in world.told, 30.0)
+    second = world.ask("n3", make_request(world, "n3", **marked))
+    assert finish(world, second).replayed and second.text == first.text
+    assert check_world(world, quiet=False) == []
+
+
+CRASHES = [("one-model", ["a0@1"]), ("two-models", ["a0@1", "a1@1"])]
+
+
+@pytest.mark.parametrize("models", [c[1] for c in CRASHES], ids=[c[0] for c in CRASHES])
+def test_crashing_request_costs_two_servers(models):
+    world = make_world()
+    for _ in range(3):
+        for node in world.hosts:
+            answered = world.ask(node, make_request(world, node, models, "crash"))
+            finish(world, answered, 30.0)
+            world.run(world.now + 3.0)
+    assert answered.end.failure.kind is ErrorKind.CRASH_SUSPECT
+    assert sum(server.incarnation - 1 for server in world.servers.values()) == 2
+
+
 @pytest.mark.parametrize("node", ["n1", "n3"], ids=["local-owner", "remote-owner"])
 def test_caller_that_goes_away_cancels_the_run(node):
     world = make_world()
@@ -149,6 +182,27 @@
     assert check_world(world, quiet=True) == []
 
 
+AGAIN = [
+    ("same-note", "first", MODELS, None),
+    ("another-note-with-its-id", "first", ["z@1"], ErrorKind.NOTE_CONFLICT),
+]
+
+
+@pytest.mark.parametrize(
+    ("note_id", "models", "kind"), [a[1:] for a in AGAIN], ids=[a[0] for a in AGAIN]
+)
+def test_note_id_is_used_again(note_id, models, kind):
+    world = make_world()
+    op = apply_note(world, "n3", make_note(note_id, models))
+    assert world.run_until(lambda: op in world.told, 30.0)
+    failure = world.told[op].failure
+    assert (failure and failure.kind) == kind
+    world.run(world.now + 5.0)
+    assert {h.node.catalog.revision() for h in world.hosts.values()} == {1}
+    entries = [AUDIT_ENTRY.decode(e.value) for k, e in world.kv.entries.items() if "audit/" in k]
+    assert sorted((e.revision_before, e.revision_after) for e in entries) == [(0, 1), (1, 1)]
+
+
 @pytest.mark.parametrize("server", ["e1", "e3"], ids=["own-domain", "other-domain"])
 def test_drained_server_gets_no_new_work(server):
     world = make_world()
@@ -161,3 +215,19 @@
     world.run(world.now + 15.0)
     assert len(world.servers[server].started) == before
     assert [a.end.failure for a in answers if a.end.failure] == []
+
+
+@pytest.mark.parametrize(
+    "cut_kv", [False, True], ids=["peers-cut-off", "peers-and-platform-cut-off"]
+)
+def test_failure_domain_that_is_cut_off_serves_every_adapter(cut_kv):
+    world = make_world()
+    for one, other in [("n1", "n3"), ("n2", "n3")] + [("n3", "kv")] * cut_kv:
+        world.cut(one, other, 60.0)
+    for name, server in world.servers.items():
+        server.unreachable_from = {"n1", "n2"} if name in ("e3", "t2") else {"n3"}
+    world.run(world.now + 12.0)
+    ends = [
+        finish(world, world.ask("n3", make_request(world, "n3", [model])), 30.0) for model in MODELS
+    ]
+    assert [end.failure for end in ends if end.failure] == []
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -71,6 +71,7 @@
   foreignRuns @6 :List(ModelCount);
   summaries @7 :List(ServerSummary);
   leaving @8 :Bool;
+  homeCell @9 :Text;
 }
 
 struct Request {
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -88,7 +88,7 @@
     "ping": Layout(Ping, "seq cell epoch"),
     "pong": Layout(
         Pong,
-        "seq incarnation cell epoch revision leaving",
+        "seq incarnation cell epoch revision leaving home_cell",
         NumberField("confirm_age_s"),
         ListField("foreign_runs", _MODEL_COUNT),
         ListField("summaries", _SUMMARY),
