--- /dev/null
+++ b/medlarbeam/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each is run by ``python -m medlarbeam.bench.<name>``."""
--- /dev/null
+++ b/medlarbeam/bench/peers.py
@@ -0,0 +1,107 @@
+"""What a measured node talks to: real nodes, or peers that only keep up the heartbeat."""
+
+from abc import ABC, abstractmethod
+
+from medlarbeam.classes.effects import SendPeer
+from medlarbeam.classes.messages import PeerMessage
+from medlarbeam.classes.peer_messages import Ping, Pong, RecordSpread, ServerSummary
+from medlarbeam.node.assembly import build_node
+
+__all__ = ["HeartbeatPeer", "Participant", "RealNode", "make_resident"]
+
+PING_INTERVAL_S = 1.0
+
+
+def make_resident(server, slots):
+    """Return the models that an engine of the benchmarks holds."""
+    number = int(server.removeprefix("e"))
+    return [f"adapter-{number * slots + i:06}@1" for i in range(slots)]
+
+
+class Participant(ABC):
+    """One side of the links of a fleet."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def handle(self, message, now):
+        """Take a message and return the list of effects."""
+
+    @abstractmethod
+    def tick(self, now):
+        """Do what is due and return the list of effects."""
+
+    @abstractmethod
+    def next_deadline(self):
+        """Return the time (s) of the next `tick`."""
+
+
+class RealNode(Participant):
+    """A node with the components of the daemon."""
+
+    __slots__ = ("node",)
+
+    def __init__(self, settings, rng):
+        self.node = build_node(settings, rng)
+
+    def handle(self, message, now):
+        """Pass a message to the node."""
+        return self.node.handle(message, now)
+
+    def tick(self, now):
+        """Let the node do what is due."""
+        return self.node.tick(now)
+
+    def next_deadline(self):
+        """Return the deadline of the node."""
+        return self.node.next_deadline()
+
+
+class HeartbeatPeer(Participant):
+    """Pings one node and answers its pings as a healthy owner of engines does.
+
+    Parameters
+    ----------
+    name, target : str
+    record : CellRecord
+        Record of the cell of this peer.
+    revision : int
+        Catalogue revision in its pongs.
+    starts_at : float
+        Time (s) of its first ping.
+    """
+
+    __slots__ = ("next_ping", "record", "revision", "seq", "summaries", "target")
+
+    def __init__(self, name, target, record, revision, starts_at):
+        self.target = target
+        self.record = record
+        self.revision = revision
+        self.seq = 0
+        self.next_ping = starts_at
+        owned = [s for s in record.servers if record.owners[s.name] == name]
+        self.summaries = [
+            ServerSummary(s.name, True, 1, 4, make_resident(s.name, s.slots)) for s in owned
+        ]
+
+    def handle(self, message, now):
+        """Answer a ping, and keep a newer record of the cell."""
+        body = message.body if isinstance(message, PeerMessage) else None
+        if isinstance(body, RecordSpread) and body.record.cell == self.record.cell:
+            if body.record.epoch > self.record.epoch:
+                self.record = body.record
+        if not isinstance(body, Ping):
+            return []
+        record = self.record
+        pong = Pong(body.seq, 1, record.cell, record.epoch, self.revision, 0.5, [], self.summaries)
+        return [SendPeer(message.sender, pong)]
+
+    def tick(self, now):
+        """Send the ping that is due."""
+        self.next_ping += PING_INTERVAL_S
+        self.seq += 1
+        return [SendPeer(self.target, Ping(self.seq, self.record.cell, self.record.epoch))]
+
+    def next_deadline(self):
+        """Return the time of the next ping."""
+        return self.next_ping
--- /dev/null
+++ b/medlarbeam/bench/samples.py
@@ -0,0 +1,61 @@
+"""Catalogues, cells and requests of the benchmarks."""
+
+from medlarbeam.algorithms.catalog_changes import apply_note
+from medlarbeam.classes.catalog import (
+    AdapterVersion,
+    CatalogHead,
+    NoteAction,
+    NoteEntry,
+    ReleaseNote,
+)
+from medlarbeam.classes.cells import BackendServer, CellRecord, Member
+
+__all__ = ["EPOCH", "make_catalog", "make_cells", "make_note"]
+
+EPOCH = 5
+SHARDS = 64
+
+
+def make_note(note_id, first, count):
+    """Return a note that adds `count` adapters, numbered from `first`."""
+    entries = [
+        NoteEntry(
+            NoteAction.ADD,
+            AdapterVersion(f"adapter-{i:06}", "1", f"lora/base-{i % 2}/adapter-{i:06}/1"),
+        )
+        for i in range(first, first + count)
+    ]
+    return ReleaseNote(note_id, "bench", entries)
+
+
+def make_catalog(count):
+    """Return the `CatalogChange` that makes a catalogue of `count` adapters."""
+    head = CatalogHead(0, [""] * SHARDS, [])
+    return apply_note(make_note("note-0", 0, count), head, {}, "note-0")
+
+
+def make_cells(nodes, servers, cell_size):
+    """Return the list of `CellRecord` of a fleet.
+
+    Parameters
+    ----------
+    nodes : int
+        Nodes n0, n1 and so on.
+    servers : int
+        Engines in the whole fleet, dealt out to the nodes in turn.
+    cell_size : int
+        Nodes of a cell.
+    """
+    names = [f"n{i}" for i in range(nodes)]
+    records = []
+    for start in range(0, nodes, cell_size):
+        cell = f"cell{start // cell_size}"
+        inside = names[start : start + cell_size]
+        owners = {f"e{i}": names[i % nodes] for i in range(servers) if names[i % nodes] in inside}
+        backends = [
+            BackendServer(name, f"10.0.{i // 250}.{i % 250}:8000", cell, cell, fencing=True)
+            for i, name in enumerate(owners)
+        ]
+        members = [Member(name, 1) for name in inside]
+        records.append(CellRecord(cell, EPOCH, members, backends, owners, change_id="bench"))
+    return records
