--- a/medlarbeam/bench/samples.py
+++ b/medlarbeam/bench/samples.py
@@ -1,5 +1,6 @@
 """Catalogues, cells and requests of the benchmarks."""
 
+from medlarbeam.algorithms.assignment import assign_servers
 from medlarbeam.algorithms.catalog_changes import apply_note
 from medlarbeam.classes.catalog import (
     AdapterVersion,
@@ -51,11 +52,13 @@
     for start in range(0, nodes, cell_size):
         cell = f"cell{start // cell_size}"
         inside = names[start : start + cell_size]
-        owners = {f"e{i}": names[i % nodes] for i in range(servers) if names[i % nodes] in inside}
         backends = [
-            BackendServer(name, f"10.0.{i // 250}.{i % 250}:8000", cell, cell, fencing=True)
-            for i, name in enumerate(owners)
+            BackendServer(f"e{i}", f"10.0.{i // 250}.{i % 250}:8000", cell, cell, fencing=True)
+            for i in range(servers)
+            if names[i % nodes] in inside
         ]
         members = [Member(name, 1) for name in inside]
+        # The owners that the nodes themselves would choose, so that no record changes later.
+        owners = assign_servers(backends, inside)
         records.append(CellRecord(cell, EPOCH, members, backends, owners, change_id="bench"))
     return records
