Look at each owner once in the view of the backend servers

The view was built with two look-ups in the record and a scan of the owner's summaries for each backend server.

--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -89,20 +89,24 @@
         own = {s.server: s for s in self.node.runs.summaries(now)}
         views = []
         for record in self.book.records.values():
+            # By owner once, not by server: a request looks at all servers of the fleet.
+            summaries = {n: self._map_summaries(n) for n in set(record.owners.values())}
+            away = {n for n in summaries if self._is_target(record, n)}
             for server in record.servers:
-                owner = record.owners.get(server.name, "")
-                summary = own.get(server.name) or self._find_summary(owner, server.name)
-                views.append(self._make_view(server, owner, summary, now))
+                name = server.name
+                owner = record.owners.get(name, "")
+                summary = own.get(name) or summaries.get(owner, {}).get(name)
+                target = owner if owner in away else self._find_own_target(name, now)
+                views.append(self._make_view(server, target, summary))
         return views
 
-    def _find_summary(self, owner, server):
+    def _map_summaries(self, owner):
         newest = self.pledges.newest.get(owner)
         summaries = newest.pong.summaries if newest is not None else ()
-        return next((s for s in summaries if s.server == server), None)
+        return {s.server: s for s in summaries}
 
-    def _make_view(self, server, owner, summary, now):
+    def _make_view(self, server, target, summary):
         live = server.name not in self.vms.leaving and not self.vms.is_gone(server.name)
-        target = self._find_target(server.name, owner, now)
         if summary is None:
             return ServerView(server, target, live)
         return ServerView(
@@ -114,11 +118,14 @@
             summary.resident,
         )
 
-    def _find_target(self, server, owner, now):
-        member = self.book.find_record(server).find_member(owner)
-        away = member is None or owner == self.node.settings.name
-        if not away and self.is_reachable(owner) and not self.pledges.is_replaced(member):
-            return owner
+    def _is_target(self, record, owner):
+        """Return whether requests for the backend servers of `owner` go to that node."""
+        member = record.find_member(owner)
+        if member is None or owner == self.node.settings.name:
+            return False
+        return self.is_reachable(owner) and not self.pledges.is_replaced(member)
+
+    def _find_own_target(self, server, now):
         return self.node.settings.name if self.may_run(server, now) is None else ""
 
     def may_run(self, server, now):
