--- a/medlarbeam/node/catalog.py
+++ b/medlarbeam/node/catalog.py
@@ -139,8 +139,7 @@
             return
         head = self.next_head
         held = {**self.shards, **self.staged}
-        self.shards = {k: held[k] for k in head.shard_keys if k}
-        self.index = {i.model: i for shard in self.shards.values() for i in shard.items}
+        self._exchange_shards({k: held[k] for k in head.shard_keys if k})
         changed = set(head.drained) ^ set(self.head.drained if self.head else ())
         self.head = head
         self.confirmed_at = self.next_head_at
@@ -151,6 +150,24 @@
             self.node.runs.drain(server, server in head.drained, now, out)
         out.emit(LogEvent("catalog_adopted", f"revision {head.revision}"))
 
+    def _exchange_shards(self, shards):
+        """Replace the shards; only those that differ are indexed again.
+
+        Notes
+        -----
+        The values are immutable, so a key that stays has the same items. Building the whole index
+        for each note grows with the catalogue and not with the note.
+        """
+        gone = [shard for key, shard in self.shards.items() if key not in shards]
+        new = [shard for key, shard in shards.items() if key not in self.shards]
+        for shard in gone:
+            for item in shard.items:
+                self.index.pop(item.model, None)
+        for shard in new:
+            for item in shard.items:
+                self.index[item.model] = item
+        self.shards = shards
+
     # Peers
 
     def take_pong(self, sender, pong, now, out):
