--- /dev/null
+++ b/medlarbeam/bench/relay_client.py
@@ -0,0 +1,195 @@
+"""Load client of the relay benchmark: prepares the daemons and runs streams through a target."""
+
+import asyncio
+import os
+import time
+from urllib.parse import urlsplit
+
+import orjson
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from hdrh.histogram import HdrHistogram
+
+from medlarbeam.bench.report import read_rss_bytes
+from medlarbeam.classes.record import Record
+from medlarbeam.exceptions import FormatError
+from medlarbeam.standins.vm_list import describe_backend, describe_entry
+
+__all__ = ["MODEL", "RelayClient", "Target", "read_target"]
+
+MODEL = "bench@1"
+READY_TRIES = 300
+READY_PAUSE_S = 0.1
+STREAM_LIMIT_S = 60.0
+HIGHEST_US = 60_000_000
+
+
+class Target(Record):
+    """A server that takes completions.
+
+    Parameters
+    ----------
+    name, address : str
+    pids : list of int
+        Processes between the caller and the engine, empty for the engine itself.
+    """
+
+    __slots__ = ("address", "name", "pids")
+
+    def __init__(self, name, address, pids):
+        self.name = name
+        self.address = address
+        self.pids = pids
+
+    def read_cpu_ns(self):
+        """Return the processor time (ns) of the main threads from ``/proc/<pid>/schedstat``."""
+        total = 0
+        for pid in self.pids:
+            with open(f"/proc/{pid}/schedstat", encoding="ascii") as file:
+                total += int(file.read().split()[0])
+        return total
+
+    def read_rss_bytes(self):
+        """Return the resident sets of the processes together."""
+        return sum(map(read_rss_bytes, self.pids))
+
+
+def read_target(text):
+    """Return the `Target` of ``name=ip:port=pid,pid``; raise `FormatError` otherwise."""
+    parts = text.split("=")
+    if len(parts) != 3 or not parts[0] or not urlsplit(f"//{parts[1]}").port:
+        raise FormatError(f"{text!r} is not name=ip:port=pid,pid")
+    return Target(parts[0], parts[1], [int(pid) for pid in parts[2].split(",") if pid])
+
+
+class RelayClient:
+    """Sends streams and notes the time of the first token.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+    engine : str
+        Address of the engine.
+    """
+
+    __slots__ = ("engine", "session")
+
+    def __init__(self, session, engine):
+        self.session = session
+        self.engine = engine
+
+    @classmethod
+    def open_session(cls):
+        """Return a session without a limit of connections."""
+        timeout = ClientTimeout(total=STREAM_LIMIT_S)
+        return ClientSession(connector=TCPConnector(limit=0), timeout=timeout)
+
+    # Preparation
+
+    async def prepare(self, vm_list, daemons, concurrency):
+        """Publish the VM list, wait for the daemons, and put the adapter into the catalogue."""
+        vms = [describe_entry(d.name, d.address, d.name, d.name) for d in daemons]
+        # The engine belongs to the cell of the first daemon, so the others forward to that one.
+        cell = daemons[0].name
+        vms.append(
+            describe_backend("e1", self.engine, cell, cell, slots=4, concurrency=concurrency)
+        )
+        await self._post(f"http://{vm_list}/debug/vms", {"vms": vms})
+        for daemon in daemons:
+            await self._wait_ready(daemon, 0)
+        secret = os.environ["MEDLARBEAM_OPERATOR_SECRET"]
+        headers = {
+            "Authorization": f"Bearer {secret}",
+            "X-Operator": "bench",
+            "X-Note-Id": "bench-1",
+        }
+        adapter, version = MODEL.split("@")
+        entry = {"action": "add", "adapter": adapter, "version": version, "source": "lora/bench"}
+        url = f"http://{daemons[0].address}/admin/v1/notes"
+        await self._post(url, {"entries": [entry]}, headers)
+        for daemon in daemons:
+            await self._wait_ready(daemon, 1)
+
+    async def _post(self, url, document, headers=None):
+        async with self.session.post(url, data=orjson.dumps(document), headers=headers) as answer:
+            body = await answer.read()
+            if answer.status != 200:
+                raise FormatError(f"{url}: HTTP {answer.status} {body.decode(errors='replace')}")
+
+    async def _wait_ready(self, daemon, revision):
+        for _ in range(READY_TRIES):
+            try:
+                async with self.session.get(f"http://{daemon.address}/readyz") as answer:
+                    document = orjson.loads(await answer.read())
+                    if answer.status == 200 and document["catalog_revision"] >= revision:
+                        return
+            except ClientError:
+                pass  # the daemon does not listen yet
+            await asyncio.sleep(READY_PAUSE_S)
+        raise FormatError(f"{daemon.name} is not ready at revision {revision}")
+
+    async def set_token_delay(self, delay_ms):
+        """Change the time that the engine takes for a token."""
+        await self._post(f"http://{self.engine}/debug/faults", {"token_delay_ms": delay_ms})
+
+    # Load
+
+    async def stream(self, target, tokens, histogram=None, opened=None):
+        """Read one stream to its end; return the number of its events.
+
+        Parameters
+        ----------
+        target : Target
+        tokens : int
+        histogram : HdrHistogram or None
+            Takes the time to the first event (us).
+        opened : asyncio.Semaphore or None
+            Released at the first event.
+        """
+        document = {"model": MODEL, "prompt": "bench", "max_tokens": tokens, "stream": True}
+        url = f"http://{target.address}/v1/completions"
+        started_ns = time.monotonic_ns()
+        events = 0
+        async with self.session.post(url, data=orjson.dumps(document)) as answer:
+            if answer.status != 200:
+                raise FormatError(f"{target.name}: HTTP {answer.status} {await answer.text()}")
+            async for line in answer.content:
+                if not line.startswith(b"data: "):
+                    continue
+                if events == 0:
+                    if histogram is not None:
+                        histogram.record_value((time.monotonic_ns() - started_ns) // 1000)
+                    if opened is not None:
+                        opened.release()
+                events += 1
+        if events < tokens:
+            raise FormatError(f"{target.name}: {events} events of {tokens} tokens")
+        return events
+
+    async def run(self, target, requests, tokens, parallel):
+        """Run `requests` streams, `parallel` at a time; return the latencies (us)."""
+        histogram = HdrHistogram(1, HIGHEST_US, 3)
+        waiting = iter(range(requests))
+
+        async def work():
+            for _ in waiting:
+                await self.stream(target, tokens, histogram)
+
+        await asyncio.gather(*(work() for _ in range(parallel)))
+        return histogram
+
+    async def measure_memory(self, target, streams, tokens):
+        """Return the growth of the resident set (bytes) with `streams` open streams."""
+        before = target.read_rss_bytes()
+        opened = asyncio.Semaphore(0)
+        tasks = [
+            asyncio.create_task(self.stream(target, tokens, opened=opened)) for _ in range(streams)
+        ]
+        try:
+            for _ in range(streams):
+                await asyncio.wait_for(opened.acquire(), STREAM_LIMIT_S)
+            grown = target.read_rss_bytes() - before
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+        return grown
