--- a/medlarbeam/bench/control_cost.py
+++ b/medlarbeam/bench/control_cost.py
@@ -80,7 +80,7 @@
 
 
 def main(
-    peers: Annotated[list[int], cappa.Arg(long=True, help="repeatable")] = (4, 16, 64, 128),
+    peers: Annotated[list[int], cappa.Arg(long=True, help="repeatable")] = (4, 7, 16, 64, 128),
     cell_size: Annotated[int, cappa.Arg(long=True, help="nodes of a small cell")] = 8,
     seconds: Annotated[float, cappa.Arg(long=True, help="simulated time of a row")] = 10.0,
     seed: Annotated[int, cappa.Arg(long=True)] = 1,
--- a/medlarbeam/bench/request_cost.py
+++ b/medlarbeam/bench/request_cost.py
@@ -21,6 +21,7 @@
 WARM_UP_S = 6.0
 CELL_SIZE = 8
 SLOTS = 4
+SERVERS_PER_NODE = 4
 TOKEN = "word "
 BODY = "x" * 2000
 DEADLINE_S = 30.0
@@ -229,13 +230,20 @@
         1000,
     ),
     peers: Annotated[list[int], cappa.Arg(long=True, help="repeatable")] = (4, 16, 64, 128),
+    fleets: Annotated[list[int], cappa.Arg(long="fleet", help="nodes with 4 servers each")] = (
+        8,
+        32,
+        128,
+        250,
+    ),
     requests: Annotated[int, cappa.Arg(long=True, help="in each role")] = 200,
     chunks: Annotated[int, cappa.Arg(long=True, help="of an answer")] = 50,
     seed: Annotated[int, cappa.Arg(long=True)] = 1,
     as_json: Annotated[bool, cappa.Arg(long="--json")] = False,
 ):
-    """Measure requests by the number of servers (with 4 peers) and of peers (with 100 servers)."""
+    """Measure requests by the number of servers, of peers (with 100 servers), and of both."""
     points = [(peers[0], n) for n in servers] + [(n, 100) for n in peers[1:]]
+    points += [(nodes - 1, SERVERS_PER_NODE * nodes) for nodes in fleets]
     rows = [row for p, s in points for row in measure(seed, p, s, requests, chunks)]
     print_report("request_cost", seed, rows, as_json)
 
