--- a/medlarbeam/bench/relay_cost.py
+++ b/medlarbeam/bench/relay_cost.py
@@ -12,7 +12,6 @@
 __all__ = ["RelayRow", "main"]
 
 TOKEN_DELAY_MS = 1.0
-OPEN_DELAY_MS = 3000.0  # of the streams that are held open for the memory
 OPEN_TOKENS = 4
 
 
@@ -72,9 +71,20 @@
 class Plan(Record):
     """Bounds of one measurement."""
 
-    __slots__ = ("long_tokens", "parallel", "requests", "rounds", "short_tokens", "streams")
+    __slots__ = (
+        "long_tokens",
+        "open_delay_ms",
+        "parallel",
+        "requests",
+        "rounds",
+        "short_tokens",
+        "streams",
+    )
 
-    def __init__(self, rounds, requests, parallel, short_tokens, long_tokens, streams):
+    def __init__(
+        self, rounds, requests, parallel, short_tokens, long_tokens, streams, open_delay_ms
+    ):
+        self.open_delay_ms = open_delay_ms
         self.rounds = rounds
         self.requests = requests
         self.parallel = parallel
@@ -115,7 +125,7 @@
 
 async def _measure_memory(client, targets, plan, rows):
     """Hold streams open in the first round only, as a resident set does not shrink again."""
-    await client.set_token_delay(OPEN_DELAY_MS)
+    await client.set_token_delay(plan.open_delay_ms)
     for row, target in zip(rows[1:], targets[1:], strict=True):
         grown = await client.measure_memory(target, plan.streams, OPEN_TOKENS)
         row.mb_per_1000 = grown / 1e6 * 1000 / plan.streams
@@ -150,11 +160,14 @@
     parallel: Annotated[int, cappa.Arg(long=True, help="streams at a time")] = 8,
     long_tokens: Annotated[int, cappa.Arg(long=True, help="of the long streams")] = 60,
     streams: Annotated[int, cappa.Arg(long=True, help="held open for the memory")] = 500,
+    open_delay_ms: Annotated[
+        float, cappa.Arg(long=True, help="time of a token of the streams held open")
+    ] = 3000.0,
     seed: Annotated[int, cappa.Arg(long=True, help="stated only; nothing is random")] = 1,
     as_json: Annotated[bool, cappa.Arg(long="--json")] = False,
 ):
     """Measure the engine, the relay and the daemons in turn."""
-    plan = Plan(rounds, requests, parallel, 2, long_tokens, streams)
+    plan = Plan(rounds, requests, parallel, 2, long_tokens, streams, open_delay_ms)
     daemons = [read_target(text) for text in daemon]
     rows = asyncio.run(_run(engine, vm_list, read_target(relay), daemons, plan))
     print_report("relay_cost", seed, rows, as_json)
