--- a/medlarbeam/bench/tests/test_benches.py
+++ b/medlarbeam/bench/tests/test_benches.py
@@ -8,7 +8,7 @@
 import pytest
 
 import medlarbeam
-from medlarbeam.bench import catalog_cost, chart_cost, control_cost, request_cost
+from medlarbeam.bench import catalog_cost, chart_cost, control_cost, record_cost, request_cost
 from medlarbeam.bench.relay_cost import RelayRow
 
 SEED = 7
@@ -47,6 +47,12 @@
     assert all(r.start_us > 0 and r.chunk_us > 0 and r.end_us > 0 for r in rows)
 
 
+def check_records():
+    rows = [record_cost.measure(SEED, n) for n in (1, 4)]
+    assert rows[1].vm_bytes > 3 * rows[0].vm_bytes
+    assert all(r.frame_bytes > 500 and r.known_bytes > 0 and r.adopt_us > 0 for r in rows)
+
+
 def check_chart():
     row = chart_cost.measure(100, 3)
     assert (row.chart, row.rounds) == ("ownership", 3) and row.fire_us > 0
@@ -66,6 +72,7 @@
         pytest.param(check_real_peers, id="a-heartbeat-peer-says-other-than-a-node"),
         pytest.param(check_catalog, id="a-figure-of-the-catalogue-is-missing"),
         pytest.param(check_request, id="a-role-does-not-run-its-requests"),
+        pytest.param(check_records, id="a-vm-list-does-not-grow-with-the-cells"),
         pytest.param(check_chart, id="the-chart-cycle-is-not-declared"),
         pytest.param(check_ratios, id="a-ratio-is-taken-the-wrong-way-round"),
     ],
