--- a/medlarbeam/bench/report.py
+++ b/medlarbeam/bench/report.py
@@ -7,11 +7,10 @@
 
 import orjson
 
-__all__ = ["Stopwatch", "print_report", "read_cpu_s", "read_rss_bytes"]
+__all__ = ["Stopwatch", "print_report", "read_rss_bytes"]
 
 _LIBRARIES = ("medlarbeam", "aiohttp", "orjson", "pycapnp", "xxhash")
 _PAGE_BYTES = 4096
-_TICKS_PER_S = 100  # USER_HZ of Linux
 
 
 class Stopwatch:
@@ -50,13 +49,6 @@
         return int(file.read().split()[1]) * _PAGE_BYTES
 
 
-def read_cpu_s(pid):
-    """Return the processor time that a process has used (s, in steps of 0.01)."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-
-
 def print_report(name, seed, rows, as_json):
     """Print the rows of a benchmark with its seed and the versions that it ran with.
 
