Add failure cases with real processes

The harness lacked the note id of release notes, the status document and medlarctl. Its connections are not kept, because a kept connection to a restarted process fails the next request.

--- a/medlarbeam/tests/process_cluster.py
+++ b/medlarbeam/tests/process_cluster.py
@@ -8,13 +8,13 @@
 from secrets import token_hex
 
 import orjson
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from medlarbeam.classes.record import Record
 from medlarbeam.standins.free_ports import find_free_addresses
 from medlarbeam.standins.vm_list import describe_backend, describe_entry
 
-__all__ = ["HttpAnswer", "Placement", "ProcessCluster"]
+__all__ = ["HttpAnswer", "Placement", "ProcessCluster", "describe_note"]
 
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 30.0
@@ -54,6 +54,16 @@
         self.fencing = fencing
 
 
+def describe_note(models, **fields):
+    """Return the document of a release note that adds `models`."""
+    entries = []
+    for model in models:
+        adapter, _, version = model.partition("@")
+        source = f"lora/{adapter}/{version}"
+        entries.append({"action": "add", "adapter": adapter, "version": version, "source": source})
+    return {"entries": entries, **fields}
+
+
 class ManagedProcess:
     """A child process; `arguments` start it again at the same address."""
 
@@ -114,7 +124,9 @@
         self.session = None
 
     async def __aenter__(self):
-        self.session = ClientSession(timeout=ClientTimeout(total=60))
+        self.session = ClientSession(
+            timeout=ClientTimeout(total=60), connector=TCPConnector(force_close=True)
+        )
         return self
 
     async def __aexit__(self, *details):
@@ -269,10 +281,37 @@
         document = {"model": model, "prompt": prompt, **fields}
         return await self.post(node, "/v1/completions", document)
 
-    async def apply_note(self, node, entries):
-        """Apply a release note with a list of entry documents."""
-        headers = {"Authorization": f"Bearer {self.operator_secret}", "X-Operator": "test"}
-        return await self.post(node, "/admin/v1/notes", {"entries": entries}, headers)
+    async def add_models(self, node, models):
+        """Add models to the catalogue by a release note."""
+        headers = {**self._operator_headers(), "X-Note-Id": f"note-{token_hex(8)}"}
+        return await self.post(node, "/admin/v1/notes", describe_note(models), headers)
+
+    async def ask_operator(self, node, path, method="GET"):
+        """Return the document that answers an operator's question or order."""
+        answer = await self.request(
+            method, node, f"/admin/v1/{path}", None, self._operator_headers()
+        )
+        assert answer.status == 200, answer.body
+        return answer.json()
+
+    def _operator_headers(self):
+        return {"Authorization": f"Bearer {self.operator_secret}", "X-Operator": "test"}
+
+    async def find_views(self, node):
+        """Return what `node` tells of each backend server, by name."""
+        status = await self.ask_operator(node, "status")
+        return {view["name"]: view for view in status["servers"]}
+
+    async def run_ctl(self, *arguments):
+        """Run ``medlarctl`` with `arguments`; return its exit status."""
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", "from medlarbeam.cli.main import main; main()", *arguments),
+            stdin=DEVNULL,
+            stdout=DEVNULL,
+            stderr=DEVNULL,
+            env=self.environment,
+        )
+        return await asyncio.wait_for(process.wait(), 2 * START_LIMIT_S)
 
     async def charge(self, node, reference, key, service="ledger", amount_cents=500):
         """Send a charge that must not be repeated."""
--- /dev/null
+++ b/medlarbeam/tests/test_process_failures.py
@@ -0,0 +1,335 @@
+"""Failures of the whole system as processes: signals, lost answers and outages."""
+
+import asyncio
+from itertools import count
+
+import orjson
+import pytest
+from aiohttp import ClientError
+
+from medlarbeam.tests.answer_stream import AnswerStream
+from medlarbeam.tests.process_cluster import Placement, ProcessCluster, describe_note
+
+LENGTH = 60  # tokens of an answer
+MODELS = [f"{name}@1" for name in "abcdef"]
+# Short intervals, so that pledges expire soon. The pledge leaves room for a busy machine.
+INTERVALS = {
+    "--ping-interval-s": 0.2,
+    "--pledge-s": 1.0,
+    "--margin-s": 0.25,
+    "--report-lag-s": 0.2,
+    "--poll-interval-s": 0.2,
+    "--vm-list-interval-s": 0.3,
+    "--confirm-limit-s": 2.0,
+    "--catalog-shards": 4,
+    "--log-level": "debug",
+}
+DAEMON_OPTIONS = [str(part) for pair in INTERVALS.items() for part in pair]
+ENGINE_OPTIONS = ["--answer-length", str(LENGTH), "--crash-word", "boom"]
+SLOW_MS = 40  # a token; a stream then takes 2.4 s
+FAST_MS = 1
+PROMPTS = count()
+
+
+def stream(cluster, node, model=MODELS[0]):
+    """Begin a stream whose prompt, and so its answer, differs from all others."""
+    return AnswerStream(cluster, node, model, f"prompt {next(PROMPTS)}", LENGTH)
+
+
+async def set_pace(cluster, token_delay_ms):
+    for engine in cluster.placement.engines:
+        await cluster.set_faults(engine, token_delay_ms=token_delay_ms)
+
+
+async def find_owner(cluster, server, asked="n3"):
+    return (await cluster.find_views(asked))[server]["target"]
+
+
+async def wait_owner(cluster, server, asked, owners):
+    async def probe():
+        return await find_owner(cluster, server, asked) in owners
+
+    await cluster.wait_until(probe, f"{server} owned by one of {owners}, as {asked} sees it")
+
+
+async def wait_age(cluster, node, age_s):
+    """Wait until the catalogue of `node` is unconfirmed for longer than all pledges last."""
+
+    async def probe():
+        return (await cluster.ask_operator(node, "status"))["confirm_age_s"] > age_s
+
+    await cluster.wait_until(probe, f"{node} unconfirmed for {age_s} s")
+
+
+async def read_unloads(cluster, engine="e1"):
+    entries = (await cluster.journal(engine))["entries"]
+    return sum(entry["kind"] == "unload" for entry in entries)
+
+
+async def check_engines(cluster):
+    """Check that no engine saw an adapter unloaded under a run, or a run cut."""
+    for engine in cluster.placement.engines:
+        journal = await cluster.journal(engine)
+        assert (journal["violations"], journal["cut_runs"]) == (0, 0), journal
+
+
+async def serve_all(cluster, node, models):
+    for model in models:
+        await stream(cluster, node, model).check_whole()
+
+
+def read_error(answer):
+    error = answer.json()["error"]
+    return error["kind"], error["run_state"]
+
+
+async def check_killed_owner(cluster):
+    await set_pace(cluster, SLOW_MS)
+    first = stream(cluster, "n3")
+    await first.wait_begun()
+    owner = await find_owner(cluster, first.server)
+    other = "n2" if owner == "n1" else "n1"
+    cut = stream(cluster, owner)
+    whole = [first, stream(cluster, "n3"), stream(cluster, other), stream(cluster, other)]
+    for answer in [cut, *whole]:
+        await answer.wait_begun()
+    await cluster.kill(owner)
+    await cut.check_cut()
+    for answer in whole:
+        await answer.check_whole()
+    await check_engines(cluster)
+
+
+async def check_frozen_owner(cluster):
+    await serve_all(cluster, "n1", MODELS[:1])
+    owner = await find_owner(cluster, "e1", "n1")
+    other = "n2" if owner == "n1" else "n1"
+    cluster.pause(owner)
+    # These wait at the frozen owner and, when it wakes, need the slots that others use by then.
+    late = [stream(cluster, owner, model) for model in MODELS[2:4]]
+    await wait_owner(cluster, "e1", other, [other])
+    await set_pace(cluster, SLOW_MS)
+    running = [stream(cluster, other, model) for model in MODELS[:2]]
+    for answer in running:
+        await answer.wait_begun()
+    cluster.resume(owner)
+    for answer in [*running, *late]:
+        await answer.check_whole()
+    assert await read_unloads(cluster) > 0
+    await check_engines(cluster)
+
+
+async def check_platform_down(cluster):
+    await serve_all(cluster, "n1", MODELS[:1])
+    assert (await cluster.charge("n1", "r", "before")).status == 200
+    await cluster.set_faults("kv", down=True)
+    for node in cluster.placement.nodes:
+        await wait_age(cluster, node, 4.0)
+    before = await read_unloads(cluster)
+    ordered = asyncio.ensure_future(cluster.add_models("n2", ["new@1"]))
+    for node in cluster.placement.nodes:
+        await serve_all(cluster, node, MODELS[:2])
+        refused = await cluster.charge(node, "r", f"during-{node}")
+        assert read_error(refused) == ("claim_unavailable", "not_run")
+    assert await read_unloads(cluster) >= before + 5
+    assert read_error(await ordered) == ("platform_unavailable", "not_run")
+    assert (await cluster.journal("ledger1"))["count"] == 1
+    await cluster.set_faults("kv", down=False)
+
+    async def apply_again():
+        return (await cluster.add_models("n2", ["later@1"])).status == 200
+
+    await cluster.wait_until(apply_again, "a release note after the outage")
+    for node in cluster.placement.nodes:
+        await cluster.wait_ready(node, 2)
+        await serve_all(cluster, node, ["later@1", MODELS[0]])
+
+        async def charge_again(node=node):
+            return (await cluster.charge(node, "r", f"during-{node}")).status == 200
+
+        await cluster.wait_until(charge_again, f"a charge through {node} after the outage")
+    assert (await cluster.journal("ledger1"))["count"] == 4
+    await check_engines(cluster)
+
+
+async def check_racing_notes(cluster):
+    await cluster.set_faults("kv", slow_ms=60)
+    for revision, lost in enumerate((1, 4, 9), start=1):
+        await cluster.set_faults("kv", lose_answers=lost)
+        orders = []
+        for operator, node in (("ann", "n1"), ("ben", "n3")):
+            note = describe_note([f"{operator}-{revision}@1"], base_revision=revision)
+            path = cluster.directory / f"{operator}-{revision}.json"
+            path.write_bytes(orjson.dumps(note))
+            options = ["--node", cluster.addresses[node], "--operator", operator]
+            orders.append(cluster.run_ctl("apply", str(path), *options))
+        assert sorted(await asyncio.gather(*orders)) == [0, 3]
+        for node in cluster.placement.nodes:
+            await cluster.wait_ready(node, revision + 1)
+
+    async def read_outcomes():
+        lines = (await cluster.ask_operator("n2", "audit"))["audit"]
+        outcomes = [line["outcome"] for line in lines if line["operator"] in ("ann", "ben")]
+        return outcomes if len(outcomes) >= 6 else None
+
+    outcomes = await cluster.wait_until(read_outcomes, "both operators in the audit trail")
+    kinds = sorted(outcome.partition(":")[0] for outcome in outcomes)
+    assert kinds == ["accepted"] * 3 + ["note_conflict"] * 3
+    revisions = [(await cluster.ask_operator(n, "status"))["revision"] for n in ("n1", "n2", "n3")]
+    assert revisions == [4, 4, 4]
+
+
+async def check_crashing_request(cluster):
+    died = 0
+    await set_pace(cluster, 10)
+    bystanders = [stream(cluster, node) for node in cluster.placement.nodes]
+    for bystander in bystanders:
+        await bystander.wait_begun()
+    kinds = []
+    for node in ("n1", "n2", "n3", "n1"):
+        answer = await cluster.complete(node, MODELS[0], "boom")
+        kinds.append(read_error(answer)[0])
+        for engine in cluster.placement.engines:
+            if cluster.processes[engine].process.returncode is not None:
+                died += 1
+                await cluster.restart(engine)
+        for bystander in bystanders:
+            await bystander.check_whole()
+        bystanders = [stream(cluster, other) for other in cluster.placement.nodes]
+    for bystander in bystanders:
+        await bystander.check_whole()
+    assert 1 <= died <= 2, kinds
+    assert kinds[died:] == ["crash_suspect"] * (4 - died), kinds
+
+
+async def check_cut_charge(cluster):
+    await cluster.set_faults("ledger1", cut_answers=1)
+    first = await cluster.charge("n1", "r", "key")
+    assert read_error(first)[1] == "may_have_run"
+    for node in ("n3", "n2", "n1"):
+        repeat = await cluster.charge(node, "r", "key")
+        assert read_error(repeat)[1] == "may_have_run"
+    assert read_error(await cluster.charge("n3", "other", "key")) == ("key_reused", "not_run")
+    charges = (await cluster.journal("ledger1"))["charges"]
+    assert [charge["reference"] for charge in charges] == ["r"]
+    assert (await cluster.charge("n3", "r2", "key-2")).status == 200
+
+
+async def check_sigterm(cluster):
+    await set_pace(cluster, SLOW_MS)
+    first = stream(cluster, "n3")
+    await first.wait_begun()
+    owner = await find_owner(cluster, first.server)
+    rest = [n for n in cluster.placement.nodes if n != owner]
+    streams = [first, *(stream(cluster, n) for n in [owner, owner, *rest])]
+    for answer in streams:
+        await answer.wait_begun()
+    ending = asyncio.ensure_future(cluster.terminate(owner))
+
+    async def refuses():
+        try:
+            return (await cluster.get(owner, "/readyz")).status == 503
+        except ClientError:
+            return True
+
+    await cluster.wait_until(refuses, f"{owner} not ready")
+    refused = stream(cluster, owner)
+    await refused.task
+    assert refused.broken or refused.error["run_state"] == "not_run"
+    assert not refused.pieces
+    streams += [stream(cluster, node) for node in rest]
+    for answer in streams:
+        await answer.check_whole()
+    assert await ending == 0
+    for engine in cluster.placement.engines:
+        await wait_owner(cluster, engine, "n3", [n for n in rest if n != "n3"])
+    await check_engines(cluster)
+
+
+async def check_leaving(cluster, drained):
+    await set_pace(cluster, SLOW_MS)
+    running = [stream(cluster, node) for node in cluster.placement.nodes]
+    for answer in running:
+        await answer.wait_begun()
+    engine = running[0].server
+    if drained:
+        assert await cluster.run_ctl("drain", engine, "--node", cluster.addresses["n2"]) == 0
+    else:
+        await cluster.publish_vms(leaving=[engine])
+    for node in cluster.placement.nodes:
+
+        async def knows(node=node):
+            view = (await cluster.find_views(node))[engine]
+            return view["drained"] if drained else not view["live"]
+
+        await cluster.wait_until(knows, f"{node} knows that {engine} leaves")
+    seen = (await cluster.journal(engine))["entries"][-1]["number"]
+    later = [stream(cluster, n, m) for n in cluster.placement.nodes for m in MODELS[:3]]
+    for answer in [*running, *later]:
+        await answer.check_whole()
+    entries = (await cluster.get(engine, f"/debug/journal?after={seen}")).json()["entries"]
+    assert not [entry for entry in entries if entry["kind"] == "run_start"]
+    await check_engines(cluster)
+
+
+async def check_drained(cluster):
+    await check_leaving(cluster, True)
+
+
+async def check_listed_as_leaving(cluster):
+    await check_leaving(cluster, False)
+
+
+async def check_restart_in_outage(cluster):
+    await serve_all(cluster, "n3", MODELS[:1])
+    owner = await find_owner(cluster, "e1")
+    await cluster.set_faults("kv", down=True)
+    for node in ("n3", owner):
+        await cluster.kill(node)
+        await cluster.restart(node)
+        await cluster.wait_ready(node, 1)
+        await serve_all(cluster, node, MODELS[:1])
+    await cluster.set_faults("kv", down=False)
+    for node in cluster.placement.nodes:
+        await serve_all(cluster, node, MODELS[:3])
+    await check_engines(cluster)
+
+
+NODES = {"n1": "fd1", "n2": "fd1", "n3": "fd2"}
+ONE = {"e1": "fd1"}
+TWO = {"e1": "fd1", "e2": "fd1"}
+THREE = {**TWO, "e3": "fd2"}
+LEDGER = {"ledger1": "fd1"}
+CASES = [
+    ("stream-loses-or-repeats-text-when-the-owner-is-killed", check_killed_owner, TWO, 2, {}),
+    ("woken-owner-unloads-adapters-in-use", check_frozen_owner, ONE, 2, {}),
+    ("outage-of-the-key-value-service-stops-serving", check_platform_down, ONE, 1, LEDGER),
+    ("two-racing-notes-are-both-accepted-or-both-refused", check_racing_notes, ONE, 2, {}),
+    ("crashing-request-takes-down-engine-after-engine", check_crashing_request, THREE, 2, {}),
+    ("charge-with-a-cut-answer-is-repeated", check_cut_charge, {}, 2, LEDGER),
+    ("sigterm-cuts-streams-or-leaves-engines-without-owner", check_sigterm, TWO, 2, {}),
+    ("engine-that-the-vm-list-calls-leaving-gets-runs", check_listed_as_leaving, TWO, 4, {}),
+    ("drained-engine-gets-runs", check_drained, TWO, 4, {}),
+    ("node-restarted-in-an-outage-does-not-serve", check_restart_in_outage, ONE, 2, {}),
+]
+
+
+@pytest.mark.parametrize(
+    ("scenario", "engines", "slots", "services"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
+)
+def test_failure_of_processes(scenario, engines, slots, services, tmp_path):
+    async def run():
+        place = Placement(NODES, engines, services, slots, fencing=False)
+        async with ProcessCluster(tmp_path, place, ENGINE_OPTIONS, DAEMON_OPTIONS) as cluster:
+            await cluster.start_all()
+            answer = await cluster.add_models("n1", MODELS)
+            assert answer.status == 200, answer.body
+            for node in NODES:
+                await cluster.wait_ready(node, 1)
+            try:
+                await scenario(cluster)
+            except (AssertionError, TimeoutError):
+                print(cluster.read_logs(40))
+                raise
+
+    asyncio.run(run())
