Try a staged write of a note again when its answer is lost

A lost answer to the write of a shard or of the note itself refused the note with platform_unavailable, though the key-value service was up: the race of two notes with 1, 4 and 9 lost answers ended with the exit codes 0 and 4 in place of 0 and 3. The keys belong to the note, so a repeat does no harm; the limit of 12 s stays. After the change the race ended with 0 and 3.

--- a/medlarbeam/node/notes.py
+++ b/medlarbeam/node/notes.py
@@ -153,8 +153,10 @@
             self._fire(change, "shards_read", now, out)
 
     def _take_staged_write(self, change, result, now, out):
-        if result.outcome in (KvOutcome.UNAVAILABLE, KvOutcome.UNKNOWN):
+        if result.outcome is KvOutcome.UNAVAILABLE:
             self._fail_platform(change, now, out)
+        elif result.outcome is KvOutcome.UNKNOWN:
+            self._fire(change, "answer_lost", now, out)
         elif result.call.op.key.startswith("catalog/shard/"):
             self._fire(change, "shard_written", now, out)
         else:
@@ -207,9 +209,13 @@
         if not change.unwritten:
             self._fire(change, "shards_written", now, out)
             return
-        shard = change.unwritten.pop()
+        shard = change.unwritten[-1]
         self._call(change, KvPut(shard.key, CATALOG_SHARD.encode(shard), 0), now, out)
 
+    def drop_written_shard(self, change, now, out):
+        """Note that the shard value written last is on the platform."""
+        change.unwritten.pop()
+
     def write_note(self, change, now, out):
         """Write the note itself, for operators to read."""
         key = f"catalog/note/{change.note.note_id}"
