Route to a member that runs in place of an owner that is gone

When an owner restarted while the key-value service was down, the other member of its cell ran by fallback, but nodes of other cells and the restarted node itself found no live backend server until the service was back (no_server after 30 s). A pong lists the backend servers that its sender manages, so requests now go to that member; it still checks its right to run.

--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -91,8 +91,10 @@
         for record in self.book.records.values():
             for server in record.servers:
                 owner = record.owners.get(server.name, "")
-                summary = own.get(server.name) or self._find_summary(owner, server.name)
-                views.append(self._make_view(server, owner, summary, now))
+                target = self._find_target(server.name, owner, now)
+                source = target or owner
+                summary = own.get(server.name) or self._find_summary(source, server.name)
+                views.append(self._make_view(server, target, summary))
         return views
 
     def _find_summary(self, owner, server):
@@ -100,9 +102,8 @@
         summaries = newest.pong.summaries if newest is not None else ()
         return next((s for s in summaries if s.server == server), None)
 
-    def _make_view(self, server, owner, summary, now):
+    def _make_view(self, server, target, summary):
         live = server.name not in self.vms.leaving and not self.vms.is_gone(server.name)
-        target = self._find_target(server.name, owner, now)
         if summary is None:
             return ServerView(server, target, live)
         return ServerView(
@@ -119,7 +120,19 @@
         away = member is None or owner == self.node.settings.name
         if not away and self.is_reachable(owner) and not self.pledges.is_replaced(member):
             return owner
-        return self.node.settings.name if self.may_run(server, now) is None else ""
+        if self.may_run(server, now) is None:
+            return self.node.settings.name
+        return self._find_stand_in(server)
+
+    def _find_stand_in(self, server):
+        """Return a member whose last pong says that it manages `server` for its owner, or ""."""
+        for member in self.book.find_record(server).members:
+            node = member.node
+            if node == self.node.settings.name or not self.is_reachable(node):
+                continue
+            if not self.pledges.is_replaced(member) and self._find_summary(node, server):
+                return node
+        return ""
 
     def may_run(self, server, now):
         """Return None if this node may start a run on `server` (a name), else a `Failure`."""
