Wait for a report when an engine holds the ordered adapter already

A backend server that changed its owner while a load was in flight answered the new owner's order with HTTP 400 (already loaded). The adapter now stays in the state 'held' until a report tells whether it is resident.

--- a/medlarbeam/classes/messages.py
+++ b/medlarbeam/classes/messages.py
@@ -120,14 +120,20 @@
 
 
 class LoadResult(Record):
-    """Outcome of `LoadAdapter`; `failure` is None on success."""
+    """Outcome of `LoadAdapter`; `failure` is None on success.
 
-    __slots__ = ("failure", "model", "server")
+    Notes
+    -----
+    `held` says that the engine refused the order because it holds or loads the adapter already.
+    """
 
-    def __init__(self, server, model, failure=None):
+    __slots__ = ("failure", "held", "model", "server")
+
+    def __init__(self, server, model, failure=None, held=False):
         self.server = server
         self.model = model
         self.failure = failure
+        self.held = held
 
 
 class UnloadResult(Record):
--- a/medlarbeam/daemon/engine_client.py
+++ b/medlarbeam/daemon/engine_client.py
@@ -38,6 +38,8 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 MAX_ANSWER_BYTES = 4 << 20  # same limit as for callers' bodies
 DRAIN_S = 1.0  # time for the end of a stream behind [DONE], so that the connection can be reused
+ORDER_TEXT_BYTES = 500  # of the answer to an order that is quoted in a reason
+ALREADY_LOADED = "has already been loaded"  # vLLM's answer to the load of a loaded adapter
 
 
 class EngineClient(PortService):
@@ -154,7 +156,8 @@
     async def _load(self, effect):
         body = {"lora_name": effect.model, "lora_path": effect.source}
         failure = await self._order(effect, "v1/load_lora_adapter", body, None)
-        self.driver.deliver(LoadResult(effect.server.name, effect.model, failure))
+        held = failure is not None and ALREADY_LOADED in failure.reason
+        self.driver.deliver(LoadResult(effect.server.name, effect.model, failure, held))
 
     async def _unload(self, effect):
         body = {"lora_name": effect.model}
@@ -174,7 +177,8 @@
                     allow_redirects=False,
                     timeout=self._limit(self.settings.order_timeout_s),
                 ) as response:
-                    return explain_order_status(effect, response)
+                    text = await response.content.read(ORDER_TEXT_BYTES)
+                    return explain_order_status(effect, response, text)
         except Exception as error:  # each order has exactly one result
             return explain_error(guard, effect.server, error)
 
@@ -286,11 +290,13 @@
     return None
 
 
-def explain_order_status(effect, response):
-    """Return the `Failure` of an adapter order, None on success."""
+def explain_order_status(effect, response, text):
+    """Return the `Failure` of an adapter order, None on success; `text` is bytes of the answer."""
     if response.status == 200:
         return None
     reason = f"{effect.server.name} answered HTTP {response.status} to the order"
+    if response.status == 400:
+        reason = f"{reason}: {text.decode(errors='replace')}"
     if response.status == 412:
         return Failure(ErrorKind.NOT_OWNER, f"{reason}: fencing number {effect.fencing} is old")
     if isinstance(effect, LoadAdapter):
--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -113,6 +113,9 @@
             adapter.failed_loads = 0
             self.fire(adapter, "loaded", now)
             return False
+        if result.held:
+            self.fire(adapter, "already_held", now)
+            return False
         self.fire(adapter, "load_failed", now)
         adapter.failed_loads += 1
         if adapter.failed_loads < FAILED_LOAD_LIMIT:
