--- a/medlarbeam/tests/answer_stream.py
+++ b/medlarbeam/tests/answer_stream.py
@@ -7,36 +7,15 @@
 
 from medlarbeam.standins.engine_text import answer_tokens
 
-__all__ = ["AnswerStream"]
+__all__ = ["AnswerStream", "begin_all", "check_all"]
 
 
 class AnswerStream:
-    """Reads a stream from its start on.
-
-    Attributes
-    ----------
-    done : bool
-        The stream ended with ``[DONE]``.
-    error : dict or None
-        Document of the error that ended the request.
-    broken : bool
-        The connection broke.
-    models : set of str
-        Models that the pieces name.
-    """
+    """Reads a stream from its start on; `done` means that ``[DONE]`` came."""
 
     __slots__ = (
-        "broken",
-        "cluster",
-        "document",
-        "done",
-        "error",
-        "expected",
-        "models",
-        "node",
-        "pieces",
-        "server",
-        "task",
+        *("broken", "cluster", "document", "done", "error", "expected"),
+        *("models", "node", "pieces", "server", "task"),
     )
 
     def __init__(self, cluster, node, model, prompt, length):
@@ -101,3 +80,13 @@
         text = "".join(self.pieces)
         place = f"through {self.node} at {self.server}, {self.document}"
         return f"{place}: {self.error} {self.broken} {self.done} {text!r}\n{self.expected!r}"
+
+
+async def check_all(streams):
+    for answer in streams:
+        await answer.check_whole()
+
+
+async def begin_all(streams):
+    for answer in streams:
+        await answer.wait_begun()
--- a/medlarbeam/tests/test_process_failures.py
+++ b/medlarbeam/tests/test_process_failures.py
@@ -1,29 +1,23 @@
 """Failures of the whole system as processes: signals, lost answers and outages."""
 
 import asyncio
+from functools import partial
 from itertools import count
 
 import orjson
 import pytest
 from aiohttp import ClientError
 
-from medlarbeam.tests.answer_stream import AnswerStream
+from medlarbeam.tests.answer_stream import AnswerStream, begin_all, check_all
 from medlarbeam.tests.process_cluster import Placement, ProcessCluster, describe_note
 
 LENGTH = 60  # tokens of an answer
 MODELS = [f"{name}@1" for name in "abcdef"]
 # Short intervals, so that pledges expire soon. The pledge leaves room for a busy machine.
-INTERVALS = {
-    "--ping-interval-s": 0.2,
-    "--pledge-s": 1.0,
-    "--margin-s": 0.25,
-    "--report-lag-s": 0.2,
-    "--poll-interval-s": 0.2,
-    "--vm-list-interval-s": 0.3,
-    "--confirm-limit-s": 2.0,
-    "--catalog-shards": 4,
-}
-DAEMON_OPTIONS = [str(part) for pair in INTERVALS.items() for part in pair]
+DAEMON_OPTIONS = (
+    "--ping-interval-s 0.2 --pledge-s 1 --margin-s 0.25 --report-lag-s 0.2 --poll-interval-s 0.2 "
+    "--vm-list-interval-s 0.3 --confirm-limit-s 2 --catalog-shards 4"
+).split()
 ENGINE_OPTIONS = ["--answer-length", str(LENGTH), "--crash-word", "boom"]
 SLOW_MS = 30  # a token; a stream then takes 1.8 s
 FAST_MS = 1
@@ -51,18 +45,18 @@
     await cluster.wait_until(probe, f"{server} owned by one of {owners}, as {asked} sees it")
 
 
-async def wait_age(cluster, node, age_s):
-    """Wait until the catalogue of `node` is unconfirmed for longer than all pledges last."""
+async def wait_age(cluster, age_s):
+    """Wait until every node's catalogue is unconfirmed for longer than all pledges last."""
 
     async def probe():
-        return (await cluster.ask_operator(node, "status"))["confirm_age_s"] > age_s
+        states = [await cluster.ask_operator(node, "status") for node in NODES]
+        return min(state["confirm_age_s"] for state in states) > age_s
 
-    await cluster.wait_until(probe, f"{node} unconfirmed for {age_s} s")
+    await cluster.wait_until(probe, f"all nodes unconfirmed for {age_s} s")
 
 
-async def read_unloads(cluster, engine="e1"):
-    entries = (await cluster.journal(engine))["entries"]
-    return sum(entry["kind"] == "unload" for entry in entries)
+async def read_unloads(cluster):
+    return sum(e["kind"] == "unload" for e in (await cluster.journal("e1"))["entries"])
 
 
 async def check_engines(cluster):
@@ -90,13 +84,10 @@
     other = "n2" if owner == "n1" else "n1"
     cut = stream(cluster, owner)
     whole = [first, stream(cluster, "n3"), stream(cluster, other), stream(cluster, other)]
-    for answer in [cut, *whole]:
-        await answer.wait_begun()
+    await begin_all([cut, *whole])
     await cluster.kill(owner)
     await cut.check_cut()
-    for answer in whole:
-        await answer.check_whole()
-    await check_engines(cluster)
+    await check_all(whole)
 
 
 async def check_frozen_owner(cluster):
@@ -109,28 +100,27 @@
     await wait_owner(cluster, "e1", other, [other])
     await set_pace(cluster, SLOW_MS)
     running = [stream(cluster, other, model) for model in MODELS[:2]]
-    for answer in running:
-        await answer.wait_begun()
+    await begin_all(running)
     cluster.resume(owner)
-    for answer in running:
-        await answer.check_whole()
+    await check_all(running)
     await set_pace(cluster, FAST_MS)
-    for answer in late:
-        await answer.check_whole()
+    await check_all(late)
     assert await read_unloads(cluster) > 0
-    await check_engines(cluster)
+
+
+async def succeeds(call, *arguments):
+    return (await call(*arguments)).status == 200
 
 
 async def check_platform_down(cluster):
     await serve_all(cluster, "n1", MODELS[:1])
     assert (await cluster.charge("n1", "r", "before")).status == 200
     await cluster.set_faults("kv", down=True)
-    for node in cluster.placement.nodes:
-        await wait_age(cluster, node, 2.5)
+    await wait_age(cluster, 2.5)
     before = await read_unloads(cluster)
     ordered = asyncio.ensure_future(cluster.add_models("n2", ["new@1"]))
     charged = asyncio.gather(*(cluster.charge(n, "r", f"during-{n}") for n in NODES))
-    for node in cluster.placement.nodes:
+    for node in NODES:
         await serve_all(cluster, node, MODELS[:2])
     for refused in await charged:
         assert read_error(refused) == ("claim_unavailable", "not_run")
@@ -138,21 +128,14 @@
     assert read_error(await ordered) == ("platform_unavailable", "not_run")
     assert (await cluster.journal("ledger1"))["count"] == 1
     await cluster.set_faults("kv", down=False)
-
-    async def apply_again():
-        return (await cluster.add_models("n2", ["later@1"])).status == 200
-
+    apply_again = partial(succeeds, cluster.add_models, "n2", ["later@1"])
     await cluster.wait_until(apply_again, "a release note after the outage")
-    for node in cluster.placement.nodes:
+    for node in NODES:
         await cluster.wait_ready(node, 2)
         await serve_all(cluster, node, ["later@1", MODELS[0]])
-
-        async def charge_again(node=node):
-            return (await cluster.charge(node, "r", f"during-{node}")).status == 200
-
+        charge_again = partial(succeeds, cluster.charge, node, "r", f"during-{node}")
         await cluster.wait_until(charge_again, f"a charge through {node} after the outage")
     assert (await cluster.journal("ledger1"))["count"] == 4
-    await check_engines(cluster)
 
 
 async def check_racing_notes(cluster):
@@ -167,7 +150,7 @@
             options = ["--node", cluster.addresses[node], "--operator", operator]
             orders.append(cluster.run_ctl("apply", str(path), *options))
         assert sorted(await asyncio.gather(*orders)) == [0, 3]
-        for node in cluster.placement.nodes:
+        for node in NODES:
             await cluster.wait_ready(node, revision + 1)
 
     async def read_outcomes():
@@ -178,40 +161,32 @@
     outcomes = await cluster.wait_until(read_outcomes, "both operators in the audit trail")
     kinds = sorted(outcome.partition(":")[0] for outcome in outcomes)
     assert kinds == ["accepted"] * 2 + ["note_conflict"] * 2
-    revisions = [(await cluster.ask_operator(n, "status"))["revision"] for n in NODES]
-    assert revisions == [3, 3, 3]
+    assert {(await cluster.ask_operator(n, "status"))["revision"] for n in NODES} == {3}
 
 
 async def check_crashing_request(cluster):
     died = 0
     await set_pace(cluster, 10)
-    bystanders = [stream(cluster, node) for node in cluster.placement.nodes]
-    for bystander in bystanders:
-        await bystander.wait_begun()
+    bystanders = [stream(cluster, node) for node in NODES]
+    await begin_all(bystanders)
     kinds = []
     for node in ("n1", "n2", "n3", "n1"):
-        answer = await cluster.complete(node, MODELS[0], "boom")
-        kinds.append(read_error(answer)[0])
+        kinds.append(read_error(await cluster.complete(node, MODELS[0], "boom"))[0])
         for engine in cluster.placement.engines:
             if cluster.processes[engine].process.returncode is not None:
                 died += 1
                 await cluster.restart(engine)
-        for bystander in bystanders:
-            await bystander.check_whole()
-        bystanders = [stream(cluster, other) for other in cluster.placement.nodes]
-    for bystander in bystanders:
-        await bystander.check_whole()
+        await check_all(bystanders)
+        bystanders = [stream(cluster, other) for other in NODES]
+    await check_all(bystanders)
     assert 1 <= died <= 2, kinds
     assert kinds[died:] == ["crash_suspect"] * (4 - died), kinds
 
 
 async def check_cut_charge(cluster):
     await cluster.set_faults("ledger1", cut_answers=1)
-    first = await cluster.charge("n1", "r", "key")
-    assert read_error(first)[1] == "may_have_run"
-    for node in ("n3", "n2", "n1"):
-        repeat = await cluster.charge(node, "r", "key")
-        assert read_error(repeat)[1] == "may_have_run"
+    for node in ("n1", "n3", "n2", "n1"):
+        assert read_error(await cluster.charge(node, "r", "key"))[1] == "may_have_run"
     assert read_error(await cluster.charge("n3", "other", "key")) == ("key_reused", "not_run")
     charges = (await cluster.journal("ledger1"))["charges"]
     assert [charge["reference"] for charge in charges] == ["r"]
@@ -223,10 +198,9 @@
     first = stream(cluster, "n3")
     await first.wait_begun()
     owner = await find_owner(cluster, first.server)
-    rest = [n for n in cluster.placement.nodes if n != owner]
+    rest = [n for n in NODES if n != owner]
     streams = [first, *(stream(cluster, n) for n in [owner, owner, *rest])]
-    for answer in streams:
-        await answer.wait_begun()
+    await begin_all(streams)
     ending = asyncio.ensure_future(cluster.terminate(owner))
 
     async def refuses():
@@ -238,50 +212,39 @@
     await cluster.wait_until(refuses, f"{owner} not ready")
     refused = stream(cluster, owner)
     await refused.task
-    assert refused.broken or refused.error["run_state"] == "not_run"
-    assert not refused.pieces
+    assert not refused.pieces and (refused.broken or refused.error["run_state"] == "not_run")
     streams += [stream(cluster, node) for node in rest]
-    for answer in streams:
-        await answer.check_whole()
+    await check_all(streams)
     assert await ending == 0
     for engine in cluster.placement.engines:
         await wait_owner(cluster, engine, "n3", [n for n in rest if n != "n3"])
-    await check_engines(cluster)
 
 
 async def check_leaving(cluster, drained):
     await set_pace(cluster, SLOW_MS)
-    running = [stream(cluster, node) for node in cluster.placement.nodes]
-    for answer in running:
-        await answer.wait_begun()
+    running = [stream(cluster, node) for node in NODES]
+    await begin_all(running)
     engine = running[0].server
     if drained:
         assert await cluster.run_ctl("drain", engine, "--node", cluster.addresses["n2"]) == 0
     else:
         await cluster.publish_vms(leaving=[engine])
-    for node in cluster.placement.nodes:
 
-        async def knows(node=node):
-            view = (await cluster.find_views(node))[engine]
-            return view["drained"] if drained else not view["live"]
+    async def all_know():
+        views = [(await cluster.find_views(node))[engine] for node in NODES]
+        return all(view["drained"] if drained else not view["live"] for view in views)
 
-        await cluster.wait_until(knows, f"{node} knows that {engine} leaves")
+    await cluster.wait_until(all_know, f"all nodes know that {engine} leaves")
     seen = (await cluster.journal(engine))["entries"][-1]["number"]
-    later = [stream(cluster, n, m) for n in cluster.placement.nodes for m in MODELS[:3]]
+    later = [stream(cluster, n, m) for n in NODES for m in MODELS[:3]]
     await set_pace(cluster, FAST_MS)
-    for answer in [*running, *later]:
-        await answer.check_whole()
+    await check_all([*running, *later])
     entries = (await cluster.get(engine, f"/debug/journal?after={seen}")).json()["entries"]
     assert not [entry for entry in entries if entry["kind"] == "run_start"]
-    await check_engines(cluster)
-
-
-async def check_drained(cluster):
-    await check_leaving(cluster, True)
 
 
-async def check_listed_as_leaving(cluster):
-    await check_leaving(cluster, False)
+check_drained = partial(check_leaving, drained=True)
+check_listed_as_leaving = partial(check_leaving, drained=False)
 
 
 async def check_restart_in_outage(cluster):
@@ -294,9 +257,8 @@
         await cluster.wait_ready(node, 1)
         await serve_all(cluster, node, MODELS[:1])
     await cluster.set_faults("kv", down=False)
-    for node in cluster.placement.nodes:
+    for node in NODES:
         await serve_all(cluster, node, MODELS[:3])
-    await check_engines(cluster)
 
 
 NODES = {"n1": "fd1", "n2": "fd1", "n3": "fd2"}
@@ -330,10 +292,7 @@
             assert answer.status == 200, answer.body
             for node in NODES:
                 await cluster.wait_ready(node, 1)
-            try:
-                await scenario(cluster)
-            except (AssertionError, TimeoutError):
-                print(cluster.read_logs(40))
-                raise
+            await scenario(cluster)
+            await check_engines(cluster)
 
     asyncio.run(run())
