--- a/medlarbeam/daemon/engine_client.py
+++ b/medlarbeam/daemon/engine_client.py
@@ -37,8 +37,9 @@
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 MAX_ANSWER_BYTES = 4 << 20
-MAX_REASON_BYTES = 4096
 DRAIN_S = 1.0  # time for the end of a stream behind [DONE], so that the connection can be reused
+ORDER_TEXT_BYTES = 500  # of the answer to an order that is quoted in a reason
+ALREADY_LOADED = "has already been loaded"  # vLLM's answer to the load of a loaded adapter
 
 
 class EngineClient(PortService):
@@ -155,7 +156,8 @@
     async def _load(self, effect):
         body = {"lora_name": effect.model, "lora_path": effect.source}
         failure = await self._order(effect, "v1/load_lora_adapter", body, None)
-        self.driver.deliver(LoadResult(effect.server.name, effect.model, failure))
+        held = failure is not None and ALREADY_LOADED in failure.reason
+        self.driver.deliver(LoadResult(effect.server.name, effect.model, failure, held))
 
     async def _unload(self, effect):
         body = {"lora_name": effect.model}
@@ -175,11 +177,7 @@
                     allow_redirects=False,
                     timeout=self._limit(self.settings.order_timeout_s),
                 ) as response:
-                    text = (
-                        ""
-                        if response.status == 200
-                        else await read_text(response, MAX_REASON_BYTES)
-                    )
+                    text = await response.content.read(ORDER_TEXT_BYTES)
                     return explain_order_status(effect, response, text)
         except Exception as error:  # each order has exactly one result
             return explain_error(guard, effect.server, error)
@@ -293,12 +291,12 @@
 
 
 def explain_order_status(effect, response, text):
-    """Return the `Failure` of an adapter order, None on success; `text` is the answer's body."""
+    """Return the `Failure` of an adapter order, None on success; `text` is bytes of the answer."""
     if response.status == 200:
         return None
-    if isinstance(effect, LoadAdapter) and response.status == 400 and "already" in text:
-        return None  # the answer to an earlier order was lost
     reason = f"{effect.server.name} answered HTTP {response.status} to the order"
+    if response.status == 400:
+        reason = f"{reason}: {text.decode(errors='replace')}"
     if response.status == 412:
         return Failure(ErrorKind.NOT_OWNER, f"{reason}: fencing number {effect.fencing} is old")
     if isinstance(effect, LoadAdapter):
--- a/medlarbeam/daemon/tests/test_engine_client.py
+++ b/medlarbeam/daemon/tests/test_engine_client.py
@@ -229,8 +229,8 @@
     ("success-told-as-failure", LOAD, reply(200), None),
     ("failed-load-told-as-success", LOAD, reply(500), ErrorKind.LOAD_FAILED),
     ("old-fencing-number", LOAD, reply(412), ErrorKind.NOT_OWNER),
-    ("second-load-after-a-lost-answer", LOAD, reply(400, b"has already been loaded"), None),
-    ("bad-load-told-as-success", LOAD, reply(400, b"no such path"), ErrorKind.LOAD_FAILED),
+    ("loaded-already", LOAD, reply(400, b"has already been loaded"), ErrorKind.LOAD_FAILED),
+    ("bad-load-told-as-held", LOAD, reply(400, b"no such path"), ErrorKind.LOAD_FAILED),
     ("lost-load", LOAD, b"", ErrorKind.SERVER_LOST),
     ("unload-in-time-dropped", 100.0, reply(200), None),
     ("unload-sent-after-its-time", 99.9, None, ErrorKind.SERVER_REFUSED),
@@ -255,6 +255,8 @@
             (message,) = await rig.perform(effect)
             assert (type(message), message.server, message.model) == (result, "b1", MODEL)
             assert (message.failure.kind if message.failure else None) is kind
+            if not_after is LOAD:
+                assert message.held is (b"has already been loaded" in answer)
             assert len(server.requests) == (answer is not None)
             for head, body in server.requests:
                 assert "X-Fencing-Number: 12\r\n" in head
--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -96,8 +96,10 @@
             for server in record.servers:
                 name = server.name
                 owner = record.owners.get(name, "")
-                summary = own.get(name) or summaries.get(owner, {}).get(name)
                 target = owner if owner in away else self._find_own_target(name, now)
+                summary = own.get(name) or summaries.get(owner, {}).get(name)
+                if target not in ("", owner, self.node.settings.name):
+                    summary = self._map_summaries(target).get(name)
                 views.append(self._make_view(server, target, summary))
         return views
 
@@ -127,7 +129,20 @@
         return self.is_reachable(owner) and not self.pledges.is_replaced(member)
 
     def _find_own_target(self, server, now):
-        return self.node.settings.name if self.may_run(server, now) is None else ""
+        """Return this node where it may run on `server`, else a member that stands in for it."""
+        if self.may_run(server, now) is None:
+            return self.node.settings.name
+        return self._find_stand_in(server)
+
+    def _find_stand_in(self, server):
+        """Return a member whose last pong says that it manages `server` for its owner, or ""."""
+        for member in self.book.find_record(server).members:
+            node = member.node
+            if node == self.node.settings.name or not self.is_reachable(node):
+                continue
+            if not self.pledges.is_replaced(member) and server in self._map_summaries(node):
+                return node
+        return ""
 
     def may_run(self, server, now):
         """Return None if this node may start a run on `server` (a name), else a `Failure`."""
