--- /dev/null
+++ b/medlarbeam/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Timed experiments with the node, on fakes of everything around it."""
--- /dev/null
+++ b/medlarbeam/experiment/__main__.py
@@ -0,0 +1,86 @@
+"""Command line of the experiments: ``python -m medlarbeam.experiment``."""
+
+import sys
+from typing import Annotated
+
+from cappa import Arg, command, invoke
+from orjson import dumps
+
+from medlarbeam.exceptions import MedlarbeamError
+from medlarbeam.experiment.policies import POLICIES
+from medlarbeam.experiment.report import render_runs
+from medlarbeam.experiment.runner import run_scenario
+from medlarbeam.experiment.scenario import list_scenarios
+
+__all__ = ["Experiments", "main"]
+
+STATUS_BAD_INPUT = 2
+
+Scenario = Annotated[str, Arg(help="Name of a scenario in the package, or path of a file.")]
+Seed = Annotated[int, Arg(long="--seed", help="Seed of every random choice.")]
+DeploymentName = Annotated[str, Arg(long="--deployment", help="kebun-kira or totara-flame.")]
+Policy = Annotated[
+    str, Arg(long="--policy", help="Policies to exchange for their naive version, by commas.")
+]
+Json = Annotated[bool, Arg(long="--json", help="Print the JSON document.")]
+
+
+@command(name="medlarbeam.experiment")
+class Experiments:
+    """Measure the policies of a node in simulated time."""
+
+    __slots__ = ()
+
+    @command(name="run")
+    def run(
+        self,
+        scenario: Scenario,
+        seed: Seed = 1,
+        policy: Policy = "",
+        deployment: DeploymentName = "kebun-kira",
+        json: Json = False,
+    ):
+        """Run a scenario once."""
+        return _print_runs(scenario, deployment, seed, [_split(policy)], json)
+
+    @command(name="compare")
+    def compare(
+        self,
+        scenario: Scenario,
+        policy: Policy,
+        seed: Seed = 1,
+        deployment: DeploymentName = "kebun-kira",
+        json: Json = False,
+    ):
+        """Run a scenario with the naive and the real version of policies, the same seed."""
+        return _print_runs(scenario, deployment, seed, [_split(policy), []], json)
+
+    @command(name="list")
+    def list(self):
+        """List the scenarios of the package."""
+        print("\n".join(list_scenarios()))
+        return 0
+
+
+def _split(policy):
+    names = [name for name in policy.split(",") if name]
+    return list(POLICIES) if names == ["all"] else names
+
+
+def _print_runs(scenario, deployment, seed, policy_sets, json):
+    try:
+        document = run_scenario(scenario, deployment, seed, policy_sets)
+    except MedlarbeamError as error:
+        print(f"medlarbeam.experiment: {error}", file=sys.stderr)
+        return STATUS_BAD_INPUT
+    print(dumps(document).decode() if json else render_runs(document))
+    return 0
+
+
+def main(argv=None):
+    """Run the command line; ends the process."""
+    sys.exit(invoke(Experiments, argv=argv))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/medlarbeam/experiment/policies.py
@@ -0,0 +1,69 @@
+"""Sets of policies by name."""
+
+from medlarbeam.algorithms.eviction import DecayedUseEviction, NaiveEviction
+from medlarbeam.algorithms.load_budget import UnlimitedLoadBudget
+from medlarbeam.algorithms.rank_queue import FifoQueue
+from medlarbeam.algorithms.retry_budget import TokenRetryBudget
+from medlarbeam.algorithms.routing import NaiveRouting
+from medlarbeam.exceptions import FormatError
+from medlarbeam.node.adapter_loads import AdapterLoads
+from medlarbeam.node.assembly import build_parts
+from medlarbeam.node.dispatcher import Dispatcher
+from medlarbeam.node.intake import Intake
+
+__all__ = ["POLICIES", "build_policy_parts"]
+
+POLICIES = ("routing", "queue", "budget", "eviction")
+
+
+def build_policy_parts(naive):
+    """Return the `NodeParts` of the daemon with the naive version of the named policies.
+
+    Parameters
+    ----------
+    naive : collection of str
+        Among `POLICIES`.
+
+    Raises
+    ------
+    FormatError
+        A name is not known.
+    """
+    for name in naive:
+        if name not in POLICIES:
+            raise FormatError(f"policy {name!r}: expected one of {', '.join(POLICIES)}")
+    parts = build_parts()
+    if "routing" in naive:
+        parts.requests = _build_naive_intake
+    if {"queue", "budget", "eviction"} & set(naive):
+        parts.runs = _Runs(parts.runs, set(naive))
+    return parts
+
+
+def _build_naive_intake(node):
+    return Intake(node, NaiveRouting(), TokenRetryBudget())
+
+
+def _build_fifo(settings):
+    return FifoQueue(settings.queue_limit)
+
+
+def _build_unlimited(settings):
+    return UnlimitedLoadBudget()
+
+
+class _Runs:
+    """Builds the daemon's dispatcher and exchanges some of its policies."""
+
+    __slots__ = ("build", "naive")
+
+    def __init__(self, build, naive):
+        self.build = build
+        self.naive = naive
+
+    def __call__(self, node):
+        real = self.build(node)
+        eviction = NaiveEviction() if "eviction" in self.naive else DecayedUseEviction()
+        make_queue = _build_fifo if "queue" in self.naive else real.make_queue
+        make_budget = _build_unlimited if "budget" in self.naive else real.make_budget
+        return Dispatcher(node, AdapterLoads(node, eviction), make_queue, make_budget)
--- /dev/null
+++ b/medlarbeam/experiment/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the experiments."""
--- a/medlarbeam/node/tests/driver.py
+++ b/medlarbeam/node/tests/driver.py
@@ -32,9 +32,10 @@
 )
 from medlarbeam.classes.platform import KvCall, KvGet, KvList, KvOutcome, KvResult
 from medlarbeam.exceptions import ErrorKind, Failure
+from medlarbeam.experiment.memory_kv import MemoryKv
 from medlarbeam.node.assembly import build_node
 from medlarbeam.node.settings import NodeSettings
-from medlarbeam.node.tests.fakes import LOAD_S, TOKEN_S, FakeKv, FakeRun, FakeServer
+from medlarbeam.node.tests.fakes import LOAD_S, TOKEN_S, FakeRun, FakeServer
 
 DELAY_S = 0.0015
 FAR = float("inf")
@@ -105,7 +106,7 @@
         self.now = 0.0
         self.order = count()
         self.events = []
-        self.kv = FakeKv()
+        self.kv = MemoryKv()
         self.cuts = set()
         self.lose_answers = 0
         self.answers = {}
--- a/medlarbeam/node/tests/fakes.py
+++ b/medlarbeam/node/tests/fakes.py
@@ -9,16 +9,6 @@
     UnloadResult,
 )
 from medlarbeam.classes.peer_messages import ModelCount
-from medlarbeam.classes.platform import (
-    KvDelete,
-    KvEntry,
-    KvGet,
-    KvList,
-    KvOutcome,
-    KvPut,
-    KvResult,
-    KvWatch,
-)
 from medlarbeam.exceptions import ErrorKind, Failure
 
 TOKEN_S = 0.02
@@ -32,44 +22,6 @@
     return [f"{model}:{i} " for i in range(LONG_WORDS if "long" in body else WORDS)]
 
 
-class FakeKv:
-    """Key-value service with compare-and-swap."""
-
-    __slots__ = ("down", "entries", "revision", "writes")
-
-    def __init__(self):
-        self.entries = {}
-        self.revision = 0
-        self.writes = 0
-        self.down = False
-
-    def execute(self, call):
-        """Return the `KvResult` of a call."""
-        op = call.op
-        if isinstance(op, (KvGet, KvWatch)):
-            entry = self.entries.get(op.key)
-            return KvResult(call, KvOutcome.APPLIED, [entry] if entry else [])
-        if isinstance(op, KvList):
-            keys = sorted((k for k in self.entries if k.startswith(op.prefix)), reverse=True)
-            return KvResult(call, KvOutcome.APPLIED, [self.entries[k] for k in keys[: op.limit]])
-        return self._write(call, op)
-
-    def _write(self, call, op):
-        self.writes += 1
-        present = self.entries.get(op.key)
-        revision = present.revision if present else 0
-        if op.expected_revision is not None and op.expected_revision != revision:
-            return KvResult(call, KvOutcome.CONFLICT, [present] if present else [])
-        self.revision += 1
-        if isinstance(op, KvDelete):
-            self.entries.pop(op.key, None)
-            return KvResult(call, KvOutcome.APPLIED, [])
-        assert isinstance(op, KvPut)
-        entry = KvEntry(op.key, op.value, self.revision)
-        self.entries[op.key] = entry
-        return KvResult(call, KvOutcome.APPLIED, [entry])
-
-
 class FakeRun:
     """A run on a fake backend server."""
 
