Keep a node alive when a full queue displaces an attempt

The queue takes the displaced attempt out itself; the event `refused` took it out again and raised ValueError, which ended the node.

--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -110,7 +110,7 @@
                 self._forget(attempt)
                 self._send_end(sender, forward, now, out, failure=displaced.failure)
                 return
-            self._fire(displaced, "refused", now, out)
+            self._fire(displaced, "displaced", now, out)
         self._pump(desk, now, out)
 
     def _check(self, desk, forward, now):
