--- a/medlarbeam/experiment/engine.py
+++ b/medlarbeam/experiment/engine.py
@@ -129,7 +129,8 @@
         self.stepping = True
         batch = list(self.runs.values())
         room = self.spec.prefill_tokens
-        for run in batch:
+        # Engines honour priorities: prompts of a higher rank are read first.
+        for run in sorted(batch, key=lambda r: r.effect.request.rank):
             taken = min(room, run.prefill_left)
             run.prefill_left -= taken
             room -= taken
