--- a/medlarbeam/algorithms/load_budget.py
+++ b/medlarbeam/algorithms/load_budget.py
@@ -4,30 +4,28 @@
 
 __all__ = ["LoadBudget", "SharedLoadBudget", "UnlimitedLoadBudget"]
 
-BURST = 1.0  # loads; nine engines with a burst of one stay below 24 in flight
-
 
 class LoadBudget(ABC):
-    """Says when a backend server may load another adapter."""
+    """Says when a node may load another adapter."""
 
     __slots__ = ()
 
     @abstractmethod
-    def try_take(self, servers, in_flight, now):
+    def try_take(self, share, in_flight, now):
         """Return whether a load may start at `now` (s).
 
         Parameters
         ----------
-        servers : int
-            Number of engines in the deployment that share the weight store.
+        share : float
+            Part of the deployment's engines that this node manages, 0 to 1.
         in_flight : int
-            Loads that this backend server has in flight.
+            Loads that this node has in flight.
         now : float
         """
 
 
 class SharedLoadBudget(LoadBudget):
-    """Equal share of the deployment's budget for one backend server, as a token bucket.
+    """One node's share of the deployment's budget, as a token bucket.
 
     Parameters
     ----------
@@ -35,29 +33,35 @@
         Rate of the whole deployment.
     loads_in_flight : int
         Loads in flight of the whole deployment.
+    burst : float
+        Loads of the whole deployment that may start at once.
 
     Notes
     -----
-    The shares of all backend servers add up to the budget, so the total holds whichever nodes
-    own them and whoever is cut off, without messages.
+    The shares of all nodes add up to the rate, so the total holds whoever is cut off, without
+    messages. One bucket for all engines of a node serves a single busy engine at the rate of
+    all of them. A node keeps one load at least, so 4 nodes may start 4 at once; the store then
+    delays one of them by 1/7 s. A smaller reserve made callers wait longer than that.
     """
 
-    __slots__ = ("loads_in_flight", "loads_per_s", "tokens", "updated_at")
+    __slots__ = ("burst", "loads_in_flight", "loads_per_s", "tokens", "updated_at")
 
-    def __init__(self, loads_per_s, loads_in_flight):
+    def __init__(self, loads_per_s, loads_in_flight, burst=3.0):
         self.loads_per_s = loads_per_s
         self.loads_in_flight = loads_in_flight
-        self.tokens = BURST
-        self.updated_at = None
+        self.burst = burst
+        self.tokens = 0.0
+        self.updated_at = float("-inf")
 
-    def try_take(self, servers, in_flight, now):
+    def try_take(self, share, in_flight, now):
         """Take a token; see `LoadBudget.try_take`."""
-        share = 1.0 / max(servers, 1)
-        if self.updated_at is not None:
-            earned = (now - self.updated_at) * self.loads_per_s * share
-            self.tokens = min(BURST, self.tokens + earned)
+        if share <= 0.0:
+            return False
+        earned = (now - self.updated_at) * self.loads_per_s * share
+        self.tokens = min(max(1.0, self.burst * share), self.tokens + earned)
         self.updated_at = now
-        if in_flight >= max(1, int(self.loads_in_flight * share)) or self.tokens < 1.0:
+        # Sums of small steps may stop just below a whole token.
+        if self.tokens < 1.0 - 1e-9 or in_flight >= max(1, int(self.loads_in_flight * share)):
             return False
         self.tokens -= 1.0
         return True
@@ -68,6 +72,6 @@
 
     __slots__ = ()
 
-    def try_take(self, servers, in_flight, now):
+    def try_take(self, share, in_flight, now):
         """Return True."""
         return True
--- a/medlarbeam/experiment/policies.py
+++ b/medlarbeam/experiment/policies.py
@@ -1,6 +1,6 @@
 """Sets of policies by name."""
 
-from medlarbeam.algorithms.eviction import DecayedUseEviction, NaiveEviction
+from medlarbeam.algorithms.eviction import NaiveEviction
 from medlarbeam.algorithms.load_budget import UnlimitedLoadBudget
 from medlarbeam.algorithms.rank_queue import FifoQueue
 from medlarbeam.algorithms.retry_budget import TokenRetryBudget
@@ -48,10 +48,6 @@
     return FifoQueue(settings.queue_limit)
 
 
-def _build_unlimited(settings):
-    return UnlimitedLoadBudget()
-
-
 class _Runs:
     """Builds the daemon's dispatcher and exchanges some of its policies."""
 
@@ -63,7 +59,7 @@
 
     def __call__(self, node):
         real = self.build(node)
-        eviction = NaiveEviction() if "eviction" in self.naive else DecayedUseEviction()
+        eviction = NaiveEviction() if "eviction" in self.naive else real.loads.eviction
         make_queue = _build_fifo if "queue" in self.naive else real.make_queue
-        make_budget = _build_unlimited if "budget" in self.naive else real.make_budget
-        return Dispatcher(node, AdapterLoads(node, eviction), make_queue, make_budget)
+        budget = UnlimitedLoadBudget() if "budget" in self.naive else real.loads.budget
+        return Dispatcher(node, AdapterLoads(node, eviction, budget), make_queue)
--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -18,13 +18,21 @@
     ----------
     node : Node
     eviction : EvictionPolicy
+    budget : LoadBudget
+
+    Attributes
+    ----------
+    share : float
+        Part of the deployment's engines that this node manages.
     """
 
-    __slots__ = ("chart", "eviction", "node")
+    __slots__ = ("budget", "chart", "eviction", "node", "share")
 
-    def __init__(self, node, eviction):
+    def __init__(self, node, eviction, budget):
         self.node = node
         self.eviction = eviction
+        self.budget = budget
+        self.share = 0.0
         self.chart = load_chart("residency", AdapterLoads)
 
     def is_usable(self, desk, model):
@@ -39,15 +47,8 @@
             adapter.changed_at = now
         return changed
 
-    def order_loads(self, desk, engines, now, out):
-        """Order the loads that waiting attempts need, in the order of their rank.
-
-        Parameters
-        ----------
-        desk : ServerDesk
-        engines : int
-            Number of engines that share the weight store.
-        """
+    def order_loads(self, desk, now, out):
+        """Order the loads that waiting attempts need, in the order of their rank."""
         waiting = {}
         for attempt in desk.queue:
             waiting.setdefault(attempt.model, attempt)
@@ -60,11 +61,14 @@
             attempt.waited_for_load = True
             if not self._make_room(desk, attempt, waiting, now, out):
                 return
-            loading = sum(1 for a in desk.adapters.values() if self.chart.has_tag(a, "loading"))
-            if not desk.budget.try_take(engines, loading, now):
+            if not self.budget.try_take(self.share, self._count_loading(), now):
                 return
             self._load(desk, adapter, now, out)
 
+    def _count_loading(self):
+        desks = self.node.runs.desks.values()
+        return sum(self.chart.has_tag(a, "loading") for d in desks for a in d.adapters.values())
+
     def _find(self, desk, model, now):
         adapter = desk.adapters.get(model)
         if adapter is None:
--- a/medlarbeam/node/assembly.py
+++ b/medlarbeam/node/assembly.py
@@ -29,12 +29,10 @@
     return RankQueue(settings.queue_limit)
 
 
-def _build_budget(settings):
-    return SharedLoadBudget(settings.loads_per_s, settings.loads_in_flight)
-
-
 def _build_dispatcher(node):
-    return Dispatcher(node, AdapterLoads(node, DecayedUseEviction()), _build_queue, _build_budget)
+    settings = node.settings
+    budget = SharedLoadBudget(settings.loads_per_s, settings.loads_in_flight)
+    return Dispatcher(node, AdapterLoads(node, DecayedUseEviction(), budget), _build_queue)
 
 
 def build_parts():
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -34,15 +34,12 @@
     loads : AdapterLoads
     make_queue : callable
         Returns a new `WaitingQueue`.
-    make_budget : callable
-        Returns a new `LoadBudget`.
     """
 
     __slots__ = (
         "attempt_chart",
         "desks",
         "loads",
-        "make_budget",
         "make_queue",
         "next_run",
         "next_scan",
@@ -52,11 +49,10 @@
         "waiting",
     )
 
-    def __init__(self, node, loads, make_queue, make_budget):
+    def __init__(self, node, loads, make_queue):
         super().__init__(node)
         self.loads = loads
         self.make_queue = make_queue
-        self.make_budget = make_budget
         self.attempt_chart = load_chart("attempt", Dispatcher)
         self.server_chart = load_chart("backend_server", Dispatcher)
         self.desks = {}
@@ -294,7 +290,6 @@
                     server,
                     self.server_chart.initial,
                     self.make_queue(settings),
-                    self.make_budget(settings),
                 )
                 self.desks[name] = desk
         return desk
@@ -310,7 +305,7 @@
             if attempt is None:
                 break
             self._start(attempt, now, out)
-        self.loads.order_loads(desk, self.node.ownership.count_engines(), now, out)
+        self.loads.order_loads(desk, now, out)
 
     def _is_ready(self, attempt, now):
         desk = attempt.desk
@@ -461,6 +456,7 @@
         managed = {s.name for s in self.node.ownership.managed(now)}
         for name in managed:
             self._find_desk(name, now)
+        self._update_share(managed)
         for attempt in list(self.waiting.values()):
             self._check_time(attempt, now, out)
         for desk in self.desks.values():
@@ -471,6 +467,10 @@
                 self._refuse_unmanaged(desk, now, out)
             self._pump(desk, now, out)
 
+    def _update_share(self, managed):
+        engines = sum(not self.desks[n].server.service for n in managed)
+        self.loads.share = engines / max(1, self.node.ownership.count_engines(), engines)
+
     def _check_time(self, attempt, now, out):
         if now >= attempt.deadline:
             self._fire(attempt, "deadline", now, out)
--- a/medlarbeam/node/server_desk.py
+++ b/medlarbeam/node/server_desk.py
@@ -88,12 +88,10 @@
     state : str
         State in the chart ``backend_server``.
     queue : WaitingQueue
-    budget : LoadBudget
     """
 
     __slots__ = (
         "adapters",
-        "budget",
         "incarnation",
         "lost",
         "polled_at",
@@ -104,11 +102,10 @@
         "state",
     )
 
-    def __init__(self, server, state, queue, budget):
+    def __init__(self, server, state, queue):
         self.server = server
         self.state = state
         self.queue = queue
-        self.budget = budget
         self.adapters = {}
         self.runs = {}
         self.lost = []
