Give the load budget of a node to its engines in the order of rank

Cause: each engine took from the budget when it was pumped, so an urgent load waited behind yielding loads of other engines of the node.

--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -49,6 +49,7 @@
 
     def order_loads(self, desk, now, out):
         """Order the loads that waiting attempts need, in the order of their rank."""
+        desk.load_wanted = None
         waiting = {}
         for attempt in desk.queue:
             waiting.setdefault(attempt.model, attempt)
@@ -61,13 +62,23 @@
             attempt.waited_for_load = True
             if not self._make_room(desk, attempt, waiting, now, out):
                 return
-            if not self.budget.try_take(self.share, self._count_loading(), now):
+            desk.load_wanted = attempt
+            if not self._is_first(attempt) or not self._take_budget(now):
                 return
+            desk.load_wanted = None
             self._load(desk, adapter, now, out)
 
-    def _count_loading(self):
+    def _is_first(self, attempt):
+        """Return whether no other engine waits for the budget with an earlier claim."""
+        wanted = (d.load_wanted for d in self.node.runs.desks.values())
+        return not any(w is not None and w.precedence() < attempt.precedence() for w in wanted)
+
+    def _take_budget(self, now):
         desks = self.node.runs.desks.values()
-        return sum(self.chart.has_tag(a, "loading") for d in desks for a in d.adapters.values())
+        in_flight = sum(
+            self.chart.has_tag(a, "loading") for d in desks for a in d.adapters.values()
+        )
+        return self.budget.try_take(self.share, in_flight, now)
 
     def _find(self, desk, model, now):
         adapter = desk.adapters.get(model)
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -296,6 +296,7 @@
 
     def _pump(self, desk, now, out):
         """Start the runs and loads that are possible now."""
+        desk.load_wanted = None
         if not len(desk.queue) or not self.server_chart.has_tag(desk, "accepting"):
             return
         if self.node.ownership.may_run(desk.server.name, now) is not None:
--- a/medlarbeam/node/server_desk.py
+++ b/medlarbeam/node/server_desk.py
@@ -58,6 +58,10 @@
         """Model that the attempt runs, "" for a plain service."""
         return self.forward.model
 
+    def precedence(self):
+        """Return the sort key of its claim to a shared resource, the first claim lowest."""
+        return (self.request.rank, self.queued_at, self.run_id)
+
 
 class Adapter:
     """Belief about an adapter on a backend server.
@@ -93,6 +97,7 @@
     __slots__ = (
         "adapters",
         "incarnation",
+        "load_wanted",
         "lost",
         "polled_at",
         "queue",
@@ -110,6 +115,7 @@
         self.runs = {}
         self.lost = []
         self.incarnation = ""
+        self.load_wanted = None  # attempt that waits for the load budget
         self.polled_at = float("-inf")
         self.report = None
 
