Leave part of the load budget to urgent loads

Cause: in a flood each token was taken by a yielding load at once, so an urgent request waited for the next one: up to 1.3 s on the node with one engine. Ordinary and yielding loads now leave a quarter and half of a token, which the node saves on top of one.

--- a/medlarbeam/algorithms/load_budget.py
+++ b/medlarbeam/algorithms/load_budget.py
@@ -2,12 +2,17 @@
 
 from abc import ABC, abstractmethod
 
+from medlarbeam.classes.requests import Rank
+
 __all__ = ["LoadBudget", "SharedLoadBudget", "UnlimitedLoadBudget"]
 
 # Part of the rate that is used: without a margin the delays of orders let starts catch up with each
 # other at the store.
 RATE_SHARE = 0.97
 
+# Tokens that must be there for a load of each rank; what a lower rank leaves is for urgent loads.
+NEEDED = {Rank.URGENT: 1.0, Rank.ORDINARY: 1.25, Rank.YIELDING: 1.5}
+
 
 class LoadBudget(ABC):
     """Says when a node may load another adapter."""
@@ -15,7 +20,7 @@
     __slots__ = ()
 
     @abstractmethod
-    def try_take(self, share, in_flight, now):
+    def try_take(self, share, in_flight, rank, now):
         """Return whether a load may start at `now` (s).
 
         Parameters
@@ -24,11 +29,13 @@
             Part of the deployment's engines that this node manages, 0 to 1.
         in_flight : int
             Loads that this node has in flight.
+        rank : Rank
+            Rank of the request that waits for the load.
         now : float
         """
 
     @abstractmethod
-    def find_wait(self, share):
+    def find_wait(self, share, rank):
         """Return the seconds from the last call of `try_take` until it may succeed."""
 
 
@@ -61,24 +68,26 @@
         self.tokens = 0.0
         self.updated_at = float("-inf")
 
-    def try_take(self, share, in_flight, now):
+    def try_take(self, share, in_flight, rank, now):
         """Take a token; see `LoadBudget.try_take`."""
         if share <= 0.0:
             return False
         earned = (now - self.updated_at) * self.loads_per_s * RATE_SHARE * share
-        self.tokens = min(max(1.0, self.burst * share), self.tokens + earned)
+        self.tokens = min(max(NEEDED[Rank.YIELDING], self.burst * share), self.tokens + earned)
         self.updated_at = now
         # Sums of small steps may stop just below a whole token.
-        if self.tokens < 1.0 - 1e-9 or in_flight >= max(1, int(self.loads_in_flight * share)):
+        if self.tokens < NEEDED[rank] - 1e-9 or in_flight >= max(
+            1, int(self.loads_in_flight * share)
+        ):
             return False
         self.tokens -= 1.0
         return True
 
-    def find_wait(self, share):
+    def find_wait(self, share, rank):
         """Return the seconds until a token is there; see `LoadBudget.find_wait`."""
         if share <= 0.0:
             return float("inf")
-        return max(0.0, 1.0 - self.tokens) / (self.loads_per_s * RATE_SHARE * share)
+        return max(0.0, NEEDED[rank] - self.tokens) / (self.loads_per_s * RATE_SHARE * share)
 
 
 class UnlimitedLoadBudget(LoadBudget):
@@ -86,10 +95,10 @@
 
     __slots__ = ()
 
-    def try_take(self, share, in_flight, now):
+    def try_take(self, share, in_flight, rank, now):
         """Return True."""
         return True
 
-    def find_wait(self, share):
+    def find_wait(self, share, rank):
         """Return 0."""
         return 0.0
--- a/medlarbeam/algorithms/tests/test_policies.py
+++ b/medlarbeam/algorithms/tests/test_policies.py
@@ -146,7 +146,9 @@
 @pytest.mark.parametrize(("make", "kept"), [b[1:] for b in BUDGETS], ids=[b[0] for b in BUDGETS])
 def test_loads_a_second(make, kept):
     budgets = [make() for _ in NAMES]
-    taken = sum(b.try_take(1 / 9, 0, step / 10) for step in range(600) for b in budgets)
+    taken = sum(
+        b.try_take(1 / 9, 0, Rank.URGENT, step / 10) for step in range(600) for b in budgets
+    )
     assert (taken <= 7 * 60 + len(NAMES)) == kept
 
 
--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -67,7 +67,7 @@
             if not self._make_room(desk, attempt, waiting, now, out):
                 return
             desk.load_wanted = attempt
-            if not self._is_first(attempt) or not self._take_budget(now):
+            if not self._is_first(attempt) or not self._take_budget(attempt.request.rank, now):
                 return
             desk.load_wanted = None
             self._load(desk, adapter, now, out)
@@ -77,15 +77,15 @@
         wanted = (d.load_wanted for d in self.node.runs.desks.values())
         return not any(w is not None and w.precedence() < attempt.precedence() for w in wanted)
 
-    def _take_budget(self, now):
+    def _take_budget(self, rank, now):
         desks = self.node.runs.desks.values()
         in_flight = sum(
             self.chart.has_tag(a, "loading") for d in desks for a in d.adapters.values()
         )
-        if self.budget.try_take(self.share, in_flight, now):
+        if self.budget.try_take(self.share, in_flight, rank, now):
             return True
         # Without a token to wait for, the end of a load makes the engines try again.
-        wait_s = self.budget.find_wait(self.share)
+        wait_s = self.budget.find_wait(self.share, rank)
         self.retry_at = now + max(wait_s, MIN_WAIT_S) if wait_s > 0.0 else float("inf")
         return False
 
