Let a rank earn its floor while its adapters are not loaded

Cause: a rank earned only while one of its attempts was ready, lost what it had saved beyond one start, and rounding cost one start in twenty.

--- a/medlarbeam/algorithms/rank_queue.py
+++ b/medlarbeam/algorithms/rank_queue.py
@@ -9,6 +9,7 @@
 
 # Share of the starts that a rank keeps while higher ranks have work waiting.
 FLOORS = {Rank.URGENT: 0.0, Rank.ORDINARY: 0.15, Rank.YIELDING: 0.05}
+CREDIT_LIMIT = 2.0  # starts that a rank can save while nothing of it is ready
 # Share of the places that a rank keeps while the queue is full of other ranks.
 RESERVED_PLACES = {Rank.URGENT: 0.25, Rank.ORDINARY: 0.25, Rank.YIELDING: 0.125}
 
@@ -99,18 +100,24 @@
                 found[rank] = attempt
         if not found:
             return None
-        first = min(found)
-        chosen = first
-        for rank in found:
-            if rank != first:
-                self.credit[rank] = min(self.credit[rank] + FLOORS[rank], 1.0)
-                if self.credit[rank] >= 1.0 and chosen == first:
-                    chosen = rank
-        if chosen != first:
-            self.credit[chosen] = 0.0
+        chosen = self._choose_rank(found)
         self.by_rank[chosen].remove(found[chosen])
         return found[chosen]
 
+    def _choose_rank(self, found):
+        """Return the highest rank, or a lower one that has earned a start; count the start."""
+        first = min(found)
+        # A rank whose adapters are not loaded yet earns as well, or it would stay below its floor.
+        for rank in Rank:
+            if rank != first and self.by_rank[rank]:
+                self.credit[rank] = min(self.credit[rank] + FLOORS[rank], CREDIT_LIMIT)
+        # Sums of small steps may stop just below a whole start.
+        earned = [r for r in found if r != first and self.credit[r] >= 1.0 - 1e-9]
+        chosen = min(earned, default=first)
+        if chosen != first:
+            self.credit[chosen] -= 1.0
+        return chosen
+
     def remove(self, attempt):
         """Remove an attempt."""
         self.by_rank[attempt.request.rank].remove(attempt)
