--- a/medlarbeam/algorithms/tests/test_policies.py
+++ b/medlarbeam/algorithms/tests/test_policies.py
@@ -137,6 +137,30 @@
     assert served.count(Rank.YIELDING) == pytest.approx(400 * yielding, rel=0.2)
 
 
+TURNS = [("callers-take-turns", RankQueue, 5), ("naive-serves-the-flooding-caller", FifoQueue, 0)]
+
+
+@pytest.mark.parametrize(("kind", "served"), [t[1:] for t in TURNS], ids=[t[0] for t in TURNS])
+def test_one_caller_does_not_keep_others_waiting(kind, served):
+    queue = kind(100)
+    for caller in ["flooder"] * 50 + ["other"] * 5:
+        attempt = Waiting(make_request())
+        attempt.request.caller = caller
+        queue.push(attempt)
+    callers = [queue.pop(lambda a: True).request.caller for _ in range(11)]
+    assert callers.count("other") == served
+
+
+RESERVES = [("urgent-takes-it", Rank.URGENT, True), ("yielding-leaves-it", Rank.YIELDING, False)]
+
+
+@pytest.mark.parametrize(("rank", "taken"), [r[1:] for r in RESERVES], ids=[r[0] for r in RESERVES])
+def test_last_load_is_kept_for_urgent_work(rank, taken):
+    budget = SharedLoadBudget(7.0, 24)
+    assert budget.try_take(1 / 9, 0, Rank.YIELDING, 0.0)
+    assert budget.try_take(1 / 9, 0, rank, budget.find_wait(1 / 9, Rank.URGENT)) == taken
+
+
 BUDGETS = [
     ("nine-shares-keep-the-store-rate", lambda: SharedLoadBudget(7.0, 24), True),
     ("naive-exceeds-the-store-rate", UnlimitedLoadBudget, False),
