--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -9,6 +9,7 @@
 
 FAILED_LOAD_LIMIT = 2  # loads that fail in succession before the waiting attempts are refused
 FORGET_S = 60.0  # an absent adapter is forgotten, so that the table stays small
+MIN_WAIT_S = 0.001  # rounding must not make a retry fall due at the same instant again
 
 
 class AdapterLoads:
@@ -18,13 +19,24 @@
     ----------
     node : Node
     eviction : EvictionPolicy
+    budget : LoadBudget
+
+    Attributes
+    ----------
+    share : float
+        Part of the deployment's engines that this node manages.
+    retry_at : float
+        Time (s) at which the budget allows the load that it refused.
     """
 
-    __slots__ = ("chart", "eviction", "node")
+    __slots__ = ("budget", "chart", "eviction", "node", "retry_at", "share")
 
-    def __init__(self, node, eviction):
+    def __init__(self, node, eviction, budget):
         self.node = node
         self.eviction = eviction
+        self.budget = budget
+        self.share = 0.0
+        self.retry_at = float("inf")
         self.chart = load_chart("residency", AdapterLoads)
 
     def is_usable(self, desk, model):
@@ -39,15 +51,9 @@
             adapter.changed_at = now
         return changed
 
-    def order_loads(self, desk, engines, now, out):
-        """Order the loads that waiting attempts need, in the order of their rank.
-
-        Parameters
-        ----------
-        desk : ServerDesk
-        engines : int
-            Number of engines that share the weight store.
-        """
+    def order_loads(self, desk, now, out):
+        """Order the loads that waiting attempts need, in the order of their rank."""
+        desk.load_wanted = None
         waiting = {}
         for attempt in desk.queue:
             waiting.setdefault(attempt.model, attempt)
@@ -60,11 +66,29 @@
             attempt.waited_for_load = True
             if not self._make_room(desk, attempt, waiting, now, out):
                 return
-            loading = sum(1 for a in desk.adapters.values() if self.chart.has_tag(a, "loading"))
-            if not desk.budget.try_take(engines, loading, now):
+            desk.load_wanted = attempt
+            if not self._is_first(attempt) or not self._take_budget(attempt.request.rank, now):
                 return
+            desk.load_wanted = None
             self._load(desk, adapter, now, out)
 
+    def _is_first(self, attempt):
+        """Return whether no other engine waits for the budget with an earlier claim."""
+        wanted = (d.load_wanted for d in self.node.runs.desks.values())
+        return not any(w is not None and w.precedence() < attempt.precedence() for w in wanted)
+
+    def _take_budget(self, rank, now):
+        desks = self.node.runs.desks.values()
+        in_flight = sum(
+            self.chart.has_tag(a, "loading") for d in desks for a in d.adapters.values()
+        )
+        if self.budget.try_take(self.share, in_flight, rank, now):
+            return True
+        # Without a token to wait for, the end of a load makes the engines try again.
+        wait_s = self.budget.find_wait(self.share, rank)
+        self.retry_at = now + max(wait_s, MIN_WAIT_S) if wait_s > 0.0 else float("inf")
+        return False
+
     def _find(self, desk, model, now):
         adapter = desk.adapters.get(model)
         if adapter is None:
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -34,15 +34,12 @@
     loads : AdapterLoads
     make_queue : callable
         Returns a new `WaitingQueue`.
-    make_budget : callable
-        Returns a new `LoadBudget`.
     """
 
     __slots__ = (
         "attempt_chart",
         "desks",
         "loads",
-        "make_budget",
         "make_queue",
         "next_run",
         "next_scan",
@@ -52,11 +49,10 @@
         "waiting",
     )
 
-    def __init__(self, node, loads, make_queue, make_budget):
+    def __init__(self, node, loads, make_queue):
         super().__init__(node)
         self.loads = loads
         self.make_queue = make_queue
-        self.make_budget = make_budget
         self.attempt_chart = load_chart("attempt", Dispatcher)
         self.server_chart = load_chart("backend_server", Dispatcher)
         self.desks = {}
@@ -110,7 +106,7 @@
                 self._forget(attempt)
                 self._send_end(sender, forward, now, out, failure=displaced.failure)
                 return
-            self._fire(displaced, "refused", now, out)
+            self._fire(displaced, "displaced", now, out)
         self._pump(desk, now, out)
 
     def _check(self, desk, forward, now):
@@ -294,13 +290,13 @@
                     server,
                     self.server_chart.initial,
                     self.make_queue(settings),
-                    self.make_budget(settings),
                 )
                 self.desks[name] = desk
         return desk
 
     def _pump(self, desk, now, out):
         """Start the runs and loads that are possible now."""
+        desk.load_wanted = None
         if not len(desk.queue) or not self.server_chart.has_tag(desk, "accepting"):
             return
         if self.node.ownership.may_run(desk.server.name, now) is not None:
@@ -310,7 +306,7 @@
             if attempt is None:
                 break
             self._start(attempt, now, out)
-        self.loads.order_loads(desk, self.node.ownership.count_engines(), now, out)
+        self.loads.order_loads(desk, now, out)
 
     def _is_ready(self, attempt, now):
         desk = attempt.desk
@@ -453,16 +449,26 @@
     # Time
 
     def next_deadline(self):
-        """Return the time of the next scan."""
-        return self.next_scan
+        """Return the time of the next scan or load."""
+        return min(self.next_scan, self.loads.retry_at)
 
     def tick(self, now, out):
         """Poll backend servers, enforce deadlines, and start what has become possible."""
+        if now >= self.loads.retry_at:
+            self.loads.retry_at = float("inf")
+            for desk in self.desks.values():
+                if desk.load_wanted is not None:
+                    self._pump(desk, now, out)
+        if now >= self.next_scan:
+            self._scan(now, out)
+
+    def _scan(self, now, out):
         self.next_scan = now + SCAN_INTERVAL_S
         self._forget_old(now)
         managed = {s.name for s in self.node.ownership.managed(now)}
         for name in managed:
             self._find_desk(name, now)
+        self._update_share(managed)
         for attempt in list(self.waiting.values()):
             self._check_time(attempt, now, out)
         for desk in self.desks.values():
@@ -473,6 +479,10 @@
                 self._refuse_unmanaged(desk, now, out)
             self._pump(desk, now, out)
 
+    def _update_share(self, managed):
+        engines = sum(not self.desks[n].server.service for n in managed)
+        self.loads.share = engines / max(1, self.node.ownership.count_engines(), engines)
+
     def _check_time(self, attempt, now, out):
         if now >= attempt.deadline:
             self._fire(attempt, "deadline", now, out)
--- a/medlarbeam/node/server_desk.py
+++ b/medlarbeam/node/server_desk.py
@@ -58,6 +58,10 @@
         """Model that the attempt runs, "" for a plain service."""
         return self.forward.model
 
+    def precedence(self):
+        """Return the sort key of its claim to a shared resource, the first claim lowest."""
+        return (self.request.rank, self.queued_at, self.run_id)
+
 
 class Adapter:
     """Belief about an adapter on a backend server.
@@ -92,13 +96,12 @@
     state : str
         State in the chart ``backend_server``.
     queue : WaitingQueue
-    budget : LoadBudget
     """
 
     __slots__ = (
         "adapters",
-        "budget",
         "incarnation",
+        "load_wanted",
         "lost",
         "polled_at",
         "queue",
@@ -108,15 +111,15 @@
         "state",
     )
 
-    def __init__(self, server, state, queue, budget):
+    def __init__(self, server, state, queue):
         self.server = server
         self.state = state
         self.queue = queue
-        self.budget = budget
         self.adapters = {}
         self.runs = {}
         self.lost = []
         self.incarnation = ""
+        self.load_wanted = None  # attempt that waits for the load budget
         self.polled_at = float("-inf")
         self.report = None
 
