Keep an operator's drain when the VM list takes back its own; share the scripts' process functions

Cause: the VM list's 'no longer leaving' ended the drain of the owner's desk even where an operator had ordered it; the extended test failed for both servers before and passes after.

--- /dev/null
+++ b/bin/processes.sh
@@ -0,0 +1,84 @@
+# Functions for scripts that start stand-ins and daemons on the loopback interface; sourced by them.
+# The script sets `python` beforehand and `succeeded=yes` at its end.
+
+logs=$(mktemp -d)
+names=()            # processes in the order of their start
+declare -A pids addresses
+succeeded=no
+
+launch() {  # launch NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$logs/$name.out" 2>"$logs/$name.err" &
+  pids[$name]=$!
+  names+=("$name")
+}
+
+read_address() {  # waits for the first line of a stand-in, at most 20 s
+  local name=$1 line try
+  # Only builtins read the file: bash lost track of a child once when each turn started a process.
+  for ((try = 0; try < 200; try++)); do
+    if IFS= read -r line <"$logs/$name.out" && [[ $line =~ \"listen\":\"([^\"]*)\" ]]; then
+      addresses[$name]=${BASH_REMATCH[1]}
+      return 0
+    fi
+    kill -0 "${pids[$name]}" 2>/dev/null || break
+    sleep 0.1
+  done
+  echo "$name did not start" >&2
+  return 1
+}
+
+standin() {  # standin NAME MODULE OPTIONS...
+  local name=$1 module=$2
+  shift 2
+  launch "$name" "$python" -m "medlarbeam.standins.$module" --listen 127.0.0.1:0 "$@"
+  read_address "$name"
+}
+
+end_process() {  # end_process NAME: SIGTERM, at most 20 s, then SIGKILL; returns the exit status
+  local name=$1 pid=${pids[$1]} status=0 try
+  unset "pids[$name]"
+  kill -TERM "$pid" 2>/dev/null || true
+  for ((try = 0; try < 200; try++)); do
+    kill -0 "$pid" 2>/dev/null || break
+    sleep 0.1
+  done
+  kill -KILL "$pid" 2>/dev/null || true
+  wait "$pid" 2>/dev/null || status=$?
+  return "$status"
+}
+
+stop_all() {  # the latest first, so that daemons leave while the platform is there
+  local index status failed=0
+  for ((index = ${#names[@]} - 1; index >= 0; index--)); do
+    [ -n "${pids[${names[index]}]:-}" ] || continue
+    status=0
+    end_process "${names[index]}" || status=$?
+    if [ "$status" -ne 0 ]; then
+      echo "${names[index]} ended with status $status" >&2
+      failed=1
+    fi
+  done
+  return "$failed"
+}
+
+make_secrets() {
+  MEDLARBEAM_PEER_SECRET=$("$python" -c 'import secrets; print(secrets.token_hex(16))')
+  MEDLARBEAM_OPERATOR_SECRET=$("$python" -c 'import secrets; print(secrets.token_hex(16))')
+  export MEDLARBEAM_PEER_SECRET MEDLARBEAM_OPERATOR_SECRET
+}
+
+clean_up() {
+  stop_all || true
+  if [ "$succeeded" != yes ]; then
+    for file in "$logs"/*.err; do
+      [ -s "$file" ] || continue
+      echo "--- last lines of $(basename "$file")" >&2
+      tail -n 20 "$file" >&2
+    done
+  fi
+  rm -rf "$logs"
+}
+trap clean_up EXIT
+trap 'exit 130' INT TERM
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -439,6 +439,8 @@
         desk = self._find_desk(server, now)
         if desk is None:
             return
+        # The VM list must not take back what an operator ordered.
+        draining = draining or self.node.catalog.is_drained(server)
         if self.server_chart.fire(desk, "drain" if draining else "undrain"):
             self._refuse_all(desk, now, out)
 
--- a/medlarbeam/node/membership.py
+++ b/medlarbeam/node/membership.py
@@ -331,6 +331,7 @@
 
     def take_vm_list(self, vm_list, now, out):
         """Take a read of the VM list; backend servers that leave get no new work."""
+        self.planner.note_start(now)
         records = self.book.records.values()
         names = {m.node for r in records for m in r.members}
         names |= {s.name for r in records for s in r.servers}
--- a/medlarbeam/node/tests/test_whole_path.py
+++ b/medlarbeam/node/tests/test_whole_path.py
@@ -210,6 +210,13 @@
     world.deliver(world.hosts["n1"], order)
     assert world.run_until(lambda: "op-drain" in world.told, 30.0)
     assert world.told["op-drain"].failure is None
+    world.vms[server].leaving = True
+    world.run(world.now + 5.0)
+    world.vms[server].leaving = False  # the VM list must not take back the operator's order
+    world.run(world.now + 5.0)
+    assert "draining" in {
+        h.node.runs.desks[server].state for h in world.hosts.values() if server in h.node.runs.desks
+    }
     before = len(world.servers[server].started)
     answers = [world.ask(n, make_request(world, n, [m])) for n in world.hosts for m in MODELS]
     world.run(world.now + 15.0)
