--- a/medlarbeam/bench/platform.py
+++ b/medlarbeam/bench/platform.py
@@ -2,24 +2,16 @@
 
 import orjson
 
-from medlarbeam.classes.platform import (
-    KvDelete,
-    KvEntry,
-    KvGet,
-    KvList,
-    KvOutcome,
-    KvPut,
-    KvResult,
-    KvWatch,
-)
+from medlarbeam.classes.platform import KvEntry
 from medlarbeam.node.catalog import HEAD_KEY
 from medlarbeam.readwrite.values import CATALOG_HEAD, CATALOG_SHARD, CELL_RECORD
+from medlarbeam.standins.memory_kv import MemoryKv
 from medlarbeam.standins.vm_list import describe_backend, describe_entry
 
 __all__ = ["BenchPlatform"]
 
 
-class BenchPlatform:
+class BenchPlatform(MemoryKv):
     """Key-value store and VM list that answer at once.
 
     Parameters
@@ -34,11 +26,10 @@
         Answer of the VM list service.
     """
 
-    __slots__ = ("entries", "revision", "vm_document")
+    __slots__ = ("vm_document",)
 
     def __init__(self, records, change):
-        self.entries = {}
-        self.revision = 0
+        super().__init__()
         for record in records:
             self.put(f"cell/{record.cell}", CELL_RECORD.encode(record))
         for shard in change.shards:
@@ -61,22 +52,3 @@
         self.revision += 1
         entry = self.entries[key] = KvEntry(key, value, self.revision)
         return entry
-
-    def execute(self, call):
-        """Return the `KvResult` of a `KvCall`."""
-        op = call.op
-        if isinstance(op, (KvGet, KvWatch)):
-            entry = self.entries.get(op.key)
-            return KvResult(call, KvOutcome.APPLIED, [entry] if entry else [])
-        if isinstance(op, KvList):
-            keys = sorted((k for k in self.entries if k.startswith(op.prefix)), reverse=True)
-            return KvResult(call, KvOutcome.APPLIED, [self.entries[k] for k in keys[: op.limit]])
-        present = self.entries.get(op.key)
-        revision = present.revision if present else 0
-        if op.expected_revision not in (None, revision):
-            return KvResult(call, KvOutcome.CONFLICT, [present] if present else [])
-        if isinstance(op, KvDelete):
-            self.entries.pop(op.key, None)
-            return KvResult(call, KvOutcome.APPLIED, [])
-        assert isinstance(op, KvPut)
-        return KvResult(call, KvOutcome.APPLIED, [self.put(op.key, op.value)])
--- a/medlarbeam/experiment/driver.py
+++ b/medlarbeam/experiment/driver.py
@@ -30,13 +30,13 @@
 from medlarbeam.exceptions import ErrorKind, Failure, MedlarbeamError
 from medlarbeam.experiment.engine import TOKEN, TimedEngine
 from medlarbeam.experiment.measures import Asked, Measures
-from medlarbeam.experiment.memory_kv import MemoryKv
 from medlarbeam.experiment.weight_store import TimedWeightStore
 from medlarbeam.experiment.workload import Workload
 from medlarbeam.node.catalog import HEAD_KEY
 from medlarbeam.node.node import Node
 from medlarbeam.node.settings import NodeSettings
 from medlarbeam.readwrite.values import CATALOG_HEAD, CATALOG_SHARD
+from medlarbeam.standins.memory_kv import MemoryKv
 
 __all__ = ["Experiment"]
 
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -1,9 +1,7 @@
 """Queues and runs on the backend servers that this node manages."""
 
-from itertools import islice
-
 from medlarbeam.charts.loader import load_chart
-from medlarbeam.classes.effects import CancelOnServer, LogEvent, PollServer, RunOnServer, SendPeer
+from medlarbeam.classes.effects import CancelOnServer, LogEvent, PollServer, RunOnServer
 from medlarbeam.classes.messages import (
     EngineChunk,
     EngineEnd,
@@ -13,16 +11,16 @@
     UnloadResult,
     VmList,
 )
-from medlarbeam.classes.peer_messages import Cancel, Chunk, End, Forward
+from medlarbeam.classes.peer_messages import Cancel, Forward
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
 from medlarbeam.node.component import Runs
+from medlarbeam.node.replies import Replies
+from medlarbeam.node.seen_attempts import SeenAttempts, make_attempt_key
 from medlarbeam.node.server_desk import Attempt, ServerDesk
 
 __all__ = ["Dispatcher"]
 
 SCAN_INTERVAL_S = 0.1  # granularity of deadlines and polls
-SEEN_S = 60.0  # beyond the deadline; no message is on its way that long
-SEEN_BATCH = 200  # old attempts looked at in one scan, so that a scan stays short
 WAKE_LIMIT_S = 1.0  # wait for the VM list after a pause; an outage must not stop all work
 STALL_LIMIT_S = 2.0  # wait for a load that cannot be ordered, before another server is tried
 
@@ -45,6 +43,7 @@
         "make_queue",
         "next_run",
         "next_scan",
+        "replies",
         "runs",
         "seen",
         "server_chart",
@@ -61,7 +60,8 @@
         self.desks = {}
         self.runs = {}  # running attempts by run id
         self.waiting = {}  # open attempts by sender, request id and number
-        self.seen = {}  # time until which an attempt is remembered, in the order of arrival
+        self.seen = SeenAttempts()
+        self.replies = Replies(node)
         self.next_run = 0
         self.vms_read_at = float("-inf")
         self.next_scan = 0.0
@@ -86,16 +86,16 @@
 
     def submit(self, sender, forward, now, out):
         """Take an attempt into the queue of its backend server, or refuse it."""
-        key = self._key(sender, forward.request.request_id, forward.attempt)
+        key = make_attempt_key(sender, forward.request.request_id, forward.attempt)
         if key in self.seen:
             return  # repeated on the way, or overtaken by its cancellation
-        self._remember(key, now + forward.remaining_s)
+        self.seen.remember(key, now + forward.remaining_s)
         if sender != self.node.settings.name:
             forward.request.deadline = now + forward.remaining_s
         desk = self._find_desk(forward.server, now)
         failure = self._check(desk, forward, now)
         if failure is not None:
-            self._send_end(sender, forward, now, out, failure=failure)
+            self.replies.send_end(sender, forward, now, out, failure=failure)
             return
         self.next_run += 1
         settings = self.node.settings
@@ -109,7 +109,7 @@
             displaced.failure = Failure(ErrorKind.OVERLOADED, f"queue of {forward.server} is full")
             if displaced is attempt:
                 self._forget(attempt)
-                self._send_end(sender, forward, now, out, failure=displaced.failure)
+                self.replies.send_end(sender, forward, now, out, failure=displaced.failure)
                 return
             self._fire(displaced, "displaced", now, out)
         self._pump(desk, now, out)
@@ -131,28 +131,16 @@
 
     def cancel(self, sender, cancel, now, out):
         """Cancel an attempt of `sender`."""
-        key = self._key(sender, cancel.request_id, cancel.attempt)
-        self._remember(key, now)
+        key = make_attempt_key(sender, cancel.request_id, cancel.attempt)
+        self.seen.remember(key, now)
         attempt = self.waiting.get(key)
         if attempt is not None:
             self._fire(attempt, "cancelled", now, out)
             self._forget(attempt)
             self._pump(attempt.desk, now, out)
 
-    def _remember(self, key, until):
-        # A non-idempotent attempt must not run again because a message arrives twice.
-        self.seen.setdefault(key, until + SEEN_S)
-
-    def _forget_old(self, now):
-        for key, until in list(islice(self.seen.items(), SEEN_BATCH)):
-            if until <= now:
-                del self.seen[key]
-
-    def _key(self, sender, request_id, number):
-        return f"{sender}/{request_id}/{number}"
-
     def _forget(self, attempt):
-        key = self._key(attempt.sender, attempt.request.request_id, attempt.forward.attempt)
+        key = make_attempt_key(attempt.sender, attempt.request.request_id, attempt.forward.attempt)
         self.waiting.pop(key, None)
 
     def _fire(self, attempt, event, now, out, *details):
@@ -169,12 +157,7 @@
             self._fail_wrong_model(attempt, message.model, now, out)
             return
         attempt.chunks = max(attempt.chunks, message.position + 1)
-        position = attempt.forward.position + message.position
-        chunk = Chunk(attempt.request.request_id, attempt.forward.attempt, position, message.text)
-        if attempt.sender == self.node.settings.name:
-            self.node.requests.take_chunk(attempt.sender, chunk, now, out)
-        else:
-            out.emit(SendPeer(attempt.sender, chunk))
+        self.replies.send_chunk(attempt, message.position, message.text, now, out)
 
     def _fail_wrong_model(self, attempt, model, now, out):
         attempt.failure = Failure(
@@ -393,28 +376,7 @@
 
     def _end(self, attempt, now, out, failure=None, status=200):
         self._forget(attempt)
-        chunks = attempt.forward.position + attempt.chunks
-        wait_s = attempt.load_wait_s
-        forward = attempt.forward
-        self._send_end(attempt.sender, forward, now, out, failure, chunks, status, wait_s)
-
-    def _send_end(
-        self, sender, forward, now, out, failure=None, chunks=0, status=200, load_wait_s=0.0
-    ):
-        end = End(
-            forward.request.request_id,
-            forward.attempt,
-            chunks,
-            forward.model,
-            forward.server,
-            status,
-            failure,
-            load_wait_s,
-        )
-        if sender == self.node.settings.name:
-            self.node.requests.take_end(sender, end, now, out)
-        else:
-            out.emit(SendPeer(sender, end))
+        self.replies.end_attempt(attempt, now, out, failure, status)
 
     # What other components ask
 
@@ -483,7 +445,7 @@
 
     def _scan(self, now, out):
         self.next_scan = now + SCAN_INTERVAL_S
-        self._forget_old(now)
+        self.seen.forget_old(now)
         managed = {s.name for s in self.node.ownership.managed(now)}
         for name in managed:
             self._find_desk(name, now)
--- /dev/null
+++ b/medlarbeam/node/replies.py
@@ -0,0 +1,55 @@
+"""Sends the chunks and the end of an attempt to its entry node."""
+
+from medlarbeam.classes.effects import SendPeer
+from medlarbeam.classes.peer_messages import Chunk, End
+
+__all__ = ["Replies"]
+
+
+class Replies:
+    """Passes answers to this node's own requests, or to the entry node over its link.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    __slots__ = ("node",)
+
+    def __init__(self, node):
+        self.node = node
+
+    def send_chunk(self, attempt, position, text, now, out):
+        """Send a chunk; `position` counts the chunks of this run from 0."""
+        forward = attempt.forward
+        place = forward.position + position
+        chunk = Chunk(attempt.request.request_id, forward.attempt, place, text)
+        if attempt.sender == self.node.settings.name:
+            self.node.requests.take_chunk(attempt.sender, chunk, now, out)
+        else:
+            out.emit(SendPeer(attempt.sender, chunk))
+
+    def end_attempt(self, attempt, now, out, failure=None, status=200):
+        """Send the end of an attempt that was taken."""
+        chunks = attempt.forward.position + attempt.chunks
+        wait_s = attempt.load_wait_s
+        self.send_end(attempt.sender, attempt.forward, now, out, failure, chunks, status, wait_s)
+
+    def send_end(
+        self, sender, forward, now, out, failure=None, chunks=0, status=200, load_wait_s=0.0
+    ):
+        """Send the end of a `Forward`."""
+        end = End(
+            forward.request.request_id,
+            forward.attempt,
+            chunks,
+            forward.model,
+            forward.server,
+            status,
+            failure,
+            load_wait_s,
+        )
+        if sender == self.node.settings.name:
+            self.node.requests.take_end(sender, end, now, out)
+        else:
+            out.emit(SendPeer(sender, end))
--- a/medlarbeam/node/tests/driver.py
+++ b/medlarbeam/node/tests/driver.py
@@ -34,10 +34,10 @@
 )
 from medlarbeam.classes.platform import KvCall, KvGet, KvList, KvOutcome, KvResult
 from medlarbeam.exceptions import ErrorKind, Failure
-from medlarbeam.experiment.memory_kv import MemoryKv
 from medlarbeam.node.assembly import build_node
 from medlarbeam.node.settings import NodeSettings
 from medlarbeam.node.tests.fakes import LOAD_S, TOKEN_S, FakeRun, FakeServer
+from medlarbeam.standins.memory_kv import MemoryKv
 
 DELAY_S = 0.0015
 FAR = float("inf")
