--- a/medlarbeam/node/tests/driver.py
+++ b/medlarbeam/node/tests/driver.py
@@ -26,6 +26,7 @@
     EngineEnd,
     EngineFailure,
     EngineReport,
+    LoadResult,
     PeerDown,
     PeerMessage,
     PeerUp,
@@ -92,6 +93,7 @@
         "cancelled",
         "cuts",
         "events",
+        "failing_loads",
         "hosts",
         "kv",
         "late_runs",
@@ -105,6 +107,7 @@
         "rng",
         "seen_revisions",
         "servers",
+        "slow_kv_s",
         "told",
         "vms",
         "withdrawn_at",
@@ -119,6 +122,8 @@
         self.cuts = set()
         self.cancelled = set()
         self.lose_answers = 0
+        self.slow_kv_s = 0.0
+        self.failing_loads = 0.0
         self.answers = {}
         self.told = {}
         self.orders = {}  # notes by the id of the operator's order
@@ -271,15 +276,33 @@
 
     def call_kv(self, host, call):
         if self.kv.down or not self.connects(host.name, "kv"):
-            result = KvResult(call, KvOutcome.UNAVAILABLE, [])
-        else:
-            result = self.kv.execute(call)
-            is_write = not isinstance(call.op, (KvGet, KvList))
-            if is_write and self.rng.random() < self.lose_answers:
-                self.at(call.timeout_s, self.deliver, host, KvResult(call, KvOutcome.UNKNOWN, []))
-                return
+            self.at(self.delay(), self.deliver, host, KvResult(call, KvOutcome.UNAVAILABLE, []))
+            return
+        if self.slow_kv_s:
+            self.call_slow_kv(host, call)
+            return
+        result = self.kv.execute(call)
+        is_write = not isinstance(call.op, (KvGet, KvList))
+        if is_write and self.rng.random() < self.lose_answers:
+            self.at(call.timeout_s, self.deliver, host, KvResult(call, KvOutcome.UNKNOWN, []))
+            return
         self.at(self.delay(), self.deliver, host, result)
 
+    def call_slow_kv(self, host, call):
+        """Carry out a call late, perhaps after its sender has given up."""
+        before_s, after_s = (self.rng.uniform(0.0, self.slow_kv_s) for _ in range(2))
+        late = before_s + after_s > call.timeout_s
+        if late:
+            is_write = not isinstance(call.op, (KvGet, KvList))
+            outcome = KvOutcome.UNKNOWN if is_write else KvOutcome.UNAVAILABLE
+            self.at(call.timeout_s, self.deliver, host, KvResult(call, outcome, []))
+        self.at(before_s, self.end_slow_call, host, call, None if late else after_s)
+
+    def end_slow_call(self, host, call, after_s):
+        result = self.kv.execute(call)
+        if after_s is not None:
+            self.at(after_s, self.deliver, host, result)
+
     def read_vms(self, host, effect):
         self.at(self.delay(), self.deliver, host, VmList(effect.asked_at, list(self.vms.values())))
 
@@ -320,7 +343,14 @@
             server.runs.pop(run_id, None)
 
     def load(self, host, effect):
-        self.at(LOAD_S, lambda: self.deliver(host, self.servers[effect.server.name].load(effect)))
+        self.at(LOAD_S, self.end_load, host, effect)
+
+    def end_load(self, host, effect):
+        if self.failing_loads and self.rng.random() < self.failing_loads:
+            failure = Failure(ErrorKind.LOAD_FAILED, "the weights did not arrive")
+            self.deliver(host, LoadResult(effect.server.name, effect.model, failure))
+        else:
+            self.deliver(host, self.servers[effect.server.name].load(effect))
 
     def unload(self, host, effect):
         self.at(self.delay(), self.end_unload, host, effect)
--- a/medlarbeam/node/tests/run_world_schedules.py
+++ b/medlarbeam/node/tests/run_world_schedules.py
@@ -13,6 +13,7 @@
 from medlarbeam.classes.messages import CallerGone, Shutdown
 from medlarbeam.classes.requests import Rank
 from medlarbeam.node.assembly import build_node
+from medlarbeam.node.tests.driver import Answered
 from medlarbeam.node.tests.mutants import MUTANTS
 from medlarbeam.node.tests.world_checker import check_world
 from medlarbeam.node.tests.world_setup import (
@@ -97,6 +98,8 @@
         world.kv.down = False
         world.lose_answers = 0
         world.cuts.clear()
+        self.speed_up_platform()
+        self.mend_loads()
         for name, server in world.servers.items():
             server.up = True
             self.undrain_vm(name)
@@ -164,7 +167,7 @@
     def fault(self):
         """Let one or two things fail."""
         for _ in range(self.rng.choice([1, 2])):
-            FAULTS[self.rng.choice(self.kinds)](self)
+            {**FAULTS, **MORE_FAULTS}[self.rng.choice(self.kinds)](self)
 
     # Faults
 
@@ -226,6 +229,28 @@
         self.world.vms[name].leaving = False
         self.world.left_at.pop(name, None)
 
+    def slow_platform(self):
+        self.world.slow_kv_s = self.rng.choice([0.5, 3.0])
+        self.world.at(self.rng.uniform(1.0, 10.0), self.speed_up_platform)
+
+    def speed_up_platform(self):
+        self.world.slow_kv_s = 0.0
+
+    def fail_loads(self):
+        self.world.failing_loads = 0.7
+        self.world.at(self.rng.uniform(1.0, 10.0), self.mend_loads)
+
+    def mend_loads(self):
+        self.world.failing_loads = 0.0
+
+    def flood(self):
+        node = self.live_node()
+        rank = self.rng.choice(list(Rank))
+        for number in range(100 if node else 0):
+            request = make_request(self.world, node, [self.rng.choice(MODELS)], rank=rank)
+            self.world.at(number * 0.01, self.world.ask, node, request)
+            self.world.answers[request.request_id] = Answered(request)
+
     def leave(self):
         name = self.live_node()
         if name:
@@ -247,6 +272,14 @@
 }
 
 
+# Chosen by name only, so that the seeds of the tests keep their meaning.
+MORE_FAULTS = {
+    "slow-platform": Schedule.slow_platform,
+    "fail-loads": Schedule.fail_loads,
+    "flood": Schedule.flood,
+}
+
+
 def run_schedule(seed, build=build_node, kinds=None, totals=None):
     """Run the schedule of a seed and return the violations, an exception being one."""
     try:
@@ -264,7 +297,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=100)
-    parser.add_argument("--kinds", nargs="*", choices=list(FAULTS))
+    parser.add_argument("--kinds", nargs="*", choices=[*FAULTS, *MORE_FAULTS])
     parser.add_argument("--mutant", choices=list(MUTANTS))
     options = parser.parse_args()
     failed = 0
