--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -124,8 +124,11 @@
     def _evict(self, desk, adapter, now, out):
         grant = self.node.ownership.may_evict(desk.server.name, adapter.model, now)
         if isinstance(grant, Failure):
-            out.emit(LogEvent("eviction_refused", grant.reason))
+            if grant.reason != desk.refusal:  # not at each scan while it lasts
+                desk.refusal = grant.reason
+                out.emit(LogEvent("eviction_refused", f"{desk.server.name}: {grant.reason}"))
             return False
+        desk.refusal = ""
         self.fire(adapter, "unload_ordered", now)
         out.emit(UnloadAdapter(desk.server, adapter.model, grant.fencing, grant.not_after))
         out.emit(LogEvent("eviction_ordered", f"{adapter.model} on {desk.server.name}"))
--- a/medlarbeam/node/intake.py
+++ b/medlarbeam/node/intake.py
@@ -38,6 +38,7 @@
         "model",
         "models",
         "pinned",
+        "reported",
         "request",
         "retry_at",
         "run_state",
@@ -60,6 +61,7 @@
         self.model = ""
         self.models = []  # acceptable models that the catalogue has
         self.pinned = False  # text of this model was sent to the caller
+        self.reported = None  # kind of the failure that was logged last
         self.retry_at = 0.0
         self.run_state = RunState.NOT_RUN  # of all attempts together
         self.server = ""
@@ -337,7 +339,10 @@
         delay = compute_backoff(entry.attempt, self.node.rng, RETRY_BASE_S, RETRY_LIMIT_S)
         entry.retry_at = now + delay
         self.next_scan = min(self.next_scan, entry.retry_at)
-        out.emit(LogEvent("retry", str(entry.failure), entry.request.request_id))
+        if entry.failure.kind is not entry.reported:  # not ten times a second while it waits
+            entry.reported = entry.failure.kind
+            detail = f"{entry.failure.kind.value}: {entry.failure.reason}"
+            out.emit(LogEvent("retry", detail, entry.request.request_id))
 
     def answer_complete(self, entry, now, out):
         """End the answer with success."""
--- a/medlarbeam/node/server_desk.py
+++ b/medlarbeam/node/server_desk.py
@@ -105,6 +105,7 @@
         "lost",
         "polled_at",
         "queue",
+        "refusal",
         "report",
         "runs",
         "server",
@@ -122,6 +123,7 @@
         self.load_wanted = None  # attempt that waits for the load budget
         self.polled_at = float("-inf")
         self.report = None
+        self.refusal = ""  # reason for which an eviction was refused last
 
     def count_runs(self, model):
         """Return the number of runs of `model`."""
