--- a/medlarbeam/node/tests/mutants.py
+++ b/medlarbeam/node/tests/mutants.py
@@ -1,13 +1,20 @@
 """Nodes without one of the mechanisms; the schedules have to catch each of them."""
 
 from medlarbeam.algorithms.naive_claims import NaiveClaims
+from medlarbeam.classes.cells import VmEntry
+from medlarbeam.classes.messages import VmList
+from medlarbeam.classes.platform import KvPut
 from medlarbeam.exceptions import RunState
 from medlarbeam.node.answer import Answer
 from medlarbeam.node.assembly import build_parts
+from medlarbeam.node.catalog import HEAD_KEY
 from medlarbeam.node.component import EvictionGrant
 from medlarbeam.node.intake import Intake
+from medlarbeam.node.lifecycle import Lifecycle
 from medlarbeam.node.membership import Membership
 from medlarbeam.node.node import Node
+from medlarbeam.node.notes import NoteKeeper
+from medlarbeam.readwrite.values import CATALOG_HEAD
 
 __all__ = ["MUTANTS", "build_with"]
 
@@ -74,6 +81,34 @@
             entry.answer = ArrivalOrder()
 
 
+class AbruptExit(Lifecycle):
+    """Ends the process at once when it is asked to stop."""
+
+    __slots__ = ()
+
+    def _may_exit(self, now):
+        return True
+
+
+class BlindHeadWrite(NoteKeeper):
+    """Writes the head of the catalogue without a comparison."""
+
+    __slots__ = ()
+
+    def write_head(self, change, now, out):
+        self._call(change, KvPut(HEAD_KEY, CATALOG_HEAD.encode(change.change.head)), now, out)
+
+
+class DeafToLeaving(Membership):
+    """Takes no notice of backend servers that the VM list calls leaving."""
+
+    __slots__ = ()
+
+    def take_vm_list(self, vm_list, now, out):
+        vms = [VmEntry(vm.name, False, vm.server) for vm in vm_list.vms]
+        super().take_vm_list(VmList(vm_list.asked_at, vms), now, out)
+
+
 def build_with(**changes):
     """Return a function that builds a node with some components exchanged."""
 
@@ -102,5 +137,8 @@
     "claims-in-memory": build_with(claims=NaiveClaims),
     "run-state-of-last-attempt": build_with(requests=intake_of(ForgetfulRunState)),
     "charges-are-retried": build_with(requests=intake_of(RetryOfCharges)),
+    "exit-without-waiting": build_with(lifecycle=AbruptExit),
+    "head-written-blindly": build_with(notes=BlindHeadWrite),
+    "vm-list-ignored": build_with(ownership=DeafToLeaving),
     "chunks-in-arrival-order": build_with(requests=intake_of(UncheckedOrder)),
 }
--- a/medlarbeam/node/tests/test_world_schedules.py
+++ b/medlarbeam/node/tests/test_world_schedules.py
@@ -22,6 +22,9 @@
     "run-state-of-last-attempt": [1, 3],
     "charges-are-retried": [0, 25],
     "chunks-in-arrival-order": [0, 1],
+    "exit-without-waiting": [1],
+    "head-written-blindly": [0],
+    "vm-list-ignored": [16],
 }
 
 
