Leave an adapter in doubt when the answer to its unload order is lost

Cause: after a lost answer the adapter counted as resident again, so runs started before the order took effect late. The doubt ends with a report that is dated after it, or after 10 s without contact to the backend server.

--- a/medlarbeam/node/adapter_loads.py
+++ b/medlarbeam/node/adapter_loads.py
@@ -2,12 +2,13 @@
 
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LoadAdapter, LogEvent, UnloadAdapter
-from medlarbeam.exceptions import Failure
+from medlarbeam.exceptions import ErrorKind, Failure
 from medlarbeam.node.server_desk import Adapter
 
 __all__ = ["AdapterLoads"]
 
 FAILED_LOAD_LIMIT = 2  # loads that fail in succession before the waiting attempts are refused
+DOUBT_LIMIT_S = 10.0  # no backend server keeps an order of a broken connection that long
 FORGET_S = 60.0  # an absent adapter is forgotten, so that the table stays small
 MIN_WAIT_S = 0.001  # rounding must not make a retry fall due at the same instant again
 
@@ -154,7 +155,13 @@
     def take_unload_result(self, desk, result, now):
         """Take the outcome of an unload."""
         adapter = self._find(desk, result.model, now)
-        self.fire(adapter, "unloaded" if result.failure is None else "unload_failed", now)
+        if result.failure is None:
+            event = "unloaded"
+        elif result.failure.kind is ErrorKind.SERVER_LOST:
+            event = "unload_lost"
+        else:
+            event = "unload_failed"
+        self.fire(adapter, event, now)
 
     def note_unsettled(self, desk, model, now):
         """Keep an adapter, because the backend server may still serve a run that was given up.
@@ -192,6 +199,16 @@
             if not self.chart.has_tag(adapter, "slot") and now - adapter.changed_at > FORGET_S:
                 del desk.adapters[adapter.model]
 
+    def take_bad_report(self, desk, now):
+        """Give up the doubt about an unload order at a backend server that is out of reach.
+
+        The doubt holds back this node's pledges for the whole cell.
+        """
+        for adapter in desk.adapters.values():
+            in_doubt = self.chart.has_tag(adapter, "doubt")
+            if in_doubt and now - adapter.changed_at > DOUBT_LIMIT_S:
+                self.fire(adapter, "reported_absent", now)
+
     def orders_in_flight(self, desk):
         """Return whether an unload order has no result yet."""
         return any(self.chart.has_tag(a, "unloading") for a in desk.adapters.values())
--- a/medlarbeam/node/dispatcher.py
+++ b/medlarbeam/node/dispatcher.py
@@ -227,6 +227,7 @@
             return
         if report.failure is not None:
             self.server_chart.fire(desk, "report_bad")
+            self.loads.take_bad_report(desk, now)
             died = self.server_chart.has_tag(desk, "down") or bool(desk.lost)
         else:
             died = desk.incarnation not in ("", report.incarnation)
--- a/medlarbeam/node/tests/driver.py
+++ b/medlarbeam/node/tests/driver.py
@@ -100,6 +100,7 @@
         "left_at",
         "log",
         "lose_answers",
+        "lost_orders",
         "now",
         "order",
         "orders",
@@ -124,6 +125,7 @@
         self.lose_answers = 0
         self.slow_kv_s = 0.0
         self.failing_loads = 0.0
+        self.lost_orders = 0.0
         self.answers = {}
         self.told = {}
         self.orders = {}  # notes by the id of the operator's order
@@ -356,7 +358,12 @@
         self.at(self.delay(), self.end_unload, host, effect)
 
     def end_unload(self, host, effect):
-        if self.now > effect.not_after + DELAY_S * 2:
+        if self.lost_orders and self.rng.random() < self.lost_orders:
+            failure = Failure(ErrorKind.SERVER_LOST, "the connection broke")
+            self.deliver(host, UnloadResult(effect.server.name, effect.model, failure))
+            late_s = self.rng.uniform(0.0, 1.0)
+            self.at(late_s, self.servers[effect.server.name].unload, effect)
+        elif self.now > effect.not_after + DELAY_S * 2:
             failure = Failure(ErrorKind.SERVER_REFUSED, "order too old")
             self.deliver(host, UnloadResult(effect.server.name, effect.model, failure))
         else:
--- a/medlarbeam/node/tests/run_world_schedules.py
+++ b/medlarbeam/node/tests/run_world_schedules.py
@@ -100,6 +100,7 @@
         world.cuts.clear()
         self.speed_up_platform()
         self.mend_loads()
+        self.keep_orders()
         for name, server in world.servers.items():
             server.up = True
             self.undrain_vm(name)
@@ -243,6 +244,13 @@
     def mend_loads(self):
         self.world.failing_loads = 0.0
 
+    def lose_orders(self):
+        self.world.lost_orders = 0.5
+        self.world.at(self.rng.uniform(1.0, 10.0), self.keep_orders)
+
+    def keep_orders(self):
+        self.world.lost_orders = 0.0
+
     def flood(self):
         node = self.live_node()
         rank = self.rng.choice(list(Rank))
@@ -277,6 +285,7 @@
     "slow-platform": Schedule.slow_platform,
     "fail-loads": Schedule.fail_loads,
     "flood": Schedule.flood,
+    "lose-orders": Schedule.lose_orders,
 }
 
 
