--- a/medlarbeam/node/tests/test_whole_path.py
+++ b/medlarbeam/node/tests/test_whole_path.py
@@ -3,8 +3,15 @@
 import pytest
 
 from medlarbeam.classes.catalog import NoteAction
-from medlarbeam.classes.messages import CallerGone, OperatorRequest, Shutdown
+from medlarbeam.classes.messages import (
+    CallerGone,
+    EngineChunk,
+    EngineFailure,
+    OperatorRequest,
+    Shutdown,
+)
 from medlarbeam.exceptions import ErrorKind, RunState
+from medlarbeam.node.tests.fakes import FakeServer
 from medlarbeam.node.tests.world_checker import check_world
 from medlarbeam.node.tests.world_setup import (
     MODELS,
@@ -238,3 +245,32 @@
         finish(world, world.ask("n3", make_request(world, "n3", [model])), 30.0) for model in MODELS
     ]
     assert [end.failure for end in ends if end.failure] == []
+
+
+def trust_any_model(dispatcher, message):
+    attempt = dispatcher.runs.get(message.run_id)
+    message.model = attempt.model if attempt is not None else message.model
+
+
+LABELS = [("checked", False), ("mutant-without-the-check-is-caught", True)]
+
+
+@pytest.mark.parametrize("mutant", [m[1] for m in LABELS], ids=[m[0] for m in LABELS])
+def test_text_of_another_model_never_reaches_the_caller(mutant, monkeypatch):
+    """An engine that answers from another model and says so is not passed on."""
+    world = make_world()
+
+    def mislabel(server, run):
+        message = next_message(server, run)
+        if isinstance(message, EngineChunk):
+            message.text, message.model = message.text.replace("a1@1", "a2@1"), "a2@1"
+        if mutant and not isinstance(message, EngineFailure):
+            trust_any_model(world.hosts[run.node].node.runs, message)
+        return message
+
+    next_message = FakeServer.next_message
+    monkeypatch.setattr(FakeServer, "next_message", mislabel)
+    answered = world.ask("n1", make_request(world, "n1", ["a1@1"]))
+    finish(world, answered, 30.0)
+    assert ("a2@1" in answered.text) == mutant
+    assert (check_world(world, quiet=False) != []) == mutant
