--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -282,7 +282,7 @@
             self.used.setdefault(server, set()).add(key)
 
     def leave_server(self, relay, now, out, message):
-        """Count the end of the present run (exit action)."""
+        """Count the end of the present run."""
         self.by_run.pop(relay.run_id, None)
         self.node.stats.close_run(relay.server.name)
         use = (relay.server.name, relay.request.key)
--- a/medlarbeam/platform/front.py
+++ b/medlarbeam/platform/front.py
@@ -102,6 +102,7 @@
         super().__init__(driver)
         self.settings = settings
         self.exchanges = {}
+        self.prefix = f"{settings.gateway.name}-{settings.gateway.incarnation:x}"
         self.count = 0
         self.server = None
         self.listeners = []
@@ -147,7 +148,7 @@
         body = await http.read() if http.can_read_body else b""
         now = self.driver.read_clock()
         self.count += 1
-        request = read_request(http, body, f"{self.settings.gateway.incarnation:x}-{self.count}", now)
+        request = read_request(http, body, f"{self.prefix}-{self.count}", now)
         exchange = Exchange(http, body, request)
         self.exchanges[request.request_id] = exchange
         try:
