Give each adapter one home over all failure domains, and wait for its load

Cause: a request for an adapter whose load had not ended was answered 421, and the node then waited up to a second for the next report. Each failure domain also kept copies of its own.

--- a/medlarbeam/algorithms/fleet_routing.py
+++ b/medlarbeam/algorithms/fleet_routing.py
@@ -7,12 +7,13 @@
 __all__ = ["Candidate", "FleetRouting", "LeastLoadedRouting", "PlacedRouting"]
 
 # Costs in seconds of waiting that a caller would accept instead.
-OTHER_DOMAIN_S = 0.12  # a message between failure domains is the dearest of all
+OTHER_DOMAIN_S = 0.03  # bytes between failure domains are dear, but less so than another load
 LOAD_S = 0.25  # load of an adapter that nobody holds
 PLACE_S = 0.06  # for each place behind the first in the hash order, so that an adapter keeps its home
 NO_HOLDER_S = 1.0  # nobody can order the load now
-BUSY_S = 0.3  # of a round of the slots: the batch gets slower as it fills
-FULL_S = 2.0  # of each further round, which has to wait
+BUSY_SHARE = 0.6  # of the slots, above which the batch gets slower
+BUSY_S = 0.5  # of a further round of the slots
+FULL_S = 2.0  # of each round beyond the slots, which has to wait
 
 
 class Candidate:
@@ -81,11 +82,10 @@
 
     def _cost(self, candidate, place):
         occupancy = candidate.occupancy
-        cost = BUSY_S * min(occupancy, 1.0) + FULL_S * max(0.0, occupancy - 1.0)
-        if not candidate.is_near:
-            cost += OTHER_DOMAIN_S
+        cost = BUSY_S * max(0.0, occupancy - BUSY_SHARE) + FULL_S * max(0.0, occupancy - 1.0)
         if candidate.ready_in_s is not None:
-            return cost + candidate.ready_in_s
+            cost += candidate.ready_in_s
+            return cost if candidate.is_near else cost + OTHER_DOMAIN_S
         cost += LOAD_S + PLACE_S * place
         return cost if candidate.has_holder else cost + NO_HOLDER_S
 
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -351,7 +351,7 @@
 
 
 class HoldingReport(Record):
-    """All adapters of a backend server that may be used, from the node that orders it.
+    """Adapters of a backend server that may be used, from the node that orders it.
 
     Parameters
     ----------
@@ -359,11 +359,14 @@
     fence, serial : int
         A report replaces those with a smaller fence, or with the same fence and a smaller serial.
     holdings : list of AdapterHolding
+    is_partial : bool
+        Whether the backend server holds others besides.
     """
 
-    __slots__ = ("fence", "holdings", "node", "serial", "server")
+    __slots__ = ("fence", "holdings", "is_partial", "node", "serial", "server")
 
-    def __init__(self, node, server, fence, serial, holdings):
+    def __init__(self, node, server, fence, serial, holdings, is_partial=False):
+        self.is_partial = is_partial
         self.node = node
         self.server = server
         self.fence = fence
--- a/medlarbeam/gateway/holdings.py
+++ b/medlarbeam/gateway/holdings.py
@@ -55,6 +55,10 @@
         if known is not None and (known.fence, known.serial) > (report.fence, report.serial):
             return
         adapters = {h.key: Holding(h.version, now + h.ready_in_s) for h in report.holdings}
+        if report.is_partial and known is not None:
+            known.adapters.update(adapters)
+            self.node.relays.wake(adapters, now)
+            return
         self.reports[report.server] = _Report(report.fence, report.serial, adapters)
         self.node.relays.wake(adapters, now)
 
--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -10,7 +10,8 @@
 __all__ = ["OrderDesk", "Place", "Want", "load_place_chart"]
 
 IN_TRANSIT = 4  # adapters that may be on their way to one backend server
-COLD_LOAD_S = 0.25  # from the weight store, while few are on their way
+# From the weight store while few are on their way it takes 0.25 s from the answer to the order.
+COLD_LOAD_S = 0.255
 # Adapters that the engine held lately load ten times as fast.
 WARM_LOAD_S = 0.03
 WARM_COUNT = 60  # adapters that are taken to be held lately
@@ -30,31 +31,33 @@
         Of the chart ``place``.
     version : int
         0 while it is not known.
-    ready_at : float
-        Time (s) from which it should be loaded.
+    ready_at, load_s : float
+        Time (s) from which it should be loaded, and how long that takes.
     use : AdapterUse
         For the eviction policy.
     used_at : float
     """
 
-    __slots__ = ("changed_at", "key", "ready_at", "state", "use", "used_at", "version")
+    __slots__ = ("changed_at", "key", "load_s", "ready_at", "state", "use", "used_at", "version")
 
     def __init__(self, key, state, version, ready_at, now):
         self.key = key
         self.state = state
         self.version = version
         self.ready_at = ready_at
+        self.load_s = COLD_LOAD_S
         self.changed_at = now
         self.use = AdapterUse(str(key), 1.0, now)
         self.used_at = now
 
 
 class Want:
-    """A demand for an adapter: the most urgent priority, and when it was made and repeated."""
+    """A demand for an adapter: the most urgent priority, when it was made and repeated, by whom."""
 
-    __slots__ = ("asked_at", "key", "priority", "since")
+    __slots__ = ("asked_at", "key", "nodes", "priority", "since")
 
     def __init__(self, key, priority, now):
+        self.nodes = set()
         self.key = key
         self.priority = priority
         self.since = now
@@ -151,8 +154,8 @@
 
     # Demand and use
 
-    def want(self, key, priority, now):
-        """Note that a request waits for `key`."""
+    def want(self, key, priority, node, now):
+        """Note that a request of the node named `node` waits for `key`."""
         place = self.places.get(key)
         if place is not None:
             place.used_at = now
@@ -161,6 +164,7 @@
             want = self.wants[key] = Want(key, priority, now)
         want.priority = min(want.priority, priority)
         want.asked_at = now
+        want.nodes.add(node)
 
     def use(self, key, now):
         """Note that a request uses `key`."""
@@ -256,16 +260,15 @@
         return min(engine.adapter_places, fitting)
 
     def _load(self, key, version, now):
-        warm = key in self.recent
-        ready_at = now + (WARM_LOAD_S if warm else COLD_LOAD_S)
-        self.places[key] = Place(key, self.chart.initial, version, ready_at, now)
-        self.recent.pop(key, None)
+        place = self.places[key] = Place(key, self.chart.initial, version, inf, now)
+        place.load_s = WARM_LOAD_S if self.recent.pop(key, None) else COLD_LOAD_S
         return self._order(True, key, version)
 
     def _replace(self, place, version, now):
         place.state = self.chart.initial
         place.version = version
-        place.ready_at = now + COLD_LOAD_S
+        place.ready_at = inf
+        place.load_s = COLD_LOAD_S
         return self._order(True, place.key, version)
 
     def _evict(self, in_use, now):
@@ -313,6 +316,7 @@
             self.not_before = now + REPORT_LAG_S
         elif place is not None:
             self.chart.fire(place, "accepted" if order.is_load else "unload_queued")
+            place.ready_at = now + place.load_s
 
     def _finish(self, order, place, now):
         if not order.key.adapter:
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -23,7 +23,7 @@
 FIRST_READ_S = 0.5
 SPREAD_S = 0.02  # changes within this time are told to the other nodes together
 REFRESH_S = 1.0  # full report to the nodes of the domain, against lost datagrams
-FAR_REFRESH_S = 3.0  # and to all nodes, which need it when their own domain fails
+FAR_REFRESH_S = 1.0  # and to all nodes, which need it when their own domain fails
 
 
 class Orders(Component):
@@ -63,18 +63,42 @@
         """Take a demand or a report of use of another node."""
         body = message.body
         if isinstance(body, AdapterDemand):
-            self.demand(body.server, body.key, body.priority, now, out)
+            self.demand(body.server, body.key, body.priority, body.node, now, out)
+            self._tell(body.server, body.key, {body.node}, now, out)
         elif isinstance(body, UseReport) and body.server in self.desks:
             for key in body.keys:
                 self.desks[body.server].use(key, now)
 
-    def demand(self, server, key, priority, now, out):
-        """Note that a request waits for `key` on `server`, and order it if possible."""
+    def demand(self, server, key, priority, node, now, out):
+        """Note that a request of `node` waits for `key` on `server`; order it if possible."""
         desk = self.desks.get(server)
         if desk is not None:
-            desk.want(key, priority, now)
+            desk.want(key, priority, node, now)
             self._act(desk, now, out)
 
+    def _tell(self, server, key, nodes, now, out):
+        """Tell `nodes` about an adapter, if `server` holds it or will."""
+        desk = self.desks.get(server)
+        place = desk.places.get(key) if desk is not None else None
+        if place is None or place not in desk.usable():
+            return
+        settings = self.node.settings
+        holding = AdapterHolding(key, place.version, max(0.0, place.ready_at - now))
+        report = HoldingReport(
+            settings.name, server, desk.fence, desk.serial, [holding], is_partial=True
+        )
+        for name in nodes:
+            peer = self.node.book.nodes.get(name)
+            if peer is not None and name != settings.name:
+                out.emit(SendDatagram(peer.address, report))
+
+    def doubt(self, server, key, now, out):
+        """Note that `server` said that it does not hold `key`."""
+        desk = self.desks.get(server)
+        if desk is not None and key in desk.places:
+            out.emit(LogEvent("place_doubted", f"server={server} adapter={key}"))
+            desk.doubt(now, 0.0)
+
     def use(self, server, key, now):
         """Note that a request of this node uses `key` on `server`; return whether it orders it."""
         desk = self.desks.get(server)
@@ -95,7 +119,10 @@
         )
         desk = self.desks.get(order.server.name)
         if desk is not None:
+            want = desk.wants.get(order.key)
             desk.take_answer(message, now)
+            if want is not None and order.is_load:
+                self._tell(order.server.name, order.key, want.nodes, now, out)
             self._act(desk, now, out)
 
     def take_state(self, message, now, out):
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -195,7 +195,7 @@
         holder = self.node.rights.find_holder(server)
         self._wait(relay, now + DEMAND_S)
         if holder == self.node.settings.name:
-            self.node.orders.demand(server, key, priority, now, out)
+            self.node.orders.demand(server, key, priority, holder, now, out)
         elif holder:
             address = self.node.book.nodes[holder].address
             name = self.node.settings.name
@@ -337,10 +337,11 @@
         if message.status == 0:
             self.node.stats.note(server, "unreachable", now, out)
             relay.avoid.add(server)
-        elif message.status == 421 and holding is not None:
-            self.node.holdings.forget(server, key)
         elif holding is not None and now - holding.ready_at < SETTLE_S:
             self.node.holdings.delay(server, key, now + NOT_READY_S)
+        elif message.status == 421 and holding is not None:
+            self.node.holdings.forget(server, key)
+            self.node.orders.doubt(server, key, now, out)
         else:
             relay.avoid.add(server)
         out.emit(
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -236,6 +236,7 @@
   fence @2 :UInt64;
   serial @3 :UInt64;
   holdings @4 :List(AdapterHolding);
+  isPartial @5 :Bool;
 }
 
 struct UseReport {
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -131,7 +131,7 @@
     "leaving": Layout(Leaving, "node"),
     "adapterDemand": Layout(AdapterDemand, "node server priority", RecordField("key", _KEY)),
     "holdingReport": Layout(
-        HoldingReport, "node server fence serial", ListField("holdings", _HOLDING)
+        HoldingReport, "node server fence serial is_partial", ListField("holdings", _HOLDING)
     ),
     "useReport": Layout(UseReport, "node server", ListField("keys", _KEY)),
 }
