--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -19,7 +19,6 @@
 ANSWER_LIMIT_S = 2.0  # then the answer to a report is taken to be lost
 WANT_S = 0.6  # a demand that is not repeated for this long is dropped
 USE_HOLD_S = 0.35  # an adapter that was used or asked for so lately is not evicted
-STUCK_S = 1.0  # a place that waits for its runs this long is checked by a report
 
 
 class Place:
@@ -38,7 +37,7 @@
     used_at : float
     """
 
-    __slots__ = ("changed_at", "key", "load_s", "ready_at", "state", "use", "used_at", "version")
+    __slots__ = ("key", "load_s", "ready_at", "state", "use", "used_at", "version")
 
     def __init__(self, key, state, version, ready_at, now):
         self.key = key
@@ -46,7 +45,6 @@
         self.version = version
         self.ready_at = ready_at
         self.load_s = COLD_LOAD_S
-        self.changed_at = now
         self.use = AdapterUse(str(key), 1.0, now)
         self.used_at = now
 
@@ -134,8 +132,6 @@
         self.orders = state.orders
         self.models = set(state.models)
         self.is_busy = state.is_busy
-        if state.is_busy:
-            self.not_before = now + REPORT_LAG_S
         places = {}
         for key, version in state.adapters.items():
             places[key] = self._keep(key, "resident", version, now, now)
@@ -143,6 +139,8 @@
             places[key] = self._keep(key, "coming", version, now + COLD_LOAD_S, now)
         self.places = places
         self.is_changed = True
+        if state.is_busy or self._has_leaving():
+            self.not_before = now + REPORT_LAG_S
 
     def _keep(self, key, state, version, ready_at, now):
         place = self.places.get(key) or Place(key, state, version, ready_at, now)
@@ -208,7 +206,7 @@
             if now - self.asked_at < ANSWER_LIMIT_S:
                 return None
             self.is_reading = False
-        if self.orders is None or self.is_busy or self._has_stuck_place(now):
+        if self.orders is None or self.is_busy or self._has_leaving():
             self.is_reading = True
             self.asked_at = now
             self.not_before = now
@@ -218,11 +216,8 @@
             return self._order(True, AdapterKey(model, ""), 0) if may_load_weights() else None
         return self._decide_adapter(engine, releases, in_use, now)
 
-    def _has_stuck_place(self, now):
-        return any(
-            self.chart.has_tag(p, "leaving") and now - p.changed_at > STUCK_S
-            for p in self.places.values()
-        ) and now - self.asked_at > STUCK_S
+    def _has_leaving(self):
+        return any(self.chart.has_tag(p, "leaving") for p in self.places.values())
 
     def _find_missing_model(self, engine):
         if self.models:
@@ -237,7 +232,7 @@
     def _decide_adapter(self, engine, releases, in_use, now):
         for place in self.places.values():
             newest = releases.get(place.key, 0)
-            if place.version and newest > place.version and self.chart.has_tag(place, "resident"):
+            if newest > place.version and self.chart.has_tag(place, "resident"):
                 if in_use(place.key) or place.key in self.wants:
                     return self._replace(place, newest, now)
                 return self._unload(place, now)
@@ -284,7 +279,6 @@
 
     def _unload(self, place, now):
         self.chart.fire(place, "unload_sent")
-        place.changed_at = now
         self.is_changed = True
         return self._order(False, place.key, 0)
 
@@ -317,6 +311,9 @@
         elif place is not None:
             self.chart.fire(place, "accepted" if order.is_load else "unload_queued")
             place.ready_at = now + place.load_s
+            if not order.is_load:
+                # It takes no other order until the runs of the adapter have ended.
+                self.not_before = now + REPORT_LAG_S
 
     def _finish(self, order, place, now):
         if not order.key.adapter:
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -39,9 +39,9 @@
 SETTLE_S = 0.6  # a refusal this soon after a load is put down to the load
 USE_REPORT_S = 0.25
 RETRY_AFTER_S = 0.2
-FIRST_LIMIT_SHARE = 0.6  # of the aim that a backend server may use before another is tried
+FIRST_LIMIT_SHARE = 1.2  # of the aim that a backend server may use before another is tried
 LONG_PROMPT_TOKENS = 3000  # prompts beyond this take a large part of the aim to read
-GAP_LIMIT_SHARE = 0.9  # of the longest pause that is on time
+GAP_LIMIT_SHARE = 2.0  # of the longest pause that is on time
 ANSWER_SLACK_S = 0.15  # for the backend server's own answer at its deadline
 
 
@@ -162,7 +162,7 @@
         if key is not None and key.adapter:
             holding = node.holdings.find(entry.name, key)
             newest = node.book.releases.get(key, 0)
-            if holding is None or 0 < holding.version < newest:
+            if holding is None or holding.version < newest:
                 ready_in_s = None
             else:
                 ready_in_s = max(0.0, holding.ready_at - now)
@@ -223,9 +223,7 @@
 
     def _send(self, relay, entry, now, out):
         if relay.sends and not self.retries.take(relay.service, len(self.node.book.nodes), now):
-            relay.reason = f"{relay.reason}; the budget for repeats is used up"
-            self.chart.fire(relay, "unroutable", self, now, out, None)
-            self._settle(relay, now, out)
+            self._wait(relay, now + IDLE_S)  # until the budget for repeats allows it
             return
         self._stop_waiting(relay)
         self.run_count += 1
@@ -477,6 +475,8 @@
     def _report_use(self, now, out):
         self.report_at = now + USE_REPORT_S
         used, self.used = self.used, {}
+        for server, key in self.in_use:
+            self.used.setdefault(server, set()).add(key)
         for server, keys in used.items():
             holder = self.node.rights.find_holder(server)
             if holder and holder != self.node.settings.name:
--- a/medlarbeam/gateway/server_stats.py
+++ b/medlarbeam/gateway/server_stats.py
@@ -8,10 +8,11 @@
 
 __all__ = ["ServerRecord", "ServerStats"]
 
-FAILURE_WEIGHT = 0.2  # of the newest outcome in the moving average of failures
-# A plain service may answer one request in seven with an error of its own while it is healthy, so
-# that a server is suspect only well above that.
-FAILING_SHARE = 0.45
+FAILURE_WEIGHT = 0.15  # of the newest outcome in the moving average of failures
+# A plain service may answer one request in seven with an error of its own while it is healthy. A
+# server is suspect well above that, and well above the others of its service.
+FAILING_SHARE = 0.35
+FAILING_RATIO = 2.0
 FIRST_PAUSE_S = 1.0
 MAX_PAUSE_S = 8.0  # a crashed backend server is back after some seconds
 LOAD_AGE_S = 0.5  # a reported load older than this says less than the node's own open runs
@@ -134,7 +135,18 @@
 
     def is_failing(self, record, now):
         """Return whether failures are too frequent."""
-        return record.failure_share >= FAILING_SHARE
+        return record.failure_share >= max(FAILING_SHARE, FAILING_RATIO * self._mean(record.name))
+
+    def _mean(self, name):
+        """Return the mean share of failures of the other backend servers of the same service."""
+        servers = self.node.book.servers
+        service = servers[name].entry.service if name in servers else None
+        shares = [
+            r.failure_share
+            for r in self.records.values()
+            if r.name != name and r.name in servers and servers[r.name].entry.service == service
+        ]
+        return sum(shares) / len(shares) if shares else 0.0
 
     def set_pause(self, record, now):
         """Keep work away for a time that grows with each suspicion."""
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -204,7 +204,7 @@
         try:
             with guard_call(guard):
                 async with asyncio.timeout(ORDER_S):
-                    async with self.single_session.post(
+                    async with self.session.post(
                         f"http://{effect.server.address}/order",
                         data=dumps(document),
                         headers=headers,
