--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -14,6 +14,7 @@
     "ServerOrder",
     "StartFleetRun",
     "StopFleetRun",
+    "StopListening",
     "TakeRight",
 ]
 
@@ -97,6 +98,15 @@
         self.run_id = run_id
 
 
+class StopListening(Record):
+    """Take no more connections, and close each open one once it is idle."""
+
+    __slots__ = ()
+
+    def __init__(self):
+        pass
+
+
 class PassAnswer(Record):
     """Pass the kept error answer of a run to the caller."""
 
--- a/medlarbeam/gateway/gateway_lifecycle.py
+++ b/medlarbeam/gateway/gateway_lifecycle.py
@@ -2,7 +2,7 @@
 
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import Exit, LogEvent
-from medlarbeam.classes.gateway_effects import ReleaseRights
+from medlarbeam.classes.gateway_effects import ReleaseRights, StopListening
 from medlarbeam.classes.messages import Shutdown
 from medlarbeam.node.component import Component
 
@@ -10,19 +10,21 @@
 
 CHECK_S = 0.1
 # The load balancer asks once a second and takes a node out after two misses.
-UNLISTED_S = 3.2
+UNLISTED_S = 2.6
+CLOSE_S = 0.2  # for requests that cross the closing of idle connections
 LAST_S = 0.7  # of the grace period, for the last answers to reach their callers
 
 
 class GatewayLifecycle(Component):
     """Drives the chart ``node``."""
 
-    __slots__ = ("chart", "leaving_at", "next_check", "state")
+    __slots__ = ("chart", "is_listening", "leaving_at", "next_check", "state")
 
     def __init__(self, node):
         super().__init__(node)
         self.chart = load_chart("node", GatewayLifecycle)
         self.state = self.chart.initial
+        self.is_listening = True
         self.leaving_at = 0.0
         self.next_check = 0.0
 
@@ -62,11 +64,19 @@
         self.next_check = now + CHECK_S
         if self.node.book.is_known() and self.chart.fire(self, "ready"):
             out.emit(LogEvent("ready", f"version={self.node.book.config.version}"))
-        if self.is_leaving() and self._may_exit(now):
-            self.chart.fire(self, "left", self, now, out)
+        if self.is_leaving():
+            self._leave(now, out)
 
-    def _may_exit(self, now):
+    def _leave(self, now, out):
         waited_s = now - self.leaving_at
-        if waited_s > self.node.settings.grace_s - LAST_S:
-            return True
-        return waited_s > UNLISTED_S and self.node.relays.open_count() == 0
+        if waited_s <= UNLISTED_S:
+            return
+        if self.is_listening:
+            self.is_listening = False
+            out.emit(StopListening())
+        is_idle = self.node.relays.open_count() == 0
+        if is_idle and waited_s > UNLISTED_S + CLOSE_S or waited_s > self._limit_s():
+            self.chart.fire(self, "left", self, now, out)
+
+    def _limit_s(self):
+        return self.node.settings.grace_s - LAST_S
--- a/medlarbeam/platform/front.py
+++ b/medlarbeam/platform/front.py
@@ -8,7 +8,7 @@
 from orjson import dumps
 from xxhash import xxh3_64_intdigest
 
-from medlarbeam.classes.gateway_effects import CutAnswer, RefuseRequest
+from medlarbeam.classes.gateway_effects import CutAnswer, RefuseRequest, StopListening
 from medlarbeam.classes.gateway_messages import CallerLeft, FleetRequest
 from medlarbeam.daemon.ports import PortService
 from medlarbeam.exceptions import ANSWERS, RunState
@@ -137,7 +137,11 @@
 
     def effects(self):
         """Return the handlers of the effects on callers."""
-        return {RefuseRequest: self.refuse, CutAnswer: self.cut}
+        return {
+            RefuseRequest: self.refuse,
+            CutAnswer: self.cut,
+            StopListening: self.stop_listening,
+        }
 
     async def handle_check(self, http):
         """Answer the load balancer."""
@@ -173,6 +177,11 @@
         if exchange is not None:
             exchange.finish(build_refusal(exchange, effect))
 
+    def stop_listening(self, effect):
+        """Close the listener of callers and their idle connections."""
+        self.listeners[0].close()
+        self.server.pre_shutdown()
+
     def cut(self, effect):
         """Close the connection of a caller whose answer cannot be completed."""
         exchange = self.exchanges.get(effect.request_id)
