--- a/medlarbeam/algorithms/fleet_routing.py
+++ b/medlarbeam/algorithms/fleet_routing.py
@@ -10,6 +10,7 @@
 OTHER_DOMAIN_S = 0.03  # bytes between failure domains are dear, but less so than another load
 LOAD_S = 0.25  # load of an adapter that nobody holds
 PLACE_S = 0.06  # for each place behind the first in the hash order, so that an adapter keeps its home
+QUEUE_S = 0.1  # for each demand that waits there for a place
 NO_HOLDER_S = 1.0  # nobody can order the load now
 BUSY_SHARE = 0.6  # of the slots, above which the batch gets slower
 BUSY_S = 0.5  # of a further round of the slots
@@ -30,11 +31,14 @@
         Time until it holds the adapter, None if it does not.
     has_holder : bool
         Whether a live node can order it to load.
+    spare : int
+        Places for another adapter, less the demands that wait for one.
     """
 
-    __slots__ = ("entry", "has_holder", "is_near", "occupancy", "ready_in_s")
+    __slots__ = ("entry", "has_holder", "is_near", "occupancy", "ready_in_s", "spare")
 
-    def __init__(self, entry, occupancy, is_near, ready_in_s, has_holder):
+    def __init__(self, entry, occupancy, is_near, ready_in_s, has_holder, spare):
+        self.spare = spare
         self.entry = entry
         self.occupancy = occupancy
         self.is_near = is_near
@@ -86,7 +90,7 @@
         if candidate.ready_in_s is not None:
             cost += candidate.ready_in_s
             return cost if candidate.is_near else cost + OTHER_DOMAIN_S
-        cost += LOAD_S + PLACE_S * place
+        cost += LOAD_S + PLACE_S * place + QUEUE_S * max(0, 1 - candidate.spare)
         return cost if candidate.has_holder else cost + NO_HOLDER_S
 
 
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -359,13 +359,30 @@
     fence, serial : int
         A report replaces those with a smaller fence, or with the same fence and a smaller serial.
     holdings : list of AdapterHolding
+    removed : list of AdapterKey
+        Adapters that it holds no more; only with `is_partial`.
+    spare : int
+        Places that a demand could get at once, less the demands that wait; may be negative.
     is_partial : bool
         Whether the backend server holds others besides.
     """
 
-    __slots__ = ("fence", "holdings", "is_partial", "node", "serial", "server")
+    __slots__ = (
+        "fence",
+        "holdings",
+        "is_partial",
+        "node",
+        "removed",
+        "serial",
+        "server",
+        "spare",
+    )
 
-    def __init__(self, node, server, fence, serial, holdings, is_partial=False):
+    def __init__(
+        self, node, server, fence, serial, holdings, removed=(), spare=0, is_partial=False
+    ):
+        self.removed = list(removed)
+        self.spare = spare
         self.is_partial = is_partial
         self.node = node
         self.server = server
@@ -375,11 +392,15 @@
 
 
 class UseReport(Record):
-    """Adapters of a backend server that the sender's requests used lately."""
+    """All adapters of a backend server that the sender's requests use at present.
+
+    A report replaces those of the sender with a smaller `serial`.
+    """
 
-    __slots__ = ("keys", "node", "server")
+    __slots__ = ("keys", "node", "serial", "server")
 
-    def __init__(self, node, server, keys):
+    def __init__(self, node, server, serial, keys):
+        self.serial = serial
         self.node = node
         self.server = server
         self.keys = keys
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -11,6 +11,8 @@
 
 __all__ = ["Gateway"]
 
+POOL_SERVERS = 8  # engines that a failure domain needs to be a pool of its own
+
 
 class Gateway(ComponentHost):
     """All that an entry node of this kind decides, driven by messages.
@@ -61,3 +63,21 @@
                 self.relays,
             ]
         )
+
+    def is_in_pool(self, failure_domain):
+        """Return whether adapters have their homes over `failure_domain` and this node's together.
+
+        Bytes between failure domains are dear, but few backend servers hold few adapters.
+        """
+        if failure_domain == self.settings.failure_domain:
+            return True
+        near = 0
+        for known in self.book.servers.values():
+            entry = known.entry
+            if entry.failure_domain == self.settings.failure_domain and self.book.find_engine(entry):
+                near += 1
+        return near < POOL_SERVERS
+
+    def find_pool_nodes(self):
+        """Return the names of the nodes that share the pool of this node."""
+        return [n.name for n in self.book.nodes.values() if self.is_in_pool(n.failure_domain)]
--- a/medlarbeam/gateway/holdings.py
+++ b/medlarbeam/gateway/holdings.py
@@ -22,11 +22,12 @@
 
 
 class _Report:
-    __slots__ = ("adapters", "fence", "serial")
+    __slots__ = ("adapters", "fence", "serial", "spare")
 
-    def __init__(self, fence, serial, adapters):
-        self.fence = fence
-        self.serial = serial
+    def __init__(self, report, adapters):
+        self.fence = report.fence
+        self.serial = report.serial
+        self.spare = report.spare
         self.adapters = adapters
 
 
@@ -57,9 +58,12 @@
         adapters = {h.key: Holding(h.version, now + h.ready_in_s) for h in report.holdings}
         if report.is_partial and known is not None:
             known.adapters.update(adapters)
-            self.node.relays.wake(adapters, now)
-            return
-        self.reports[report.server] = _Report(report.fence, report.serial, adapters)
+            for key in report.removed:
+                known.adapters.pop(key, None)
+            known.spare = report.spare
+            known.serial = report.serial
+        else:
+            self.reports[report.server] = _Report(report, adapters)
         self.node.relays.wake(adapters, now)
 
     def find(self, server, key):
@@ -67,6 +71,11 @@
         report = self.reports.get(server)
         return report.adapters.get(key) if report is not None else None
 
+    def find_spare(self, server):
+        """Return the places that a demand could get at once on `server`, as last reported."""
+        report = self.reports.get(server)
+        return report.spare if report is not None else 0
+
     def forget(self, server, key):
         """Note that `server` said that it does not hold `key`."""
         report = self.reports.get(server)
--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -18,7 +18,8 @@
 REPORT_LAG_S = 0.4  # a report describes the engine some hundred ms ago
 ANSWER_LIMIT_S = 2.0  # then the answer to a report is taken to be lost
 WANT_S = 0.6  # a demand that is not repeated for this long is dropped
-USE_HOLD_S = 0.35  # an adapter that was used or asked for so lately is not evicted
+FIRST_USE_S = 0.15  # an adapter that was loaded so lately is kept for the request that waits
+USE_LIFE_S = 0.6  # a report of use that is not renewed for this long does not count
 
 
 class Place:
@@ -34,10 +35,11 @@
         Time (s) from which it should be loaded, and how long that takes.
     use : AdapterUse
         For the eviction policy.
-    used_at : float
+    is_fresh : bool
+        Whether no request has used it yet.
     """
 
-    __slots__ = ("key", "load_s", "ready_at", "state", "use", "used_at", "version")
+    __slots__ = ("is_fresh", "key", "load_s", "ready_at", "state", "use", "version")
 
     def __init__(self, key, state, version, ready_at, now):
         self.key = key
@@ -46,7 +48,7 @@
         self.ready_at = ready_at
         self.load_s = COLD_LOAD_S
         self.use = AdapterUse(str(key), 1.0, now)
-        self.used_at = now
+        self.is_fresh = True
 
 
 class Want:
@@ -62,6 +64,17 @@
         self.asked_at = now
 
 
+class RemoteUse:
+    """The adapters that the requests of another node use."""
+
+    __slots__ = ("at", "keys", "serial")
+
+    def __init__(self, keys, serial, now):
+        self.keys = keys
+        self.serial = serial
+        self.at = now
+
+
 class OrderDesk:
     """The state of one backend server, as the node that orders it believes.
 
@@ -92,7 +105,9 @@
         "pending",
         "places",
         "recent",
+        "remote",
         "serial",
+        "told",
         "wants",
     )
 
@@ -106,6 +121,7 @@
         self.places = {}
         self.recent = {}
         self.wants = {}
+        self.remote = {}
         self.pending = None
         self.is_busy = False
         self.is_reading = False
@@ -113,6 +129,7 @@
         self.asked_at = -inf
         self.not_before = now
         self.serial = 0
+        self.told = {}
 
     # Knowledge
 
@@ -154,9 +171,6 @@
 
     def want(self, key, priority, node, now):
         """Note that a request of the node named `node` waits for `key`."""
-        place = self.places.get(key)
-        if place is not None:
-            place.used_at = now
         want = self.wants.get(key)
         if want is None:
             want = self.wants[key] = Want(key, priority, now)
@@ -165,11 +179,42 @@
         want.nodes.add(node)
 
     def use(self, key, now):
-        """Note that a request uses `key`."""
+        """Note that a request begins to use `key`."""
         place = self.places.get(key)
         if place is not None:
-            place.used_at = now
             place.use.count(now)
+            place.is_fresh = False
+
+    def take_use(self, report, now):
+        """Take the adapters that the requests of another node use."""
+        known = self.remote.get(report.node)
+        if known is not None and known.serial > report.serial and now - known.at < USE_LIFE_S:
+            return
+        keys = set(report.keys)
+        for key in keys - (known.keys if known is not None else set()):
+            self.use(key, now)
+        self.remote[report.node] = RemoteUse(keys, report.serial, now)
+
+    def is_used(self, key, now):
+        """Return whether requests of other nodes use `key`."""
+        return any(
+            key in use.keys and now - use.at < USE_LIFE_S for use in self.remote.values()
+        )
+
+    def spare(self, engine, in_use, now):
+        """Return the places that could be had at once, less the demands that wait."""
+        waiting = sum(1 for key in self.wants if key not in self.places)
+        idle = sum(1 for p in self.places.values() if self._is_idle(p, in_use, now))
+        return self._capacity(engine) - len(self.places) + idle - waiting
+
+    def _is_idle(self, place, in_use, now):
+        return (
+            self.chart.has_tag(place, "resident")
+            and not (place.is_fresh and now - place.ready_at < FIRST_USE_S)
+            and not in_use(place.key)
+            and not self.is_used(place.key, now)
+            and place.key not in self.wants
+        )
 
     # Orders
 
@@ -233,7 +278,7 @@
         for place in self.places.values():
             newest = releases.get(place.key, 0)
             if newest > place.version and self.chart.has_tag(place, "resident"):
-                if in_use(place.key) or place.key in self.wants:
+                if not self._is_idle(place, in_use, now):
                     return self._replace(place, newest, now)
                 return self._unload(place, now)
         in_transit = sum(1 for p in self.places.values() if self.chart.has_tag(p, "in_transit"))
@@ -270,9 +315,7 @@
         idle = {
             str(p.key): p
             for p in self.places.values()
-            if self.chart.has_tag(p, "resident")
-            and now - p.used_at > USE_HOLD_S
-            and not in_use(p.key)
+            if self._is_idle(p, in_use, now)
         }
         order = self.eviction.order([p.use for p in idle.values()], now)
         return self._unload(idle[order[0].model], now) if order else None
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -22,8 +22,8 @@
 # A new holder reads the state once the orders of the process before it have surely arrived.
 FIRST_READ_S = 0.5
 SPREAD_S = 0.02  # changes within this time are told to the other nodes together
-REFRESH_S = 1.0  # full report to the nodes of the domain, against lost datagrams
-FAR_REFRESH_S = 1.0  # and to all nodes, which need it when their own domain fails
+REFRESH_S = 2.0  # full report to the nodes of the pool, against lost datagrams
+FAR_REFRESH_S = 6.0  # and to all nodes, which need it when their own pool fails
 
 
 class Orders(Component):
@@ -66,8 +66,10 @@
             self.demand(body.server, body.key, body.priority, body.node, now, out)
             self._tell(body.server, body.key, {body.node}, now, out)
         elif isinstance(body, UseReport) and body.server in self.desks:
-            for key in body.keys:
-                self.desks[body.server].use(key, now)
+            desk = self.desks[body.server]
+            desk.take_use(body, now)
+            if desk.wants:
+                self._act(desk, now, out)
 
     def demand(self, server, key, priority, node, now, out):
         """Note that a request of `node` waits for `key` on `server`; order it if possible."""
@@ -80,16 +82,14 @@
         """Tell `nodes` about an adapter, if `server` holds it or will."""
         desk = self.desks.get(server)
         place = desk.places.get(key) if desk is not None else None
-        if place is None or place not in desk.usable():
-            return
-        settings = self.node.settings
-        holding = AdapterHolding(key, place.version, max(0.0, place.ready_at - now))
-        report = HoldingReport(
-            settings.name, server, desk.fence, desk.serial, [holding], is_partial=True
-        )
+        if place is not None and self.chart.has_tag(place, "usable"):
+            holding = AdapterHolding(key, place.version, max(0.0, place.ready_at - now))
+            self._send(self._build_report(desk, now, [holding], [], True), nodes, out)
+
+    def _send(self, report, nodes, out):
         for name in nodes:
             peer = self.node.book.nodes.get(name)
-            if peer is not None and name != settings.name:
+            if peer is not None and name != self.node.settings.name:
                 out.emit(SendDatagram(peer.address, report))
 
     def doubt(self, server, key, now, out):
@@ -100,11 +100,16 @@
             desk.doubt(now, 0.0)
 
     def use(self, server, key, now):
-        """Note that a request of this node uses `key` on `server`; return whether it orders it."""
+        """Note that a request of this node begins to use `key` on `server`."""
         desk = self.desks.get(server)
         if desk is not None:
             desk.use(key, now)
-        return desk is not None
+
+    def end_use(self, server, now, out):
+        """Note that a request of this node has ended on `server`, which may free a place."""
+        desk = self.desks.get(server)
+        if desk is not None and desk.wants:
+            self._act(desk, now, out)
 
     def take_answer(self, message, now, out):
         """Take the answer to an order."""
@@ -141,18 +146,25 @@
             effect = desk.decide(
                 engine,
                 self.node.book.releases,
-                lambda key: self.node.relays.is_in_use(desk.entry.name, key),
+                self._own_use(desk),
                 lambda: self._take_load(engine, now),
                 now,
             )
             if effect is not None:
                 out.emit(effect)
         if desk.is_changed:
-            desk.is_changed = False
-            desk.serial += 1
-            self.node.holdings.take_report(self._build_report(desk, now), now)
-            self.changed.add(desk.entry.name)
-            self.spread_at = min(self.spread_at, now + SPREAD_S)
+            self._publish(desk, now)
+
+    def _own_use(self, desk):
+        return lambda key: self.node.relays.is_in_use(desk.entry.name, key)
+
+    def _publish(self, desk, now):
+        """Take a change of a desk over at once, and note that the other nodes have to hear it."""
+        desk.is_changed = False
+        desk.serial += 1
+        self.node.holdings.take_report(self._build_full_report(desk, now), now)
+        self.changed.add(desk.entry.name)
+        self.spread_at = min(self.spread_at, now + SPREAD_S)
 
     def _take_load(self, engine, now):
         if self.budget is None:
@@ -162,12 +174,18 @@
         in_flight = sum(1 for d in self.desks.values() if d.is_busy)
         return self.budget.try_take(share, in_flight, Rank.URGENT, now)
 
-    def _build_report(self, desk, now):
+    def _build_full_report(self, desk, now):
         holdings = [
             AdapterHolding(p.key, p.version, max(0.0, p.ready_at - now)) for p in desk.usable()
         ]
+        return self._build_report(desk, now, holdings, [], False)
+
+    def _build_report(self, desk, now, holdings, removed, is_partial):
+        engine = self.node.book.find_engine(desk.entry)
+        spare = desk.spare(engine, self._own_use(desk), now) if engine else 0
+        name = self.node.settings.name
         return HoldingReport(
-            self.node.settings.name, desk.entry.name, desk.fence, desk.serial, holdings
+            name, desk.entry.name, desk.fence, desk.serial, holdings, removed, spare, is_partial
         )
 
     def next_deadline(self):
@@ -201,23 +219,31 @@
                 out.emit(LogEvent("right_unused", f"server={name}"))
 
     def _spread(self, now, out):
+        """Tell the pool what has changed, and now and then everything."""
         self.spread_at = inf
-        is_far = now >= self.far_at
-        if is_far:
-            self.far_at = now + FAR_REFRESH_S
+        changed, self.changed = self.changed, set()
         is_refresh = now >= self.refresh_at
         if is_refresh:
             self.refresh_at = now + REFRESH_S
-        changed, self.changed = self.changed, set()
-        settings = self.node.settings
-        peers = [
-            peer
-            for peer in self.node.book.nodes.values()
-            if peer.name != settings.name
-            and (is_far or peer.failure_domain == settings.failure_domain)
-        ]
-        for name, desk in self.desks.items() if peers else ():
-            if is_refresh or name in changed:
-                report = self._build_report(desk, now)
-                for peer in peers:
-                    out.emit(SendDatagram(peer.address, report))
+        is_far = now >= self.far_at
+        if is_far:
+            self.far_at = now + FAR_REFRESH_S
+        pool = self.node.find_pool_nodes()
+        for name, desk in self.desks.items():
+            if is_refresh:
+                nodes = list(self.node.book.nodes) if is_far else pool
+                desk.told = {p.key: p.ready_at for p in desk.usable()}
+                self._send(self._build_full_report(desk, now), nodes, out)
+            elif name in changed:
+                self._send_changes(desk, pool, now, out)
+
+    def _send_changes(self, desk, nodes, now, out):
+        usable = {p.key: p for p in desk.usable()}
+        added = [p for p in usable.values() if desk.told.get(p.key) != p.ready_at]
+        removed = [key for key in desk.told if key not in usable]
+        desk.told = {p.key: p.ready_at for p in usable.values()}
+        if added or removed:
+            holdings = [
+                AdapterHolding(p.key, p.version, max(0.0, p.ready_at - now)) for p in added
+            ]
+            self._send(self._build_report(desk, now, holdings, removed, True), nodes, out)
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -37,7 +37,8 @@
 NO_SERVER_SHARE = 0.5  # of the aim, after which it is refused
 NOT_READY_S = 0.03  # an adapter that was expected and is not there is tried again after this
 SETTLE_S = 0.6  # a refusal this soon after a load is put down to the load
-USE_REPORT_S = 0.25
+USE_DELAY_S = 0.01  # uses that begin or end within this time are reported together
+USE_REPORT_S = 0.25  # and again this often, against lost datagrams
 RETRY_AFTER_S = 0.2
 FIRST_LIMIT_SHARE = 1.2  # of the aim that a backend server may use before another is tried
 LONG_PROMPT_TOKENS = 3000  # prompts beyond this take a large part of the aim to read
@@ -58,6 +59,7 @@
         "routing",
         "run_count",
         "timers",
+        "use_serial",
         "used",
         "waiting",
     )
@@ -71,10 +73,11 @@
         self.by_run = {}
         self.waiting = {}
         self.in_use = {}
-        self.used = {}
+        self.used = set()
+        self.use_serial = 0
         self.timers = RelayTimers()
         self.run_count = 0
-        self.report_at = 0.0
+        self.report_at = inf
 
     def handlers(self):
         """Return the methods by message class."""
@@ -94,7 +97,7 @@
 
     def is_in_use(self, server, key):
         """Return whether a request of this node runs with `key` on `server`."""
-        return self.in_use.get((server, key), 0) > 0
+        return key in self.in_use.get(server, ())
 
     # Arrival
 
@@ -174,6 +177,7 @@
             entry.failure_domain == node.settings.failure_domain,
             ready_in_s,
             bool(node.rights.find_holder(entry.name)),
+            node.holdings.find_spare(entry.name),
         )
 
     def _wait_for_server(self, relay, now, out):
@@ -275,19 +279,30 @@
     def _count_use(self, server, key, now):
         if key is None or not key.adapter:
             return
-        self.in_use[server, key] = self.in_use.get((server, key), 0) + 1
-        if not self.node.orders.use(server, key, now):
-            self.used.setdefault(server, set()).add(key)
+        uses = self.in_use.setdefault(server, {})
+        uses[key] = uses.get(key, 0) + 1
+        self.node.orders.use(server, key, now)
+        if uses[key] == 1:
+            self._note_use(server, now)
+
+    def _note_use(self, server, now):
+        """Let the node that orders `server` know soon which adapters are used there."""
+        self.used.add(server)
+        self.report_at = min(self.report_at, now + USE_DELAY_S)
 
     def leave_server(self, relay, now, out, message):
         """Count the end of the present run."""
         self.by_run.pop(relay.run_id, None)
         self.node.stats.close_run(relay.server.name)
-        use = (relay.server.name, relay.request.key)
-        if use in self.in_use:
-            self.in_use[use] -= 1
-            if not self.in_use[use]:
-                del self.in_use[use]
+        server = relay.server.name
+        key = relay.request.key
+        uses = self.in_use.get(server, {})
+        if key in uses:
+            uses[key] -= 1
+            if not uses[key]:
+                del uses[key]
+                self.node.orders.end_use(server, now, out)
+                self._note_use(server, now)
 
     # Results of runs
 
@@ -458,7 +473,7 @@
 
     def next_deadline(self):
         """Return the time of the next relay or report."""
-        return min(self.timers.next_at(), self.report_at if self.used else inf)
+        return min(self.timers.next_at(), self.report_at)
 
     def tick(self, now, out):
         """Look at the relays that are due, and tell the other nodes what was used."""
@@ -469,16 +484,19 @@
                 relay.reason = relay.reason or "no complete answer in time"
                 self.chart.fire(relay, "deadline", self, now, out, None)
                 self._settle(relay, now, out)
-        if self.used and self.report_at <= now:
+        if self.report_at <= now:
             self._report_use(now, out)
 
     def _report_use(self, now, out):
-        self.report_at = now + USE_REPORT_S
-        used, self.used = self.used, {}
-        for server, key in self.in_use:
-            self.used.setdefault(server, set()).add(key)
-        for server, keys in used.items():
+        name = self.node.settings.name
+        servers, self.used = self.used, set()
+        for server in servers:
+            uses = self.in_use.get(server, {})
             holder = self.node.rights.find_holder(server)
-            if holder and holder != self.node.settings.name:
-                report = UseReport(self.node.settings.name, server, list(keys))
+            if holder and holder != name:
+                self.use_serial += 1
+                report = UseReport(name, server, self.use_serial, list(uses))
                 out.emit(SendDatagram(self.node.book.nodes[holder].address, report))
+            if uses:
+                self.used.add(server)
+        self.report_at = now + USE_REPORT_S if self.used else inf
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -237,10 +237,13 @@
   serial @3 :UInt64;
   holdings @4 :List(AdapterHolding);
   isPartial @5 :Bool;
+  removed @6 :List(AdapterKey);
+  spare @7 :Int32;
 }
 
 struct UseReport {
   node @0 :Text;
   server @1 :Text;
   keys @2 :List(AdapterKey);
+  serial @3 :UInt64;
 }
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -131,9 +131,12 @@
     "leaving": Layout(Leaving, "node"),
     "adapterDemand": Layout(AdapterDemand, "node server priority", RecordField("key", _KEY)),
     "holdingReport": Layout(
-        HoldingReport, "node server fence serial is_partial", ListField("holdings", _HOLDING)
+        HoldingReport,
+        "node server fence serial spare is_partial",
+        ListField("holdings", _HOLDING),
+        ListField("removed", _KEY),
     ),
-    "useReport": Layout(UseReport, "node server", ListField("keys", _KEY)),
+    "useReport": Layout(UseReport, "node server serial", ListField("keys", _KEY)),
 }
 _MEMBER_OF = {layout.kind: member for member, layout in _LAYOUTS.items()}
 
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -104,7 +104,8 @@
     Leaving("n1"),
     AdapterDemand("n1", "i-1", AdapterKey("m0", "a7"), 2),
     HoldingReport("n1", "i-1", 41, 7, [AdapterHolding(AdapterKey("m0", "a7"), 3, 0.25)]),
-    UseReport("n2", "i-1", [AdapterKey("m0", "a7"), AdapterKey("m0", "")]),
+    HoldingReport("n1", "i-1", 41, 8, [], [AdapterKey("m0", "a7")], -3, True),
+    UseReport("n2", "i-1", 9, [AdapterKey("m0", "a7"), AdapterKey("m0", "")]),
 ]
 
 NOTE = ReleaseNote(
