Load first what can be on time, keep homes strictly, refuse what waits too long

Cause: under load late requests took the places that others needed to be on time, and adapters that left their home were fetched from the store again.

--- a/medlarbeam/algorithms/fleet_routing.py
+++ b/medlarbeam/algorithms/fleet_routing.py
@@ -9,8 +9,10 @@
 # Costs in seconds of waiting that a caller would accept instead.
 OTHER_DOMAIN_S = 0.03  # bytes between failure domains are dear, but less so than another load
 LOAD_S = 0.25  # load of an adapter that nobody holds
-PLACE_S = 0.06  # for each place behind the first in the hash order, so that an adapter keeps its home
-QUEUE_S = 0.1  # for each demand that waits there for a place
+# For each place behind the first in the hash order: an engine loads what it held lately in a tenth
+# of the time and without the weight store, so an adapter leaves its home only for a long queue.
+PLACE_S = 0.3
+QUEUE_S = 0.05  # for each demand that waits there for a place
 NO_HOLDER_S = 1.0  # nobody can order the load now
 BUSY_SHARE = 0.6  # of the slots, above which the batch gets slower
 BUSY_S = 0.5  # of a further round of the slots
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -328,11 +328,14 @@
     key : AdapterKey
     priority : int
         Priority of the request that waits, 0 is the most urgent.
+    due_in_s : float
+        Time in which the load has to start for the request to be on time; may be negative.
     """
 
-    __slots__ = ("key", "node", "priority", "server")
+    __slots__ = ("due_in_s", "key", "node", "priority", "server")
 
-    def __init__(self, node, server, key, priority):
+    def __init__(self, node, server, key, priority, due_in_s):
+        self.due_in_s = due_in_s
         self.node = node
         self.server = server
         self.key = key
--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -10,6 +10,8 @@
 __all__ = ["OrderDesk", "Place", "Want", "load_place_chart"]
 
 IN_TRANSIT = 4  # adapters that may be on their way to one backend server
+# Those of them that come from the weight store: more over all backend servers slow each other.
+COLD_IN_TRANSIT = 3
 # From the weight store while few are on their way it takes 0.25 s from the answer to the order.
 COLD_LOAD_S = 0.255
 # Adapters that the engine held lately load ten times as fast.
@@ -52,17 +54,32 @@
 
 
 class Want:
-    """A demand for an adapter: the most urgent priority, when it was made and repeated, by whom."""
+    """A demand for an adapter.
 
-    __slots__ = ("asked_at", "key", "nodes", "priority", "since")
+    Attributes
+    ----------
+    nodes : set of str
+        Nodes whose requests wait.
+    priority : int
+        The most urgent of them.
+    due : float
+        Time (s) until which one of them can be on time.
+    asked_at : float
+    """
 
-    def __init__(self, key, priority, now):
+    __slots__ = ("asked_at", "due", "key", "nodes", "priority")
+
+    def __init__(self, key, priority, due, now):
         self.nodes = set()
         self.key = key
         self.priority = priority
-        self.since = now
+        self.due = due
         self.asked_at = now
 
+    def order(self, now):
+        """Return the sort key: what can be on time first, by priority, then the others."""
+        return (self.due < now, self.priority, self.due)
+
 
 class RemoteUse:
     """The adapters that the requests of another node use."""
@@ -169,11 +186,12 @@
 
     # Demand and use
 
-    def want(self, key, priority, node, now):
+    def want(self, key, priority, due, node, now):
         """Note that a request of the node named `node` waits for `key`."""
         want = self.wants.get(key)
         if want is None:
-            want = self.wants[key] = Want(key, priority, now)
+            want = self.wants[key] = Want(key, priority, due, now)
+        want.due = max(want.due, due)
         want.priority = min(want.priority, priority)
         want.asked_at = now
         want.nodes.add(node)
@@ -281,11 +299,16 @@
                 if not self._is_idle(place, in_use, now):
                     return self._replace(place, newest, now)
                 return self._unload(place, now)
-        in_transit = sum(1 for p in self.places.values() if self.chart.has_tag(p, "in_transit"))
-        wants = [w for w in self.wants.values() if w.key not in self.places]
-        if not wants or in_transit >= IN_TRANSIT:
+        coming = [p for p in self.places.values() if self.chart.has_tag(p, "in_transit")]
+        cold = sum(1 for p in coming if p.load_s > WARM_LOAD_S)
+        wants = [
+            w
+            for w in self.wants.values()
+            if w.key not in self.places and (cold < COLD_IN_TRANSIT or w.key in self.recent)
+        ]
+        if not wants or len(coming) >= IN_TRANSIT:
             return None
-        want = min(wants, key=lambda w: (w.priority, w.since))
+        want = min(wants, key=lambda w: w.order(now))
         if want.key.model not in self.models or want.key.model not in engine.models:
             return None
         if len(self.places) < self._capacity(engine):
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -63,7 +63,7 @@
         """Take a demand or a report of use of another node."""
         body = message.body
         if isinstance(body, AdapterDemand):
-            self.demand(body.server, body.key, body.priority, body.node, now, out)
+            self.demand(body.server, body.key, body.priority, now + body.due_in_s, body.node, now, out)
             self._tell(body.server, body.key, {body.node}, now, out)
         elif isinstance(body, UseReport) and body.server in self.desks:
             desk = self.desks[body.server]
@@ -71,11 +71,11 @@
             if desk.wants:
                 self._act(desk, now, out)
 
-    def demand(self, server, key, priority, node, now, out):
+    def demand(self, server, key, priority, due, node, now, out):
         """Note that a request of `node` waits for `key` on `server`; order it if possible."""
         desk = self.desks.get(server)
         if desk is not None:
-            desk.want(key, priority, node, now)
+            desk.want(key, priority, due, node, now)
             self._act(desk, now, out)
 
     def _tell(self, server, key, nodes, now, out):
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -20,6 +20,8 @@
 
     Attributes
     ----------
+    aim_at : float
+        Time (s) until which the beginning of an answer is on time.
     give_up_at : float
         Time (s) at which the caller gets a final answer, whatever has come.
     run_id : str
@@ -40,6 +42,7 @@
     """
 
     __slots__ = (
+        "aim_at",
         "arrived_at",
         "avoid",
         "give_up_at",
@@ -65,6 +68,7 @@
         self.state = state
         self.arrived_at = now
         self.give_up_at = min(request.deadline, now + route.timeout_s)
+        self.aim_at = now + route.aim_s
         self.run_id = ""
         self.server = None
         self.sends = 0
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -32,6 +32,8 @@
 
 __all__ = ["Relays"]
 
+START_S = 0.35  # from the order of a load to the first event, usually
+LATE_SHARE = 0.5  # of its time that a request waits before it is refused, once it is late
 DEMAND_S = 0.1  # a demand is repeated this often while its request waits
 IDLE_S = 0.05  # a request without any backend server looks again this often
 NO_SERVER_SHARE = 0.5  # of the aim, after which it is refused
@@ -53,6 +55,7 @@
         "by_run",
         "chart",
         "in_use",
+        "longest_waits",
         "open",
         "report_at",
         "retries",
@@ -69,6 +72,7 @@
         self.chart = load_chart("relay", Relays)
         self.routing = PlacedRouting()
         self.retries = RetryShare(node.settings)
+        self.longest_waits = {}
         self.open = {}
         self.by_run = {}
         self.waiting = {}
@@ -116,10 +120,21 @@
             return
         service = choose_service(route, self.node.rng)
         relay = Relay(request, route, service, self.chart.initial, now)
+        relay.aim_at = now + route.aim_s - self._find_lost_s(request, route, now)
         self.open[request.request_id] = relay
         self.retries.note_first(service, len(book.nodes), now)
         self._advance(relay, now, out)
 
+    def _find_lost_s(self, request, route, now):
+        """Return the time (s) that the caller has lost with earlier attempts.
+
+        Callers of a route wait equally long; one that comes again says what is left.
+        """
+        left_s = request.deadline - now
+        longest_s = max(left_s, self.longest_waits.get(route.name, 0.0))
+        self.longest_waits[route.name] = longest_s
+        return longest_s - left_s
+
     def _refuse(self, request_id, failure, retry_after_s, out):
         out.emit(LogEvent("request_refused", repr(failure), request_id))
         out.emit(RefuseRequest(request_id, failure, retry_after_s))
@@ -135,7 +150,7 @@
 
     def _advance(self, relay, now, out):
         """Send a waiting relay, or note when to look at it again."""
-        if now >= relay.give_up_at:
+        if now >= self._find_wait_limit(relay):
             relay.reason = relay.reason or "no backend server had room in time"
             self.chart.fire(relay, "deadline", self, now, out, None)
             self._settle(relay, now, out)
@@ -148,6 +163,13 @@
         else:
             self._send(relay, choice.entry, now, out)
 
+    def _find_wait_limit(self, relay):
+        """Return the time (s) until which a request may wait for a backend server."""
+        if relay.runs or relay.is_served:
+            return relay.give_up_at
+        share = LATE_SHARE * (relay.give_up_at - relay.arrived_at)
+        return min(relay.give_up_at, max(relay.aim_at, relay.arrived_at + share))
+
     def _choose(self, relay, now):
         key = relay.request.key
         entries = [
@@ -197,19 +219,21 @@
         server = choice.entry.name
         priority = relay.route.priority
         holder = self.node.rights.find_holder(server)
+        due = relay.aim_at - START_S
         self._wait(relay, now + DEMAND_S)
         if holder == self.node.settings.name:
-            self.node.orders.demand(server, key, priority, holder, now, out)
+            self.node.orders.demand(server, key, priority, due, holder, now, out)
         elif holder:
             address = self.node.book.nodes[holder].address
             name = self.node.settings.name
-            out.emit(SendDatagram(address, AdapterDemand(name, server, key, priority)))
+            demand = AdapterDemand(name, server, key, priority, due - now)
+            out.emit(SendDatagram(address, demand))
 
     def _wait(self, relay, until):
         key = relay.request.key
         if key is not None:
             self.waiting.setdefault(key, {})[relay.request.request_id] = relay
-        self.timers.set(relay, min(until, relay.give_up_at))
+        self.timers.set(relay, min(until, self._find_wait_limit(relay)))
 
     def wake(self, keys, now):
         """Look at the relays that wait for one of `keys` at once."""
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -222,6 +222,7 @@
   server @1 :Text;
   key @2 :AdapterKey;
   priority @3 :UInt32;
+  dueInS @4 :Float64;
 }
 
 struct AdapterHolding {
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -129,7 +129,9 @@
         CrashReport, "fingerprint strikes server death_id", NumberField("remaining_s")
     ),
     "leaving": Layout(Leaving, "node"),
-    "adapterDemand": Layout(AdapterDemand, "node server priority", RecordField("key", _KEY)),
+    "adapterDemand": Layout(
+        AdapterDemand, "node server priority", RecordField("key", _KEY), NumberField("due_in_s")
+    ),
     "holdingReport": Layout(
         HoldingReport,
         "node server fence serial spare is_partial",
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -102,7 +102,7 @@
     NoteSpread(HEAD, [SHARD]),
     CrashReport("f00d", 2, "w1", 599.5, "w1/3"),
     Leaving("n1"),
-    AdapterDemand("n1", "i-1", AdapterKey("m0", "a7"), 2),
+    AdapterDemand("n1", "i-1", AdapterKey("m0", "a7"), 2, -0.5),
     HoldingReport("n1", "i-1", 41, 7, [AdapterHolding(AdapterKey("m0", "a7"), 3, 0.25)]),
     HoldingReport("n1", "i-1", 41, 8, [], [AdapterKey("m0", "a7")], -3, True),
     UseReport("n2", "i-1", 9, [AdapterKey("m0", "a7"), AdapterKey("m0", "")]),
