--- a/medlarbeam/platform/front.py
+++ b/medlarbeam/platform/front.py
@@ -102,6 +102,7 @@
         super().__init__(driver)
         self.settings = settings
         self.exchanges = {}
+        self.busy = set()
         self.prefix = f"{settings.gateway.name}-{settings.gateway.incarnation:x}"
         self.count = 0
         self.server = None
@@ -149,6 +150,14 @@
 
     async def handle(self, http):
         """Answer a caller."""
+        connection = http.protocol
+        self.busy.add(connection)
+        try:
+            return await self._answer(http)
+        finally:
+            self.busy.discard(connection)
+
+    async def _answer(self, http):
         body = await http.read() if http.can_read_body else b""
         now = self.driver.read_clock()
         self.count += 1
@@ -180,7 +189,11 @@
     def stop_listening(self, effect):
         """Close the listener of callers and their idle connections."""
         self.listeners[0].close()
-        self.server.pre_shutdown()
+        for connection in self.server.connections:
+            if connection in self.busy:
+                connection.close()  # once its answer is complete
+            else:
+                connection.force_close()  # `close` would leave an idle one open and unread
 
     def cut(self, effect):
         """Close the connection of a caller whose answer cannot be completed."""
