--- a/medlarbeam/gateway/retry_share.py
+++ b/medlarbeam/gateway/retry_share.py
@@ -1,4 +1,4 @@
-"""This node's share of the repeats that a service may get from all nodes together."""
+"""Share of this node in the repeats that a service may get from all nodes together."""
 
 from medlarbeam.algorithms.retry_budget import TokenRetryBudget
 
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -55,8 +55,10 @@
     Raises
     ------
     FormatError
-        If it is missing without a default, or not of `kind`.
+        If it is missing without a default, or not of `kind`, or `document` is no object.
     """
+    if type(document) is not dict:
+        raise FormatError(f"an object with {name!r} was expected")
     value = document.get(name, default)
     if kind is float and type(value) is int:
         value = float(value)
