--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -1,5 +1,6 @@
 """The gateway: an entry node in front of backend servers that it shares with other nodes."""
 
+from medlarbeam.gateway.contacts import Contacts
 from medlarbeam.gateway.fleet_book import FleetBook
 from medlarbeam.gateway.gateway_lifecycle import GatewayLifecycle
 from medlarbeam.gateway.holdings import Holdings
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "book",
+        "contacts",
         "holdings",
         "lifecycle",
         "orders",
@@ -45,6 +47,7 @@
         self.settings = settings
         self.rng = rng
         self.book = FleetBook(self)
+        self.contacts = Contacts(self)
         self.stats = ServerStats(self)
         self.lifecycle = GatewayLifecycle(self)
         self.rights = OrderRights(self)
@@ -55,6 +58,7 @@
         super().__init__(
             [
                 self.book,
+                self.contacts,
                 self.stats,
                 self.lifecycle,
                 self.rights,
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -81,12 +81,15 @@
             self._act(desk, now, out)
 
     def _tell(self, server, key, nodes, now, out):
-        """Tell `nodes` about an adapter, if `server` holds it or will."""
+        """Tell `nodes` whether `server` holds an adapter or will."""
         desk = self.desks.get(server)
-        place = desk.places.get(key) if desk is not None else None
+        if desk is None:
+            return
+        place = desk.places.get(key)
+        holdings = []
         if place is not None and self.chart.has_tag(place, "usable"):
-            holding = AdapterHolding(key, place.version, max(0.0, place.ready_at - now))
-            self._send(self._build_report(desk, now, [holding], [], True), nodes, out)
+            holdings = [AdapterHolding(key, place.version, max(0.0, place.ready_at - now))]
+        self._send(self._build_report(desk, now, holdings, [], True), nodes, out)
 
     def _send(self, report, nodes, out):
         for name in nodes:
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -198,10 +198,17 @@
             node.stats.occupancy(entry, now),
             entry.failure_domain == node.settings.failure_domain,
             ready_in_s,
-            bool(node.rights.find_holder(entry.name)),
+            self._has_holder(entry.name, now),
             node.holdings.find_spare(entry.name),
         )
 
+    def _has_holder(self, server, now):
+        """Return whether a node that answers can order `server` to load."""
+        holder = self.node.rights.find_holder(server)
+        if holder == self.node.settings.name:
+            return self.node.rights.is_valid(now)
+        return bool(holder) and not self.node.contacts.is_silent(holder, now)
+
     def _wait_for_server(self, relay, now, out):
         limit = relay.arrived_at + relay.route.aim_s * NO_SERVER_SHARE
         if now >= limit:
@@ -226,6 +233,7 @@
         elif holder:
             address = self.node.book.nodes[holder].address
             name = self.node.settings.name
+            self.node.contacts.note_demand(holder, now, out)
             demand = AdapterDemand(name, server, key, priority, due - now)
             out.emit(SendDatagram(address, demand))
 
@@ -335,6 +343,7 @@
         relay = self.by_run.get(message.run_id)
         if relay is not None:
             relay.is_served = True
+            self.node.stats.hear(relay.server.name, now)
             self.node.stats.take_load(relay.server.name, message.load, now)
             self.chart.fire(relay, "started", self, now, out, message)
 
@@ -399,7 +408,9 @@
         relay.runs += 1
         relay.is_served = relay.is_served or message.is_caller_served
         relay.reason = f"{relay.server.name}: {message.reason}"
-        self.node.stats.note(relay.server.name, "failed", now, out)
+        is_heard = self.node.stats.is_heard(relay.server.name, relay.sent_at)
+        event = "failed" if is_heard else "unreachable"
+        self.node.stats.note(relay.server.name, event, now, out)
         out.emit(
             LogEvent(
                 "run_broken",
--- a/medlarbeam/gateway/server_stats.py
+++ b/medlarbeam/gateway/server_stats.py
@@ -29,6 +29,8 @@
     open_runs : int
     failure_share : float
         Moving average of failures, 0 to 1.
+    heard_at : float
+        Time (s) of the last answer.
     load : ServerLoad or None
     load_at : float
     pause_s, retry_at : float
@@ -36,6 +38,7 @@
 
     __slots__ = (
         "failure_share",
+        "heard_at",
         "load",
         "load_at",
         "name",
@@ -51,6 +54,7 @@
         self.state = state
         self.open_runs = 0
         self.failure_share = 0.0
+        self.heard_at = -inf
         self.load = None
         self.load_at = -inf
         self.pause_s = 0.0
@@ -89,6 +93,14 @@
         record = self.record(name)
         record.open_runs = max(0, record.open_runs - 1)
 
+    def hear(self, name, now):
+        """Note that an answer of a backend server came."""
+        self.record(name).heard_at = now
+
+    def is_heard(self, name, since):
+        """Return whether any answer of a backend server came after `since` (s)."""
+        return self.record(name).heard_at > since
+
     def take_load(self, name, load, now):
         """Note the load that a backend server told."""
         if load is not None:
@@ -99,6 +111,8 @@
     def note(self, name, event, now, out):
         """Note an outcome: ``succeeded``, ``failed`` or ``unreachable``."""
         record = self.record(name)
+        if event == "succeeded":
+            record.heard_at = now
         outcome = 0.0 if event == "succeeded" else 1.0
         record.failure_share += FAILURE_WEIGHT * (outcome - record.failure_share)
         before = record.state
