--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -137,11 +137,14 @@
         Id of the last event that was passed to the caller, 0 for none.
     is_caller_served : bool
         Whether the caller has got a part of the answer.
+    is_silent : bool
+        Whether the run was given up because nothing came in time.
     """
 
-    __slots__ = ("events", "is_caller_served", "reason", "run_id")
+    __slots__ = ("events", "is_caller_served", "is_silent", "reason", "run_id")
 
-    def __init__(self, run_id, reason, events, is_caller_served):
+    def __init__(self, run_id, reason, events, is_caller_served, is_silent=False):
+        self.is_silent = is_silent
         self.run_id = run_id
         self.reason = reason
         self.events = events
--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -18,6 +18,8 @@
 WARM_LOAD_S = 0.03
 WARM_COUNT = 60  # adapters that are taken to be held lately
 REPORT_LAG_S = 0.4  # a report describes the engine some hundred ms ago
+REFUSED_S = 0.02  # pause after an order that was not accepted
+REREAD_S = 0.08  # pause before a report that may be too old is asked for again
 ANSWER_LIMIT_S = 2.0  # then the answer to a report is taken to be lost
 WANT_S = 0.6  # a demand that is not repeated for this long is dropped
 FIRST_USE_S = 0.15  # an adapter that was loaded so lately is kept for the request that waits
@@ -110,12 +112,14 @@
     __slots__ = (
         "asked_at",
         "chart",
+        "doubted_at",
         "entry",
         "eviction",
         "fence",
         "is_busy",
         "is_changed",
         "is_reading",
+        "least_orders",
         "models",
         "not_before",
         "orders",
@@ -134,6 +138,8 @@
         self.chart = chart
         self.eviction = DecayedUseEviction()
         self.orders = None
+        self.least_orders = 0
+        self.doubted_at = -inf
         self.models = set()
         self.places = {}
         self.recent = {}
@@ -150,10 +156,15 @@
 
     # Knowledge
 
-    def doubt(self, now, pause_s=REPORT_LAG_S):
-        """Forget the number of orders; the state is read after `pause_s`."""
+    def doubt(self, now, least_orders=0):
+        """Forget the number of orders; a report is believed once it is new enough.
+
+        A report with `least_orders` is surely newer than what is doubted.
+        """
         self.orders = None
-        self.not_before = max(self.not_before, now + pause_s)
+        self.least_orders = least_orders
+        self.doubted_at = now
+        self.not_before = max(self.not_before, now)
 
     def take_state(self, state, now):
         """Take what the backend server reports; `state` may be None."""
@@ -163,6 +174,10 @@
             return
         if self.orders is not None and state.orders < self.orders:
             return  # older than the last order
+        is_old = state.orders < self.least_orders
+        if self.orders is None and is_old and now - self.doubted_at < REPORT_LAG_S:
+            self.not_before = now + REREAD_S
+            return
         self.orders = state.orders
         self.models = set(state.models)
         self.is_busy = state.is_busy
@@ -327,10 +342,9 @@
         return self._order(True, key, version)
 
     def _replace(self, place, version, now):
-        place.state = self.chart.initial
-        place.version = version
-        place.ready_at = inf
+        self.chart.fire(place, "replace_sent")
         place.load_s = COLD_LOAD_S
+        self.is_changed = True
         return self._order(True, place.key, version)
 
     def _evict(self, in_use, now):
@@ -363,7 +377,13 @@
             self._finish(message.order, place, now)
         else:
             self._drop(message.order, place)
-            self.doubt(now)
+            if message.status == 409:
+                self.doubt(now, message.order.orders + 1)
+            elif message.status != 0:
+                self.doubt(now)
+            self.not_before = max(self.not_before, now + REFUSED_S)
+            # An order without an answer may be carried out late, but only while no other one was
+            # accepted; the next order has the same number and shows which of them it was.
 
     def _accept(self, order, place, now):
         if not order.key.adapter:
@@ -371,6 +391,7 @@
             self.not_before = now + REPORT_LAG_S
         elif place is not None:
             self.chart.fire(place, "accepted" if order.is_load else "unload_queued")
+            place.version = order.version if order.is_load else place.version
             place.ready_at = now + place.load_s
             if not order.is_load:
                 # It takes no other order until the runs of the adapter have ended.
@@ -381,6 +402,7 @@
             self.models.add(order.key.model)
         elif order.is_load and place is not None:
             self.chart.fire(place, "accepted")
+            place.version = order.version
             place.ready_at = now
         elif place is not None:
             self.chart.fire(place, "unloaded")
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -102,7 +102,7 @@
         desk = self.desks.get(server)
         if desk is not None and key in desk.places:
             out.emit(LogEvent("place_doubted", f"server={server} adapter={key}"))
-            desk.doubt(now, 0.0)
+            desk.doubt(now)
 
     def use(self, server, key, now):
         """Note that a request of this node begins to use `key` on `server`."""
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -409,7 +409,7 @@
         relay.is_served = relay.is_served or message.is_caller_served
         relay.reason = f"{relay.server.name}: {message.reason}"
         is_heard = self.node.stats.is_heard(relay.server.name, relay.sent_at)
-        event = "failed" if is_heard else "unreachable"
+        event = "unreachable" if message.is_silent and not is_heard else "failed"
         self.node.stats.note(relay.server.name, event, now, out)
         out.emit(
             LogEvent(
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -41,7 +41,7 @@
 __all__ = ["ServerClient"]
 
 CONNECT_S = 0.3  # a backend server in reach accepts within some ms
-ORDER_S = 0.5  # an order is answered at once, or carried out late without an answer
+ORDER_S = 0.05  # an order is answered within some ms, or carried out late without an answer
 REPORT_S = 0.5
 MAX_ANSWER_BYTES = 8 << 20
 SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -116,7 +116,8 @@
             served = exchange.stream is not None
             reason = describe_error(error)
             if guard.sent:
-                message = RunBroken(effect.run_id, reason, exchange.last_event, served)
+                is_silent = isinstance(error, TimeoutError)
+                message = RunBroken(effect.run_id, reason, exchange.last_event, served, is_silent)
             else:
                 message = RunRefused(effect.run_id, 0, f"nothing was sent: {reason}", None)
         finally:
