--- a/medlarbeam/algorithms/fleet_routing.py
+++ b/medlarbeam/algorithms/fleet_routing.py
@@ -11,8 +11,8 @@
 LOAD_S = 0.25  # load of an adapter that nobody holds
 # For each place behind the first in the hash order: an engine loads what it held lately in a tenth
 # of the time and without the weight store, so an adapter leaves its home only for a long queue.
-PLACE_S = 0.3
-QUEUE_S = 0.05  # for each demand that waits there for a place
+PLACE_S = 0.6
+QUEUE_S = 0.04  # for each demand that waits there for a place
 NO_HOLDER_S = 1.0  # nobody can order the load now
 BUSY_SHARE = 0.6  # of the slots, above which the batch gets slower
 BUSY_S = 0.5  # of a further round of the slots
