--- a/medlarbeam/readwrite/tests/test_peer_frames.py
+++ b/medlarbeam/readwrite/tests/test_peer_frames.py
@@ -16,7 +16,7 @@
 from medlarbeam.readwrite.tests.samples import FUZZ, PEER_MESSAGES, PONG, SHARD
 
 FRAMES = [encode_peer_message(body) for body in PEER_MESSAGES]
-PARTS_OF_MESSAGES = {"ModelCount", "ServerSummary"}
+PARTS_OF_MESSAGES = {"AdapterHolding", "ModelCount", "ServerSummary"}
 
 
 def with_length(payload):
