--- /dev/null
+++ b/medlarbeam/standins/platform_store.py
@@ -0,0 +1,165 @@
+"""Stand-in for the metadata store of the users' platform, for tests."""
+
+import asyncio
+from base64 import b64encode
+
+from aiohttp.web import Application, Response, json_response, route
+from orjson import loads
+
+__all__ = ["PlatformStore"]
+
+POLL_S = 0.01  # a waiting watch looks for events this often
+
+
+class StoredItem:
+    """One item: the text of its value in base64, its revisions and its lease (0: none)."""
+
+    __slots__ = ("created", "key", "lease", "revision", "value")
+
+    def __init__(self, key, value, revision, created, lease):
+        self.key = key
+        self.value = value
+        self.revision = revision
+        self.created = created
+        self.lease = lease
+
+    def encode(self):
+        """Return the JSON document of the item."""
+        return {
+            "key": self.key,
+            "value": self.value,
+            "revision": self.revision,
+            "createdRev": self.created,
+            "lease": self.lease,
+        }
+
+
+class PlatformStore:
+    """Items with revisions, leases without expiry, and a history for watches.
+
+    Attributes
+    ----------
+    fault : str
+        "" for none, ``busy`` answers 503, ``silent`` never answers.
+    calls : list of str
+        Path of each call.
+    """
+
+    __slots__ = ("calls", "fault", "history", "items", "leases", "oldest", "revision")
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.oldest = 0
+        self.revision = 1
+        self.leases = set()
+        self.fault = ""
+        self.calls = []
+
+    def build_app(self):
+        """Return the aiohttp application."""
+        app = Application()
+        handlers = [
+            ("GET", "/kv-range", self.range),
+            ("GET", "/kv-watch", self.watch),
+            ("POST", "/kv-txn", self.write),
+            ("POST", "/kv-lease", self.grant),
+            ("POST", "/kv-keep/{lease}", self.keep),
+            ("DELETE", "/kv-lease-end/{lease}", self.end),
+        ]
+        app.add_routes([route(method, path, self._guard(call)) for method, path, call in handlers])
+        return app
+
+    def _guard(self, call):
+        async def answer(request):
+            self.calls.append(request.path)
+            if self.fault == "silent":
+                await asyncio.sleep(3600)
+            if self.fault == "busy":
+                return Response(status=503)
+            return await call(request)
+
+        return answer
+
+    def put(self, key, data, lease=0):
+        """Write an item with the bytes `data`, as the operator or a worker does."""
+        self._put(key, b64encode(data).decode(), lease)
+
+    def delete(self, key):
+        """Delete an item."""
+        self.revision += 1
+        del self.items[key]
+        self.history.append({"key": key, "revision": self.revision, "deleted": True})
+
+    def end_leases(self):
+        """End all leases and delete their items."""
+        self.leases.clear()
+        for key in [item.key for item in self.items.values() if item.lease]:
+            self.delete(key)
+
+    def forget_history(self):
+        """Drop the history, so that watches get 410."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    def _put(self, key, value, lease):
+        self.revision += 1
+        known = self.items.get(key)
+        created = known.created if known else self.revision
+        item = self.items[key] = StoredItem(key, value, self.revision, created, lease)
+        self.history.append(item.encode())
+
+    async def range(self, request):
+        """Answer ``GET /kv-range``."""
+        prefix = request.query.get("pathPrefix", "")
+        items = [i.encode() for k, i in sorted(self.items.items()) if k.startswith(prefix)]
+        return json_response({"items": items, "truncated": False, "storeRevision": self.revision})
+
+    async def watch(self, request):
+        """Answer ``GET /kv-watch``."""
+        after = int(request.query["after"])
+        end = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000.0
+        if after < self.oldest:
+            return Response(status=410)
+        while True:
+            events = [e for e in self.history if e["revision"] > after]
+            if events or asyncio.get_running_loop().time() >= end:
+                return json_response({"events": events, "storeRevision": self.revision})
+            await asyncio.sleep(POLL_S)
+
+    async def write(self, request):
+        """Answer ``POST /kv-txn``."""
+        body = loads(await request.read())
+        for row in body["expected"]:
+            item = self.items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return json_response({"items": []}, status=412)
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return Response(status=404)
+            if put["key"].startswith(("op/", "servers/")):
+                return Response(status=403)
+        for put in body["puts"]:
+            self._put(put["key"], put["value"], put["lease"])
+        for key in body["remove"]:
+            self.delete(key)
+        return json_response({"revision": self.revision})
+
+    async def grant(self, request):
+        """Answer ``POST /kv-lease``."""
+        lease = 1000 + len(self.leases)
+        self.leases.add(lease)
+        return json_response({"lease": lease, "ttlMs": loads(await request.read())["ttlMs"]})
+
+    async def keep(self, request):
+        """Answer ``POST /kv-keep/ID``."""
+        known = int(request.match_info["lease"]) in self.leases
+        return json_response({"ttlMs": 1000}, status=200 if known else 404)
+
+    async def end(self, request):
+        """Answer ``DELETE /kv-lease-end/ID``."""
+        lease = int(request.match_info["lease"])
+        self.leases.discard(lease)
+        for key in [item.key for item in self.items.values() if item.lease == lease]:
+            self.delete(key)
+        return json_response({})
