--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -177,11 +177,10 @@
 class Service(Record):
     """A service of the configuration; `engine` is None for a plain service."""
 
-    __slots__ = ("engine", "max_connections", "name")
+    __slots__ = ("engine", "name")
 
-    def __init__(self, name, max_connections, engine):
+    def __init__(self, name, engine):
         self.name = name
-        self.max_connections = max_connections
         self.engine = engine
 
 
@@ -193,20 +192,17 @@
     version : int
     routes : list of ServiceRoute
     services : dict of str to Service
-    max_body_bytes, max_header_bytes : int
-    idle_s : float
-        Time that callers may keep an idle connection.
+    max_body_bytes : int
+        Longest body of a request.
     """
 
-    __slots__ = ("idle_s", "max_body_bytes", "max_header_bytes", "routes", "services", "version")
+    __slots__ = ("max_body_bytes", "routes", "services", "version")
 
-    def __init__(self, version, routes, services, max_body_bytes, max_header_bytes, idle_s):
+    def __init__(self, version, routes, services, max_body_bytes):
         self.version = version
         self.routes = routes
         self.services = services
         self.max_body_bytes = max_body_bytes
-        self.max_header_bytes = max_header_bytes
-        self.idle_s = idle_s
 
 
 class ServerEntry(Record):
@@ -219,8 +215,6 @@
     service, address, failure_domain : str
     slots : int
     draining : bool
-    remaining_s : float
-        Time until it is gone, infinite where it did not say.
     born_ms : int
         Wall clock time of its start (ms), 0 if unknown.
     models : list of str
@@ -237,7 +231,6 @@
         "failure_domain",
         "models",
         "name",
-        "remaining_s",
         "service",
         "slots",
     )
@@ -250,7 +243,6 @@
         failure_domain,
         slots,
         draining,
-        remaining_s,
         born_ms,
         models,
         adapters,
@@ -262,7 +254,6 @@
         self.failure_domain = failure_domain
         self.slots = slots
         self.draining = draining
-        self.remaining_s = remaining_s
         self.born_ms = born_ms
         self.models = models
 
--- /dev/null
+++ b/medlarbeam/gateway/adapter_uses.py
@@ -0,0 +1,81 @@
+"""Which adapters the requests of this node use at present, and who has to know."""
+
+from math import inf
+
+from medlarbeam.classes.gateway_effects import SendDatagram
+from medlarbeam.classes.peer_messages import UseReport
+from medlarbeam.node.component import Component
+
+__all__ = ["AdapterUses"]
+
+DELAY_S = 0.01  # uses that begin or end within this time are reported together
+REPEAT_S = 0.25  # a report is sent again this often, against lost datagrams
+
+
+class AdapterUses(Component):
+    """Counts uses, and reports them to the nodes that order the backend servers.
+
+    Attributes
+    ----------
+    in_use : dict
+        Number of requests by backend server and `AdapterKey`.
+    untold : set of str
+        Backend servers whose uses are reported next.
+    """
+
+    __slots__ = ("in_use", "report_at", "serial", "untold")
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.in_use = {}
+        self.untold = set()
+        self.serial = 0
+        self.report_at = inf
+
+    def is_in_use(self, server, key):
+        """Return whether a request of this node runs with `key` on `server`."""
+        return key in self.in_use.get(server, ())
+
+    def begin(self, server, key, now):
+        """Count a request that is sent to `server` with `key`."""
+        if key is None or not key.adapter:
+            return
+        uses = self.in_use.setdefault(server, {})
+        uses[key] = uses.get(key, 0) + 1
+        self.node.orders.use(server, key, now)
+        if uses[key] == 1:
+            self._report_soon(server, now)
+
+    def end(self, server, key, now, out):
+        """Count the end of a request that was sent to `server` with `key`."""
+        uses = self.in_use.get(server, {})
+        if key not in uses:
+            return
+        uses[key] -= 1
+        if not uses[key]:
+            del uses[key]
+            self.node.orders.end_use(server, now, out)
+            self._report_soon(server, now)
+
+    def _report_soon(self, server, now):
+        self.untold.add(server)
+        self.report_at = min(self.report_at, now + DELAY_S)
+
+    def next_deadline(self):
+        """Return the time of the next report."""
+        return self.report_at
+
+    def tick(self, now, out):
+        """Report the uses that have changed, and those that go on."""
+        name = self.node.settings.name
+        servers, self.untold = self.untold, set()
+        for server in servers:
+            uses = self.in_use.get(server, {})
+            holder = self.node.rights.find_holder(server)
+            if holder and holder != name:
+                self.serial += 1
+                report = UseReport(name, server, self.serial, list(uses))
+                out.emit(SendDatagram(self.node.book.nodes[holder].address, report))
+            if uses:
+                self.untold.add(server)
+        self.report_at = now + REPEAT_S if self.untold else inf
--- a/medlarbeam/gateway/fleet_book.py
+++ b/medlarbeam/gateway/fleet_book.py
@@ -32,8 +32,6 @@
     Parameters
     ----------
     entry : ServerEntry
-    seen_at : float
-        Time (s) at which its present incarnation became known.
 
     Attributes
     ----------
@@ -45,11 +43,10 @@
         Whether it has said so; an older entry that is written later does not take that back.
     """
 
-    __slots__ = ("draining", "entry", "gone_at", "seen_at", "stop_at")
+    __slots__ = ("draining", "entry", "gone_at", "stop_at")
 
-    def __init__(self, entry, seen_at):
+    def __init__(self, entry):
         self.entry = entry
-        self.seen_at = seen_at
         self.stop_at = inf
         self.gone_at = inf
         self.draining = False
@@ -175,7 +172,7 @@
     def _take_server(self, entry, now, out):
         known = self.servers.get(entry.name)
         if known is None or known.entry.born_ms != entry.born_ms:
-            known = self.servers[entry.name] = KnownServer(entry, now)
+            known = self.servers[entry.name] = KnownServer(entry)
             out.emit(LogEvent("server_known", describe_server(entry)))
         known.entry = entry
         known.gone_at = inf
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -1,5 +1,6 @@
 """The gateway: an entry node in front of backend servers that it shares with other nodes."""
 
+from medlarbeam.gateway.adapter_uses import AdapterUses
 from medlarbeam.gateway.contacts import Contacts
 from medlarbeam.gateway.fleet_book import FleetBook
 from medlarbeam.gateway.gateway_lifecycle import GatewayLifecycle
@@ -41,6 +42,7 @@
         "rng",
         "settings",
         "stats",
+        "uses",
     )
 
     def __init__(self, settings, rng):
@@ -54,6 +56,7 @@
         self.holdings = Holdings(self)
         self.orders = Orders(self)
         self.relays = Relays(self)
+        self.uses = AdapterUses(self)
         # The book comes first, so that the others see what a message has changed.
         super().__init__(
             [
@@ -65,6 +68,7 @@
                 self.holdings,
                 self.orders,
                 self.relays,
+                self.uses,
             ]
         )
 
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -161,7 +161,7 @@
             self._publish(desk, now)
 
     def _own_use(self, desk):
-        return lambda key: self.node.relays.is_in_use(desk.entry.name, key)
+        return lambda key: self.node.uses.is_in_use(desk.entry.name, key)
 
     def _publish(self, desk, now):
         """Take a change of a desk over at once, and note that the other nodes have to hear it."""
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -2,7 +2,7 @@
 
 from math import inf
 
-from medlarbeam.algorithms.fleet_routing import Candidate, PlacedRouting
+from medlarbeam.algorithms.fleet_routing import PlacedRouting
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import RouteKind
@@ -23,11 +23,12 @@
     RunRefused,
     RunStarted,
 )
-from medlarbeam.classes.peer_messages import AdapterDemand, UseReport
+from medlarbeam.classes.peer_messages import AdapterDemand
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
 from medlarbeam.gateway.relay import Relay, RelayTimers
 from medlarbeam.gateway.retry_share import RetryShare
 from medlarbeam.gateway.route_table import choose_service
+from medlarbeam.gateway.server_choice import ServerChoice
 from medlarbeam.node.component import Component
 
 __all__ = ["Relays"]
@@ -39,8 +40,6 @@
 NO_SERVER_SHARE = 0.5  # of the aim, after which it is refused
 NOT_READY_S = 0.03  # an adapter that was expected and is not there is tried again after this
 SETTLE_S = 0.6  # a refusal this soon after a load is put down to the load
-USE_DELAY_S = 0.01  # uses that begin or end within this time are reported together
-USE_REPORT_S = 0.25  # and again this often, against lost datagrams
 RETRY_AFTER_S = 0.2
 FIRST_LIMIT_SHARE = 1.2  # of the aim that a backend server may use before another is tried
 LONG_PROMPT_TOKENS = 3000  # prompts beyond this take a large part of the aim to read
@@ -54,34 +53,26 @@
     __slots__ = (
         "by_run",
         "chart",
-        "in_use",
+        "choice",
         "longest_waits",
         "open",
-        "report_at",
         "retries",
-        "routing",
         "run_count",
         "timers",
-        "use_serial",
-        "used",
         "waiting",
     )
 
     def __init__(self, node):
         super().__init__(node)
         self.chart = load_chart("relay", Relays)
-        self.routing = PlacedRouting()
+        self.choice = ServerChoice(node, PlacedRouting())
         self.retries = RetryShare(node.settings)
         self.longest_waits = {}
         self.open = {}
         self.by_run = {}
         self.waiting = {}
-        self.in_use = {}
-        self.used = set()
-        self.use_serial = 0
         self.timers = RelayTimers()
         self.run_count = 0
-        self.report_at = inf
 
     def handlers(self):
         """Return the methods by message class."""
@@ -99,10 +90,6 @@
         """Return the number of requests without a complete answer."""
         return len(self.open)
 
-    def is_in_use(self, server, key):
-        """Return whether a request of this node runs with `key` on `server`."""
-        return key in self.in_use.get(server, ())
-
     # Arrival
 
     def take_request(self, request, now, out):
@@ -155,7 +142,7 @@
             self.chart.fire(relay, "deadline", self, now, out, None)
             self._settle(relay, now, out)
             return
-        choice = self._choose(relay, now)
+        choice = self.choice.choose(relay, now)
         if choice is None:
             self._wait_for_server(relay, now, out)
         elif choice.ready_in_s is None or choice.ready_in_s > 0.0:
@@ -170,45 +157,6 @@
         share = LATE_SHARE * (relay.give_up_at - relay.arrived_at)
         return min(relay.give_up_at, max(relay.aim_at, relay.arrived_at + share))
 
-    def _choose(self, relay, now):
-        key = relay.request.key
-        entries = [
-            entry
-            for entry in self.node.book.usable_servers(relay.service, now)
-            if entry.name not in relay.avoid
-        ]
-        trusted = [e for e in entries if self.node.stats.may_use(e.name, now)]
-        candidates = [self._view(entry, key, now) for entry in trusted or entries]
-        return self.routing.choose(str(key) if key is not None else "", candidates)
-
-    def _view(self, entry, key, now):
-        node = self.node
-        ready_in_s = 0.0
-        if key is not None and key.adapter:
-            holding = node.holdings.find(entry.name, key)
-            newest = node.book.releases.get(key, 0)
-            if holding is None or holding.version < newest:
-                ready_in_s = None
-            else:
-                ready_in_s = max(0.0, holding.ready_at - now)
-        elif key is not None and key.model not in entry.models:
-            ready_in_s = None
-        return Candidate(
-            entry,
-            node.stats.occupancy(entry, now),
-            entry.failure_domain == node.settings.failure_domain,
-            ready_in_s,
-            self._has_holder(entry.name, now),
-            node.holdings.find_spare(entry.name),
-        )
-
-    def _has_holder(self, server, now):
-        """Return whether a node that answers can order `server` to load."""
-        holder = self.node.rights.find_holder(server)
-        if holder == self.node.settings.name:
-            return self.node.rights.is_valid(now)
-        return bool(holder) and not self.node.contacts.is_silent(holder, now)
-
     def _wait_for_server(self, relay, now, out):
         limit = relay.arrived_at + relay.route.aim_s * NO_SERVER_SHARE
         if now >= limit:
@@ -269,7 +217,7 @@
         relay.sent_at = now
         self.by_run[relay.run_id] = relay
         self.node.stats.open_run(entry.name, now)
-        self._count_use(entry.name, relay.request.key, now)
+        self.node.uses.begin(entry.name, relay.request.key, now)
         self.chart.fire(relay, "sent", self, now, out, None)
         self.timers.set(relay, relay.give_up_at + ANSWER_SLACK_S)
         out.emit(self._build_run(relay, entry))
@@ -308,33 +256,11 @@
     def _has_attempt_left(self, relay):
         return relay.route.is_repeatable() and relay.runs + 1 < relay.route.attempts
 
-    def _count_use(self, server, key, now):
-        if key is None or not key.adapter:
-            return
-        uses = self.in_use.setdefault(server, {})
-        uses[key] = uses.get(key, 0) + 1
-        self.node.orders.use(server, key, now)
-        if uses[key] == 1:
-            self._note_use(server, now)
-
-    def _note_use(self, server, now):
-        """Let the node that orders `server` know soon which adapters are used there."""
-        self.used.add(server)
-        self.report_at = min(self.report_at, now + USE_DELAY_S)
-
     def leave_server(self, relay, now, out, message):
         """Count the end of the present run."""
         self.by_run.pop(relay.run_id, None)
         self.node.stats.close_run(relay.server.name)
-        server = relay.server.name
-        key = relay.request.key
-        uses = self.in_use.get(server, {})
-        if key in uses:
-            uses[key] -= 1
-            if not uses[key]:
-                del uses[key]
-                self.node.orders.end_use(server, now, out)
-                self._note_use(server, now)
+        self.node.uses.end(relay.server.name, relay.request.key, now, out)
 
     # Results of runs
 
@@ -505,11 +431,11 @@
     # Time
 
     def next_deadline(self):
-        """Return the time of the next relay or report."""
-        return min(self.timers.next_at(), self.report_at)
+        """Return the time of the next relay."""
+        return self.timers.next_at()
 
     def tick(self, now, out):
-        """Look at the relays that are due, and tell the other nodes what was used."""
+        """Look at the relays that are due."""
         for relay in self.timers.pop_due(now):
             if self.chart.has_tag(relay, "waiting"):
                 self._advance(relay, now, out)
@@ -517,19 +443,3 @@
                 relay.reason = relay.reason or "no complete answer in time"
                 self.chart.fire(relay, "deadline", self, now, out, None)
                 self._settle(relay, now, out)
-        if self.report_at <= now:
-            self._report_use(now, out)
-
-    def _report_use(self, now, out):
-        name = self.node.settings.name
-        servers, self.used = self.used, set()
-        for server in servers:
-            uses = self.in_use.get(server, {})
-            holder = self.node.rights.find_holder(server)
-            if holder and holder != name:
-                self.use_serial += 1
-                report = UseReport(name, server, self.use_serial, list(uses))
-                out.emit(SendDatagram(self.node.book.nodes[holder].address, report))
-            if uses:
-                self.used.add(server)
-        self.report_at = now + USE_REPORT_S if self.used else inf
--- a/medlarbeam/gateway/settings.py
+++ b/medlarbeam/gateway/settings.py
@@ -23,8 +23,6 @@
         Time from the order to stop until the process is killed.
     retry_ratio, retry_window_s, retry_extra : float
         Repeats that a service may get in a window: a share of its requests, and a number.
-    loads_window_s, loads_overshoot : float
-        Window in which loads of weights are counted, and the factor on their rate.
     """
 
     __slots__ = (
@@ -33,8 +31,6 @@
         "failure_domain",
         "grace_s",
         "incarnation",
-        "loads_overshoot",
-        "loads_window_s",
         "name",
         "retry_extra",
         "retry_ratio",
@@ -55,8 +51,6 @@
         retry_ratio,
         retry_window_s,
         retry_extra,
-        loads_window_s,
-        loads_overshoot,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -68,5 +62,3 @@
         self.retry_ratio = retry_ratio
         self.retry_window_s = retry_window_s
         self.retry_extra = retry_extra
-        self.loads_window_s = loads_window_s
-        self.loads_overshoot = loads_overshoot
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -1,6 +1,5 @@
 """A small deployment, and a gateway that is driven without sockets."""
 
-from math import inf
 from random import Random
 
 from medlarbeam.classes.fleet import (
@@ -43,8 +42,6 @@
         retry_ratio=0.2,
         retry_window_s=10.0,
         retry_extra=60.0,
-        loads_window_s=5.0,
-        loads_overshoot=1.1,
     )
 
 
@@ -77,19 +74,15 @@
 
 
 def make_config(version=1, routes=None):
-    services = {"llm": Service("llm", 100, make_engine()), "ledger": Service("ledger", 100, None)}
-    return FleetConfig(
-        version, ROUTES if routes is None else routes, services, 1 << 20, 1 << 14, 15
-    )
+    services = {"llm": Service("llm", make_engine()), "ledger": Service("ledger", None)}
+    return FleetConfig(version, ROUTES if routes is None else routes, services, 1 << 20)
 
 
 def make_server(name, service, *, domain="z1", draining=False, born_ms=1, adapters=(HOT,)):
     models = ["m0"] if service == "llm" else []
     held = {key: 1 for key in adapters} if models else {}
     slots = 24 if models else 6
-    return ServerEntry(
-        name, service, f"{name}:80", domain, slots, draining, inf, born_ms, models, held
-    )
+    return ServerEntry(name, service, f"{name}:80", domain, slots, draining, born_ms, models, held)
 
 
 SERVERS = [
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -1,7 +1,6 @@
 """Documents of the platform, decoded into the project's types."""
 
 from base64 import b64decode
-from math import inf
 
 from orjson import JSONDecodeError, dumps, loads
 
@@ -46,6 +45,7 @@
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
+DEFAULT_BODY_BYTES = 1 << 20  # where a configuration states no limit
 STATES = {"ready": False, "draining": True}
 
 
@@ -110,9 +110,7 @@
         take(document, "version", int),
         [read_route(r) for r in take(document, "routes", list)],
         {service.name: service for service in services},
-        take(limits, "maxBodyBytes", int, 1 << 20),
-        take(limits, "maxHeaderBytes", int, 1 << 14),
-        take(limits, "idleTimeoutMs", float, 15_000) / 1000.0,
+        take(limits, "maxBodyBytes", int, DEFAULT_BODY_BYTES),
     )
 
 
@@ -148,7 +146,6 @@
     engine = document.get("engine")
     return Service(
         take(document, "name", str),
-        take(document, "maxConns", int, 0),
         read_engine(engine) if engine else None,
     )
 
@@ -183,7 +180,6 @@
     if not host or not port.isdigit():
         raise FormatError(f"address {address!r} is not ip:port")
     slots = take(document, "slots", int)
-    remaining_ms = document.get("remainingMs")
     return ServerEntry(
         name,
         take(document, "service", str),
@@ -191,7 +187,6 @@
         take(document, "zone", str),
         slots,
         state,
-        float(remaining_ms) / 1000.0 if type(remaining_ms) in (int, float) else inf,
         take(document, "born", int, 0),
         [take(m, "name", str) for m in take(document, "models", list, [])],
         read_adapters(take(document, "models", list, [])),
--- a/medlarbeam/platform/front.py
+++ b/medlarbeam/platform/front.py
@@ -29,6 +29,7 @@
 KEEP_ALIVE_S = 120.0
 DEFAULT_DEADLINE_S = 30.0  # of a caller that names none
 BACKLOG = 1024
+MAX_BODY_BYTES = 4 << 20  # while no configuration is known
 # Statuses that promise that a request has not run, besides those of bad requests.
 NOT_RUN_STATUSES = {400, 404, 413, 429, 503}
 
@@ -158,7 +159,9 @@
             self.busy.discard(connection)
 
     async def _answer(self, http):
-        body = await http.read() if http.can_read_body else b""
+        body = await self._read_body(http)
+        if body is None:
+            return Response(status=413, headers={"Connection": "close"})
         now = self.driver.read_clock()
         self.count += 1
         request = read_request(http, body, f"{self.prefix}-{self.count}", now)
@@ -180,6 +183,20 @@
             response.force_close()
         return response
 
+    async def _read_body(self, http):
+        """Return the body of a request, None if it is longer than the configuration allows."""
+        config = self.driver.node.book.config
+        limit = config.max_body_bytes if config is not None else MAX_BODY_BYTES
+        pieces = []
+        size = 0
+        async for piece in http.content.iter_any():
+            size += len(piece)
+            if size > limit:
+                log.warning("body above %d bytes", limit, extra={"event": "body_too_long"})
+                return None
+            pieces.append(piece)
+        return b"".join(pieces)
+
     def refuse(self, effect):
         """Answer with a failure."""
         exchange = self.exchanges.get(effect.request_id)
--- a/medlarbeam/platform/settings.py
+++ b/medlarbeam/platform/settings.py
@@ -67,8 +67,6 @@
         retry_ratio=bound("retryBudgetRatio", 0.2),
         retry_window_s=bound("budgetWindowS", 10),
         retry_extra=bound("retryBudgetExtra", 0),
-        loads_window_s=bound("ceilingWindowS", 5),
-        loads_overshoot=bound("originOvershoot", 1.0),
     )
     return PlatformSettings(
         gateway,
--- a/medlarbeam/platform/tests/test_documents.py
+++ b/medlarbeam/platform/tests/test_documents.py
@@ -81,7 +81,7 @@
 def test_server_is_read_in_full():
     entry = read("servers/i-1", {**SERVER, "state": "draining", "remainingMs": 1500})
     assert (entry.name, entry.address, entry.slots) == ("i-1", "10.0.0.9:80", 24)
-    assert entry.draining and entry.remaining_s == 1.5
+    assert entry.draining
     assert entry.adapters == {AdapterKey("m0", "a3"): 2, AdapterKey("m0", "a4"): 0}
 
 
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -54,6 +54,7 @@
 }
 CONFIG = {
     "version": 3,
+    "limits": {"maxBodyBytes": 3 << 20},
     "routes": [
         route("read", "idempotent", "ledger"),
         route("pay", "non_idempotent", "ledger", attempts=1),
@@ -125,7 +126,7 @@
     def runs(self, attempt):
         return sum(worker.ran.count(attempt) for worker in self.workers.values())
 
-    async def call(self, session, route_name, attempt, headers=()):
+    async def call(self, session, route_name, attempt, headers=(), body=b"order"):
         """Return ``(status, body)`` of a request, status `BROKEN` if its answer is not whole."""
         method = "GET" if route_name == "read" else "POST"
         fields = {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": "2000", **dict(headers)}
@@ -133,7 +134,7 @@
             fields["X-Model"] = "m0/a1"
         try:
             async with session.request(
-                method, f"http://{self.front}/{route_name}/1", headers=fields, data=b"order"
+                method, f"http://{self.front}/{route_name}/1", headers=fields, data=body
             ) as response:
                 return response.status, await response.read()
         except ClientError:
@@ -254,6 +255,23 @@
     assert run(scenario) == (200, b"paid")
 
 
+BODIES = [
+    ("body-above-the-library-s-limit-is-passed", (1 << 20) + 10, 200, 1),
+    ("body-above-the-configured-limit-is-refused", (3 << 20) + 1, 413, 0),
+]
+
+
+@pytest.mark.parametrize(
+    ("size", "status", "runs"), [b[1:] for b in BODIES], ids=[b[0] for b in BODIES]
+)
+def test_long_body(size, status, runs):
+    async def scenario(deployment, session):
+        seen, _ = await deployment.call(session, "pay", "id-1", body=b"x" * size)
+        return seen, deployment.runs("id-1")
+
+    assert run(scenario) == (status, runs)
+
+
 def test_caller_that_leaves_ends_the_work():
     async def scenario(deployment, session):
         deployment.behave("never")
