Serve metrics from the gateway; bound its log and never wait for the log's reader

Counters and histograms of requests by kind, priority and outcome are read at the last internal port. The cycle collector runs after 20,000 objects in place of 700.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -9,6 +9,7 @@
     "ReadState",
     "RefuseRequest",
     "ReleaseRights",
+    "RequestMeasured",
     "SendDatagram",
     "ServerLoad",
     "ServerOrder",
@@ -128,6 +129,33 @@
         self.retry_after_s = retry_after_s
 
 
+class RequestMeasured(Record):
+    """Count a request that has ended.
+
+    Parameters
+    ----------
+    kind : RouteKind
+    priority : int
+    outcome : str
+        ``served``, ``error_passed``, ``cut``, ``left`` or the value of an `ErrorKind`.
+    first_s : float or None
+        Time until the answer began, None if it did not.
+    wait_s : float
+        Time until the request was sent to a backend server, or until it ended without that.
+    sends : int
+    """
+
+    __slots__ = ("first_s", "kind", "outcome", "priority", "sends", "wait_s")
+
+    def __init__(self, kind, priority, outcome, first_s, wait_s, sends):
+        self.kind = kind
+        self.priority = priority
+        self.outcome = outcome
+        self.first_s = first_s
+        self.wait_s = wait_s
+        self.sends = sends
+
+
 class CutAnswer(Record):
     """Close the caller's connection: its answer cannot be completed."""
 
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -88,6 +88,20 @@
                 near += 1
         return near < POOL_SERVERS
 
+    def measure(self, now):
+        """Return the levels that the metrics page shows at `now` (s), by name."""
+        book = self.book
+        config = book.config
+        return {
+            "open_requests": self.relays.open_count(),
+            "config_version": config.version if config is not None else 0,
+            "store_age_seconds": now - self.rights.confirmed_at,
+            "servers": sum(1 for k in book.servers.values() if k.stop_at > now),
+            "suspect_servers": self.stats.count_suspects(),
+            "ordered_servers": len(self.orders.desks),
+            "loads_in_transit": self.orders.count_in_transit(),
+        }
+
     def find_pool_nodes(self):
         """Return the names of the nodes that share the pool of this node."""
         return [n.name for n in self.book.nodes.values() if self.is_in_pool(n.failure_domain)]
--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -256,6 +256,10 @@
             if place.ready_at <= now and self.chart.has_tag(place, "in_transit"):
                 self.chart.fire(place, "ready")
 
+    def count_in_transit(self):
+        """Return the adapters on their way to the backend server."""
+        return sum(1 for p in self.places.values() if self.chart.has_tag(p, "in_transit"))
+
     def next_due(self):
         """Return the time (s) of the next thing that only time brings about."""
         due = [self.not_before] if self.orders is None else []
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -144,6 +144,10 @@
             desk.take_state(message.state, now)
             self._act(desk, now, out)
 
+    def count_in_transit(self):
+        """Return the adapters on their way to the backend servers that this node orders."""
+        return sum(desk.count_in_transit() for desk in self.desks.values())
+
     def _act(self, desk, now, out):
         fence = self.node.rights.find_fence(desk.entry.name, now)
         engine = self.node.book.find_engine(desk.entry)
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -3,6 +3,8 @@
 from heapq import heappop, heappush
 from math import inf
 
+from medlarbeam.classes.gateway_effects import RequestMeasured
+
 __all__ = ["Relay", "RelayTimers"]
 
 
@@ -38,17 +40,24 @@
         Run whose error answer can be passed to the caller, "" for none.
     reason : str
         Why the last run did not serve the caller.
+    first_sent_at, answered_at : float or None
+        Times (s) of the first send, and at which the caller's answer began.
+    outcome : str
+        How it ended, see `RequestMeasured`.
     next_try : float
     """
 
     __slots__ = (
         "aim_at",
+        "answered_at",
         "arrived_at",
         "avoid",
+        "first_sent_at",
         "give_up_at",
         "is_served",
         "kept_run",
         "next_try",
+        "outcome",
         "reason",
         "request",
         "route",
@@ -77,9 +86,29 @@
         self.is_served = False
         self.kept_run = ""
         self.reason = ""
+        self.first_sent_at = None
+        self.answered_at = None
+        self.outcome = ""
         self.sent_at = -inf
         self.next_try = inf
 
+    def note_answer(self, now):
+        """Note that the caller's answer has begun by `now` (s)."""
+        if self.answered_at is None:
+            self.answered_at = now
+
+    def measure(self, now):
+        """Return the `RequestMeasured` of a relay that ends at `now` (s)."""
+        answered_at, sent_at = self.answered_at, self.first_sent_at
+        return RequestMeasured(
+            self.route.kind,
+            self.route.priority,
+            self.outcome,
+            None if answered_at is None else answered_at - self.arrived_at,
+            (now if sent_at is None else sent_at) - self.arrived_at,
+            self.sends,
+        )
+
 
 class _Timer:
     __slots__ = ("at", "relay")
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -215,6 +215,8 @@
         relay.server = entry
         relay.sends += 1
         relay.sent_at = now
+        if relay.first_sent_at is None:
+            relay.first_sent_at = now
         self.by_run[relay.run_id] = relay
         self.node.stats.open_run(entry.name, now)
         self.node.uses.begin(entry.name, relay.request.key, now)
@@ -269,6 +271,7 @@
         relay = self.by_run.get(message.run_id)
         if relay is not None:
             relay.is_served = True
+            relay.note_answer(now)
             self.node.stats.hear(relay.server.name, now)
             self.node.stats.take_load(relay.server.name, message.load, now)
             self.chart.fire(relay, "started", self, now, out, message)
@@ -279,6 +282,7 @@
         if relay is not None:
             self.node.stats.take_load(relay.server.name, message.load, now)
             self.node.stats.note(relay.server.name, "succeeded", now, out)
+            relay.note_answer(now)
             self.chart.fire(relay, "done", self, now, out, message)
             self._settle(relay, now, out)
 
@@ -355,7 +359,8 @@
         elif not self.chart.has_tag(relay, "running"):
             self._stop_waiting(relay)
             self.timers.set(relay, inf)
-            self.open.pop(relay.request.request_id, None)
+            if self.open.pop(relay.request.request_id, None) is not None:
+                out.emit(relay.measure(now))
 
     # Guards and actions of the chart
 
@@ -373,6 +378,7 @@
 
     def note_done(self, relay, now, out, message):
         """Write the line of a served request."""
+        relay.outcome = "served"
         out.emit(
             LogEvent(
                 "request_served",
@@ -384,6 +390,7 @@
 
     def note_left(self, relay, now, out, message):
         """Write the line of a request whose caller has left."""
+        relay.outcome = "left"
         out.emit(
             LogEvent(
                 "caller_left",
@@ -403,6 +410,7 @@
         if relay.is_served:
             self._cut(relay, out)
             return
+        relay.outcome = "error_passed"
         out.emit(LogEvent("error_passed", relay.reason, relay.request.request_id))
         out.emit(PassAnswer(relay.request.request_id, relay.kept_run))
 
@@ -412,7 +420,7 @@
             self._cut(relay, out)
             return
         kind = ErrorKind.DEADLINE_RUNNING if now >= relay.give_up_at else ErrorKind.SERVER_LOST
-        self._refuse(relay.request.request_id, Failure(kind, relay.reason), 0.0, out)
+        self._give_up(relay, Failure(kind, relay.reason), 0.0, out)
 
     def end_waiting(self, relay, now, out, message):
         """Answer a request that has no backend server now."""
@@ -422,9 +430,14 @@
             self.end_broken(relay, now, out, message)
         else:
             failure = Failure(ErrorKind.NO_SERVER, relay.reason, RunState.NOT_RUN)
-            self._refuse(relay.request.request_id, failure, RETRY_AFTER_S, out)
+            self._give_up(relay, failure, RETRY_AFTER_S, out)
+
+    def _give_up(self, relay, failure, retry_after_s, out):
+        relay.outcome = failure.kind.value
+        self._refuse(relay.request.request_id, failure, retry_after_s, out)
 
     def _cut(self, relay, out):
+        relay.outcome = "cut"
         out.emit(LogEvent("answer_cut", relay.reason, relay.request.request_id, level="warning"))
         out.emit(CutAnswer(relay.request.request_id))
 
--- a/medlarbeam/gateway/server_stats.py
+++ b/medlarbeam/gateway/server_stats.py
@@ -145,6 +145,10 @@
             busy = max(busy, record.load.running + record.load.waiting)
         return busy / max(1, entry.slots)
 
+    def count_suspects(self):
+        """Return the number of backend servers that get no ordinary work."""
+        return sum(1 for r in self.records.values() if not self.chart.has_tag(r, "preferred"))
+
     # Guards and actions of the chart
 
     def is_failing(self, record, now):
--- a/medlarbeam/platform/__main__.py
+++ b/medlarbeam/platform/__main__.py
@@ -1,6 +1,7 @@
 """The daemon on the users' platform: ``python3 -m medlarbeam.platform``."""
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -15,8 +16,9 @@
 from medlarbeam.exceptions import SettingsError
 from medlarbeam.gateway.gateway import Gateway
 from medlarbeam.platform.datagrams import DatagramPort
-from medlarbeam.platform.front import Front
+from medlarbeam.platform.front import Front, split_address
 from medlarbeam.platform.logs import EventLines, set_up_lines
+from medlarbeam.platform.metrics import GatewayMetrics, MetricsPort
 from medlarbeam.platform.server_client import ServerClient
 from medlarbeam.platform.settings import read_platform_settings
 from medlarbeam.platform.store_client import StoreClient
@@ -27,6 +29,9 @@
 
 SETTINGS_VARIABLE = "MEDLARBEAM_CONFIG"
 DEFAULT_SETTINGS = "/etc/medlarbeam/node.toml"
+# Objects that are made before the collector looks for cycles: a relay leaves few of them, and the
+# default of 700 made it run for nearly each request.
+COLLECT_AFTER = 20_000
 STATUS_CRASHED = 1
 STATUS_BAD_SETTINGS = 2
 
@@ -41,8 +46,15 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def build_gateway_shell(settings):
-    """Return the `Shell` of a gateway with its ports, not started yet."""
+def build_gateway_shell(settings, read_dropped=lambda: 0):
+    """Return the `Shell` of a gateway with its ports, not started yet.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+    read_dropped : callable
+        Returns the number of log lines that were lost.
+    """
     handled = {
         getattr(gateway_effects, name)
         for name in gateway_effects.__all__
@@ -51,7 +63,9 @@
     rng = Random(f"{settings.gateway.name}-{settings.gateway.incarnation}")
     shell = Shell(Gateway(settings.gateway, rng), handled | {LogEvent, Exit})
     front = Front(shell, settings)
-    shell.attach(EventLines())
+    metrics = GatewayMetrics()
+    shell.attach(EventLines(metrics))
+    shell.attach(MetricsPort(shell, split_address(settings.metrics), metrics, read_dropped))
     shell.attach(StoreClient(shell, settings))
     shell.attach(DatagramPort(shell, settings))
     shell.attach(ServerClient(shell, settings, front.exchanges))
@@ -61,20 +75,23 @@
 
 async def run_gateway(settings):
     """Serve until the gateway exits; return the status of the process."""
-    shell = build_gateway_shell(settings)
     loop = asyncio.get_running_loop()
+    lines = set_up_lines(settings.gateway, loop)
+    shell = build_gateway_shell(settings, lambda: lines.dropped)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: shell.deliver(Shutdown()))
     # A changed settings file names nothing that a running node could change.
     loop.add_signal_handler(signal.SIGHUP, lambda: log.info("reload", extra={"event": "reload"}))
     try:
         await shell.start()
+        gc.freeze()  # what the start has built stays
         await shell.wait(shell.exited.wait())
     finally:
         await shell.stop()
     if shell.crashed:
         log.error("crashed: %r", shell.crash_reason, extra={"event": "crashed"})
         return STATUS_CRASHED
+    lines.flush()
     return 0
 
 
@@ -88,7 +105,7 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(STATUS_BAD_SETTINGS)
-    set_up_lines(settings.gateway)
+    gc.set_threshold(COLLECT_AFTER)
     with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
         sys.exit(runner.run(run_gateway(settings)))
 
--- a/medlarbeam/platform/logs.py
+++ b/medlarbeam/platform/logs.py
@@ -1,9 +1,9 @@
 """Structured log lines on standard output."""
 
 import logging
-import sys
 
 from medlarbeam.classes.effects import LogEvent
+from medlarbeam.daemon.line_stream import LineStream
 from medlarbeam.daemon.logs import LEVELS, JsonFormatter
 from medlarbeam.daemon.ports import Port
 
@@ -12,17 +12,32 @@
 log = logging.getLogger("medlarbeam.events")
 
 
-def set_up_lines(settings):
-    """Write all log lines to standard output as JSON, with the node and its failure domain."""
-    handler = logging.StreamHandler(sys.stdout)
+STANDARD_OUTPUT = 1  # file descriptor
+
+
+def set_up_lines(settings, loop):
+    """Write all log lines to standard output as JSON; return the `LineStream`.
+
+    Each line has the node and its failure domain.
+    """
+    handler = LineStream(STANDARD_OUTPUT, loop.time, loop.call_later)
     handler.setFormatter(JsonFormatter(settings.name, settings.failure_domain))
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    return handler
 
 
 class EventLines(Port):
-    """Writes the gateway's `LogEvent` effects."""
+    """Writes and counts the gateway's `LogEvent` effects.
+
+    Parameters
+    ----------
+    metrics : GatewayMetrics
+    """
+
+    __slots__ = ("metrics",)
 
-    __slots__ = ()
+    def __init__(self, metrics):
+        self.metrics = metrics
 
     def effects(self):
         """Return the handler of `LogEvent`."""
@@ -30,5 +45,6 @@
 
     def write(self, event):
         """Write the line of an event."""
+        self.metrics.count_event(event.name)
         extra = {"event": event.name, "request_id": event.request_id}
         log.log(LEVELS[event.level], "%s", event.detail, extra=extra)
--- a/medlarbeam/platform/settings.py
+++ b/medlarbeam/platform/settings.py
@@ -16,13 +16,15 @@
     Parameters
     ----------
     gateway : GatewaySettings
-    front, ready, datagrams, store : str
-        ``ip:port`` for callers, the load balancer's check and other nodes, and of the store.
+    front, ready, datagrams, metrics, store : str
+        ``ip:port`` for callers, the load balancer's check, other nodes and readers of the metrics,
+        and of the store.
     """
 
-    __slots__ = ("datagrams", "front", "gateway", "ready", "store")
+    __slots__ = ("datagrams", "front", "gateway", "metrics", "ready", "store")
 
-    def __init__(self, gateway, front, ready, datagrams, store):
+    def __init__(self, gateway, front, ready, datagrams, metrics, store):
+        self.metrics = metrics
         self.gateway = gateway
         self.front = front
         self.ready = ready
@@ -50,8 +52,9 @@
     listen = take(document, "listen", dict)
     bounds = take(document, "bounds", dict)
     ip = take(document, "ip", str)
-    port = take(document, "internalPorts", list)[0]
-    datagrams = f"{ip}:{port}"
+    # The first and the last of a range of ports that are free for traffic between nodes.
+    ports = take(document, "internalPorts", list)
+    datagrams = f"{ip}:{ports[0]}"
 
     def bound(name, default):
         return take(bounds, name, float, default)
@@ -73,5 +76,6 @@
         take(listen, "front", str),
         take(listen, "readyAddr", str),
         datagrams,
+        f"{ip}:{ports[-1]}",
         take(take(document, "platform", dict), "address", str),
     )
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -91,7 +91,9 @@
         self.store.put("op/config", dumps(CONFIG))
         gateway = make_settings("n1", "z1")
         gateway.address = free_address()
-        settings = PlatformSettings(gateway, self.front, free_address(), gateway.address, address)
+        settings = PlatformSettings(
+            gateway, self.front, free_address(), gateway.address, free_address(), address
+        )
         self.shell = build_gateway_shell(settings)
         await self.shell.start()
         async with asyncio.timeout(5):
--- a/medlarbeam/tests/test_docs.py
+++ b/medlarbeam/tests/test_docs.py
@@ -8,6 +8,7 @@
 
 from medlarbeam.daemon.metrics import Metrics
 from medlarbeam.exceptions import ANSWERS
+from medlarbeam.platform.metrics import GatewayMetrics
 
 PACKAGE = Path(__file__).parents[1]
 DOCS = PACKAGE.parent / "docs"
@@ -39,11 +40,12 @@
 
 ERRORS = [(f"{k.value}` | {a.status} | `{a.run_state.value}", a) for k, a in ANSWERS.items()]
 ERRORS = [f"{text}` | {'yes' if a.retryable else 'no'}" for text, a in ERRORS]
+METRICS = [*Metrics().registry.collectors, *GatewayMetrics().registry.collectors]
 CHARTS = [p.stem for p in (PACKAGE / "charts").glob("*.yaml")]
 TABLES = {
     "error-table-is-old": ("callers", r"^\| `(\w+` \| \d+ \| `\w+` \| \w+) \|", ERRORS),
     "event-table-is-old": ("metrics", NAMES + r" \w+ \| (?:yes|no) \|", list_events()),
-    "metric-table-is-old": ("metrics", r"^\| `(medlarbeam_\w+)` \|", Metrics().registry.collectors),
+    "metric-table-is-old": ("metrics", r"^\| `(medlarbeam_\w+)` \|", METRICS),
     "chart-table-is-old": ("design", NAMES + r" [^|]+ \|$", CHARTS),
 }
 
