Learn how long adapters load; choose among an adapter's homes and holders only

A request that finds its adapter missing now tells the holder (EarlyRefusal), which raises its estimate; it comes down slowly. The same for adapters that were taken to be warm.

It now looks at the first 8 homes and the holders. Holders report the runs of all nodes on their engines, so that nodes that seldom send there know its load.

Test addresses come from below the range of outgoing connections; one of these took a port between search and use once (test_whole_path, lease-is-lost).

--- a/medlarbeam/algorithms/fleet_routing.py
+++ b/medlarbeam/algorithms/fleet_routing.py
@@ -2,8 +2,6 @@
 
 from abc import ABC, abstractmethod
 
-from xxhash import xxh3_64_intdigest
-
 __all__ = ["Candidate", "FleetRouting", "LeastLoadedRouting", "PlacedRouting"]
 
 # Costs in seconds of waiting that a caller would accept instead.
@@ -35,11 +33,14 @@
         Whether a live node can order it to load.
     spare : int
         Places for another adapter, less the demands that wait for one.
+    place : int
+        Its place among the homes of the adapter, 0 is the first.
     """
 
-    __slots__ = ("entry", "has_holder", "is_near", "occupancy", "ready_in_s", "spare")
+    __slots__ = ("entry", "has_holder", "is_near", "occupancy", "place", "ready_in_s", "spare")
 
-    def __init__(self, entry, occupancy, is_near, ready_in_s, has_holder, spare):
+    def __init__(self, entry, occupancy, is_near, ready_in_s, has_holder, spare, place=0):
+        self.place = place
         self.spare = spare
         self.entry = entry
         self.occupancy = occupancy
@@ -54,45 +55,28 @@
     __slots__ = ()
 
     @abstractmethod
-    def choose(self, name, candidates):
-        """Return the best `Candidate`, or None if there is none.
-
-        Parameters
-        ----------
-        name : str
-            What the choice should be stable for: the adapter; "" for none.
-        candidates : list of Candidate
-        """
+    def choose(self, candidates):
+        """Return the best of a list of `Candidate`, or None if it is empty."""
 
 
 class PlacedRouting(FleetRouting):
-    """Gives each adapter a home by rendezvous hash, and leaves it when that saves waiting."""
+    """Keeps each adapter at its first home, and leaves that when it saves waiting."""
 
     __slots__ = ()
 
-    def choose(self, name, candidates):
+    def choose(self, candidates):
         """Return the cheapest `Candidate`; see `FleetRouting.choose`."""
-        place = {}
-        if name:
-            order = sorted(
-                candidates,
-                key=lambda c: xxh3_64_intdigest(f"{name}|{c.entry.name}".encode()),
-                reverse=True,
-            )
-            place = {c.entry.name: index for index, c in enumerate(order)}
         return min(
-            candidates,
-            key=lambda c: (self._cost(c, place.get(c.entry.name, 0)), c.occupancy, c.entry.name),
-            default=None,
+            candidates, key=lambda c: (self._cost(c), c.occupancy, c.entry.name), default=None
         )
 
-    def _cost(self, candidate, place):
+    def _cost(self, candidate):
         occupancy = candidate.occupancy
         cost = BUSY_S * max(0.0, occupancy - BUSY_SHARE) + FULL_S * max(0.0, occupancy - 1.0)
         if candidate.ready_in_s is not None:
             cost += candidate.ready_in_s
             return cost if candidate.is_near else cost + OTHER_DOMAIN_S
-        cost += LOAD_S + PLACE_S * place + QUEUE_S * max(0, 1 - candidate.spare)
+        cost += LOAD_S + PLACE_S * candidate.place + QUEUE_S * max(0, 1 - candidate.spare)
         return cost if candidate.has_holder else cost + NO_HOLDER_S
 
 
@@ -101,6 +85,6 @@
 
     __slots__ = ()
 
-    def choose(self, name, candidates):
+    def choose(self, candidates):
         """Return the least loaded `Candidate`; see `FleetRouting.choose`."""
         return min(candidates, key=lambda c: (c.occupancy, c.entry.name), default=None)
--- a/medlarbeam/algorithms/routing.py
+++ b/medlarbeam/algorithms/routing.py
@@ -1,6 +1,7 @@
 """Choice of the backend server and model for an attempt."""
 
 from abc import ABC, abstractmethod
+from heapq import nlargest
 
 from xxhash import xxh3_64_intdigest
 
@@ -30,13 +31,19 @@
         self.model = model
 
 
-def rank_servers(key, names):
+def rank_servers(key, names, count=None):
     """Return `names` in the order of their rendezvous hash with `key`, best first.
 
     All nodes that know the same names agree on the order, and a name that comes or goes moves no
-    other pair of names.
+    other pair of names. With `count`, only the first ones are returned.
     """
-    return sorted(names, key=lambda name: xxh3_64_intdigest(f"{key}|{name}".encode()), reverse=True)
+
+    def weigh(name):
+        return xxh3_64_intdigest(f"{key}|{name}".encode())
+
+    if count is not None:
+        return nlargest(count, names, key=weigh)
+    return sorted(names, key=weigh, reverse=True)
 
 
 class RoutingPolicy(ABC):
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -8,6 +8,7 @@
     "Cancel",
     "Chunk",
     "CrashReport",
+    "EarlyRefusal",
     "End",
     "FetchCatalog",
     "FetchRecord",
@@ -368,6 +369,8 @@
         Places that a demand could get at once, less the demands that wait; may be negative.
     is_partial : bool
         Whether the backend server holds others besides.
+    running : int
+        Requests that all nodes together have sent there and that have not ended.
     """
 
     __slots__ = (
@@ -376,14 +379,25 @@
         "is_partial",
         "node",
         "removed",
+        "running",
         "serial",
         "server",
         "spare",
     )
 
     def __init__(
-        self, node, server, fence, serial, holdings, removed=(), spare=0, is_partial=False
+        self,
+        node,
+        server,
+        fence,
+        serial,
+        holdings,
+        removed=(),
+        spare=0,
+        is_partial=False,
+        running=0,
     ):
+        self.running = running
         self.removed = list(removed)
         self.spare = spare
         self.is_partial = is_partial
@@ -394,15 +408,28 @@
         self.holdings = holdings
 
 
+class EarlyRefusal(Record):
+    """A backend server did not hold an adapter yet that its holder had announced as loaded."""
+
+    __slots__ = ("key", "node", "server")
+
+    def __init__(self, node, server, key):
+        self.node = node
+        self.server = server
+        self.key = key
+
+
 class UseReport(Record):
     """All adapters of a backend server that the sender's requests use at present.
 
-    A report replaces those of the sender with a smaller `serial`.
+    A report replaces those of the sender with a smaller `serial`. `running` is the number of these
+    requests.
     """
 
-    __slots__ = ("keys", "node", "serial", "server")
+    __slots__ = ("keys", "node", "running", "serial", "server")
 
-    def __init__(self, node, server, serial, keys):
+    def __init__(self, node, server, serial, keys, running=0):
+        self.running = running
         self.serial = serial
         self.node = node
         self.server = server
--- a/medlarbeam/gateway/adapter_uses.py
+++ b/medlarbeam/gateway/adapter_uses.py
@@ -74,7 +74,7 @@
             holder = self.node.rights.find_holder(server)
             if holder and holder != name:
                 self.serial += 1
-                report = UseReport(name, server, self.serial, list(uses))
+                report = UseReport(name, server, self.serial, list(uses), sum(uses.values()))
                 out.emit(SendDatagram(self.node.book.nodes[holder].address, report))
             if uses:
                 self.untold.add(server)
--- a/medlarbeam/gateway/fleet_book.py
+++ b/medlarbeam/gateway/fleet_book.py
@@ -66,6 +66,8 @@
         By the name of the backend server.
     revision : int
         Revision of the store up to which everything is known, 0 before the first snapshot.
+    membership : int
+        Grows whenever a backend server becomes known or is gone.
     node_gone_at : dict of str to float
         Time (s) since when the registration of a node is missing.
     """
@@ -74,6 +76,7 @@
         "config",
         "keys",
         "lost_at",
+        "membership",
         "node_gone_at",
         "nodes",
         "releases",
@@ -97,6 +100,7 @@
         self.node_gone_at = {}
         self.revision = 0
         self.lost_at = -inf
+        self.membership = 0
 
     def handlers(self):
         """Return the methods by message class."""
@@ -173,6 +177,7 @@
         known = self.servers.get(entry.name)
         if known is None or known.entry.born_ms != entry.born_ms:
             known = self.servers[entry.name] = KnownServer(entry)
+            self.membership += 1
             out.emit(LogEvent("server_known", describe_server(entry)))
         known.entry = entry
         known.gone_at = inf
@@ -204,6 +209,7 @@
         if known is None or known.entry.born_ms != entry.born_ms:
             return
         out.emit(LogEvent("server_gone", describe_server(entry)))
+        self.membership += 1
         known.gone_at = now
         known.stop_at = min(known.stop_at, now)
         if now - self.lost_at < OUTAGE_MEMORY_S and not known.draining:
--- a/medlarbeam/gateway/holdings.py
+++ b/medlarbeam/gateway/holdings.py
@@ -10,6 +10,7 @@
 __all__ = ["Holding", "Holdings"]
 
 CLEANUP_S = 30.0
+RUNNING_LIFE_S = 2.5  # a holder repeats its report every 2 s
 
 
 class Holding:
@@ -23,9 +24,11 @@
 
 
 class _Report:
-    __slots__ = ("adapters", "fence", "serial", "spare")
+    __slots__ = ("adapters", "at", "fence", "running", "serial", "spare")
 
-    def __init__(self, report, adapters):
+    def __init__(self, report, adapters, now):
+        self.at = now
+        self.running = report.running
         self.fence = report.fence
         self.serial = report.serial
         self.spare = report.spare
@@ -33,13 +36,22 @@
 
 
 class Holdings(Component):
-    """Takes the reports of the nodes that order the backend servers."""
+    """Takes the reports of the nodes that order the backend servers.
 
-    __slots__ = ("cleanup_at", "reports")
+    Attributes
+    ----------
+    reports : dict
+        Newest report by the name of the backend server.
+    servers_by_key : dict
+        Names of the backend servers that hold an `AdapterKey`.
+    """
+
+    __slots__ = ("cleanup_at", "reports", "servers_by_key")
 
     def __init__(self, node):
         super().__init__(node)
         self.reports = {}
+        self.servers_by_key = {}
         self.cleanup_at = 0.0
 
     def handlers(self):
@@ -74,20 +86,47 @@
             return
         adapters = {h.key: Holding(h.version, now + h.ready_in_s) for h in report.holdings}
         if report.is_partial and known is not None:
-            known.adapters.update(adapters)
             for key in report.removed:
-                known.adapters.pop(key, None)
+                self.forget(report.server, key)
+            known.adapters.update(adapters)
             known.spare = report.spare
             known.serial = report.serial
+            known.running = report.running
+            known.at = now
         else:
-            self.reports[report.server] = _Report(report, adapters)
+            self._drop(report.server)
+            self.reports[report.server] = _Report(report, adapters, now)
+        for key in adapters:
+            self.servers_by_key.setdefault(key, set()).add(report.server)
         self.node.relays.wake(adapters, now)
 
+    def _drop(self, server):
+        report = self.reports.pop(server, None)
+        for key in list(report.adapters) if report is not None else ():
+            self._unlink(server, key)
+
+    def _unlink(self, server, key):
+        servers = self.servers_by_key.get(key, set())
+        servers.discard(server)
+        if not servers:
+            self.servers_by_key.pop(key, None)
+
     def find(self, server, key):
         """Return the `Holding` of `key` on `server`, or None."""
         report = self.reports.get(server)
         return report.adapters.get(key) if report is not None else None
 
+    def find_servers(self, key):
+        """Return the names of the backend servers that hold `key` or will."""
+        return self.servers_by_key.get(key, ())
+
+    def find_running(self, server, now):
+        """Return the requests of all nodes on `server`, as reported lately, else 0."""
+        report = self.reports.get(server)
+        if report is None or now - report.at > RUNNING_LIFE_S:
+            return 0
+        return report.running
+
     def find_spare(self, server):
         """Return the places that a demand could get at once on `server`, as last reported."""
         report = self.reports.get(server)
@@ -96,8 +135,8 @@
     def forget(self, server, key):
         """Note that `server` said that it does not hold `key`."""
         report = self.reports.get(server)
-        if report is not None:
-            report.adapters.pop(key, None)
+        if report is not None and report.adapters.pop(key, None) is not None:
+            self._unlink(server, key)
 
     def delay(self, server, key, ready_at):
         """Note that `key` is not ready on `server` before `ready_at` (s)."""
@@ -109,7 +148,7 @@
         """Forget backend servers that are gone."""
         self.cleanup_at = now + CLEANUP_S
         for name in [n for n in self.reports if n not in self.node.book.servers]:
-            del self.reports[name]
+            self._drop(name)
 
     def next_deadline(self):
         """Return the time of the next cleanup."""
--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -12,11 +12,6 @@
 IN_TRANSIT = 4  # adapters that may be on their way to one backend server
 # Those of them that come from the weight store: more over all backend servers slow each other.
 COLD_IN_TRANSIT = 3
-# From the weight store while few are on their way it takes 0.25 s from the answer to the order.
-COLD_LOAD_S = 0.255
-# Adapters that the engine held lately load ten times as fast.
-WARM_LOAD_S = 0.03
-WARM_COUNT = 60  # adapters that are taken to be held lately
 REPORT_LAG_S = 0.4  # a report describes the engine some hundred ms ago
 REFUSED_S = 0.02  # pause after an order that was not accepted
 REREAD_S = 0.08  # pause before a report that may be too old is asked for again
@@ -37,20 +32,36 @@
         0 while it is not known.
     ready_at, load_s : float
         Time (s) from which it should be loaded, and how long that takes.
+    is_warm : bool
+        Whether the engine held it lately, so that it loads without the weight store.
+    is_replaced : bool
+        Whether its load also has to wait for the runs of an older version.
     use : AdapterUse
         For the eviction policy.
     is_fresh : bool
         Whether no request has used it yet.
     """
 
-    __slots__ = ("is_fresh", "key", "load_s", "ready_at", "state", "use", "version")
+    __slots__ = (
+        "is_fresh",
+        "is_replaced",
+        "is_warm",
+        "key",
+        "load_s",
+        "ready_at",
+        "state",
+        "use",
+        "version",
+    )
 
     def __init__(self, key, state, version, ready_at, now):
         self.key = key
         self.state = state
         self.version = version
         self.ready_at = ready_at
-        self.load_s = COLD_LOAD_S
+        self.load_s = 0.0
+        self.is_warm = False
+        self.is_replaced = False
         self.use = AdapterUse(str(key), 1.0, now)
         self.is_fresh = True
 
@@ -86,11 +97,12 @@
 class RemoteUse:
     """The adapters that the requests of another node use."""
 
-    __slots__ = ("at", "keys", "serial")
+    __slots__ = ("at", "keys", "running", "serial")
 
-    def __init__(self, keys, serial, now):
+    def __init__(self, keys, serial, running, now):
         self.keys = keys
         self.serial = serial
+        self.running = running
         self.at = now
 
 
@@ -101,6 +113,8 @@
     ----------
     entry : ServerEntry
     fence : int
+    chart : Chart
+    load_times : LoadTimes
 
     Notes
     -----
@@ -120,6 +134,7 @@
         "is_changed",
         "is_reading",
         "least_orders",
+        "load_times",
         "models",
         "not_before",
         "orders",
@@ -129,13 +144,15 @@
         "remote",
         "serial",
         "told",
+        "told_runs",
         "wants",
     )
 
-    def __init__(self, entry, fence, chart, now):
+    def __init__(self, entry, fence, chart, load_times, now):
         self.entry = entry
         self.fence = fence
         self.chart = chart
+        self.load_times = load_times
         self.eviction = DecayedUseEviction()
         self.orders = None
         self.least_orders = 0
@@ -153,6 +170,7 @@
         self.not_before = now
         self.serial = 0
         self.told = {}
+        self.told_runs = 0
 
     # Knowledge
 
@@ -185,7 +203,7 @@
         for key, version in state.adapters.items():
             places[key] = self._keep(key, "resident", version, now, now)
         for key, version in state.coming.items():
-            places[key] = self._keep(key, "coming", version, now + COLD_LOAD_S, now)
+            places[key] = self._keep(key, "coming", version, now + self.load_times.cold_s, now)
         self.places = places
         self.is_changed = True
         if state.is_busy or self._has_leaving():
@@ -219,6 +237,19 @@
             place.use.count(now)
             place.is_fresh = False
 
+    def note_early(self, key, now):
+        """Note that a request found `key` still missing when it should have been loaded."""
+        place = self.places.get(key)
+        if place is None or place.is_replaced or not self.chart.has_tag(place, "usable"):
+            return
+        accepted_at = place.ready_at - place.load_s
+        self.load_times.note_early(now - accepted_at, place.is_warm)
+        if place.is_warm:
+            place.is_warm = False
+            place.load_s = self.load_times.cold_s
+            place.ready_at = max(now, accepted_at + place.load_s)
+            self.is_changed = True
+
     def take_use(self, report, now):
         """Take the adapters that the requests of another node use."""
         known = self.remote.get(report.node)
@@ -227,12 +258,16 @@
         keys = set(report.keys)
         for key in keys - (known.keys if known is not None else set()):
             self.use(key, now)
-        self.remote[report.node] = RemoteUse(keys, report.serial, now)
+        self.remote[report.node] = RemoteUse(keys, report.serial, report.running, now)
 
     def is_used(self, key, now):
         """Return whether requests of other nodes use `key`."""
         return any(key in use.keys and now - use.at < USE_LIFE_S for use in self.remote.values())
 
+    def count_remote_runs(self, now):
+        """Return the number of requests of other nodes that run there."""
+        return sum(use.running for use in self.remote.values() if now - use.at < USE_LIFE_S)
+
     def spare(self, engine, in_use, now):
         """Return the places that could be had at once, less the demands that wait."""
         waiting = sum(1 for key in self.wants if key not in self.places)
@@ -318,7 +353,7 @@
                     return self._replace(place, newest, now)
                 return self._unload(place, now)
         coming = [p for p in self.places.values() if self.chart.has_tag(p, "in_transit")]
-        cold = sum(1 for p in coming if p.load_s > WARM_LOAD_S)
+        cold = sum(1 for p in coming if not p.is_warm)
         wants = [
             w
             for w in self.wants.values()
@@ -342,12 +377,15 @@
 
     def _load(self, key, version, now):
         place = self.places[key] = Place(key, self.chart.initial, version, inf, now)
-        place.load_s = WARM_LOAD_S if self.recent.pop(key, None) else COLD_LOAD_S
+        place.is_warm = self.recent.pop(key, False)
+        place.load_s = self.load_times.begin_load(place.is_warm)
         return self._order(True, key, version)
 
     def _replace(self, place, version, now):
         self.chart.fire(place, "replace_sent")
-        place.load_s = COLD_LOAD_S
+        place.is_warm = False
+        place.is_replaced = True
+        place.load_s = self.load_times.begin_load(is_warm=False)
         self.is_changed = True
         return self._order(True, place.key, version)
 
@@ -421,7 +459,7 @@
 
     def _remember(self, key):
         self.recent[key] = True
-        if len(self.recent) > WARM_COUNT:
+        while len(self.recent) > self.load_times.warm_count:
             del self.recent[next(iter(self.recent))]
 
     def usable(self):
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -3,12 +3,14 @@
 from math import inf
 
 from medlarbeam.algorithms.load_budget import SharedLoadBudget
+from medlarbeam.algorithms.load_times import LoadTimes
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.gateway_effects import SendDatagram
 from medlarbeam.classes.gateway_messages import NodeDatagram, OrderAnswered, StateRead
 from medlarbeam.classes.peer_messages import (
     AdapterDemand,
     AdapterHolding,
+    EarlyRefusal,
     HoldingReport,
     UseReport,
 )
@@ -22,6 +24,7 @@
 # A new holder reads the state once the orders of the process before it have surely arrived.
 FIRST_READ_S = 0.05
 SPREAD_S = 0.02  # changes within this time are told to the other nodes together
+TOLD_RUNS = 3  # change of the requests on a backend server that is worth a report
 REFRESH_S = 2.0  # full report to the nodes of the pool, against lost datagrams
 FAR_REFRESH_S = 6.0  # and to all nodes, which need it when their own pool fails
 
@@ -35,6 +38,7 @@
         "chart",
         "desks",
         "far_at",
+        "load_times",
         "refresh_at",
         "review_at",
         "spread_at",
@@ -44,6 +48,7 @@
         super().__init__(node)
         self.chart = load_place_chart()
         self.desks = {}
+        self.load_times = LoadTimes()
         self.budget = None
         self.changed = set()
         self.review_at = 0.0
@@ -72,6 +77,8 @@
             desk.take_use(body, now)
             if desk.wants:
                 self._act(desk, now, out)
+        elif isinstance(body, EarlyRefusal):
+            self.note_early(body.server, body.key, now, out)
 
     def demand(self, server, key, priority, due, node, now, out):
         """Note that a request of `node` waits for `key` on `server`; order it if possible."""
@@ -104,6 +111,17 @@
             out.emit(LogEvent("place_doubted", f"server={server} adapter={key}"))
             desk.doubt(now)
 
+    def note_early(self, server, key, now, out):
+        """Pass it on that `server` did not hold `key` yet when it should have."""
+        desk = self.desks.get(server)
+        holder = self.node.rights.find_holder(server)
+        if desk is not None:
+            desk.note_early(key, now)
+            self._act(desk, now, out)
+        elif holder and holder != self.node.settings.name:
+            early = EarlyRefusal(self.node.settings.name, server, key)
+            out.emit(SendDatagram(self.node.book.nodes[holder].address, early))
+
     def use(self, server, key, now):
         """Note that a request of this node begins to use `key` on `server`."""
         desk = self.desks.get(server)
@@ -194,9 +212,20 @@
         spare = desk.spare(engine, self._own_use(desk), now) if engine else 0
         name = self.node.settings.name
         return HoldingReport(
-            name, desk.entry.name, desk.fence, desk.serial, holdings, removed, spare, is_partial
+            name,
+            desk.entry.name,
+            desk.fence,
+            desk.serial,
+            holdings,
+            removed,
+            spare,
+            is_partial,
+            self._count_runs(desk, now),
         )
 
+    def _count_runs(self, desk, now):
+        return self.node.stats.count_open(desk.entry.name) + desk.count_remote_runs(now)
+
     def next_deadline(self):
         """Return the time of the next review or report."""
         return min(self.review_at, self.spread_at, self.refresh_at)
@@ -205,6 +234,7 @@
         """Review the desks and tell the other nodes what has changed."""
         if self.review_at <= now:
             self._match_rights(now, out)
+            self._note_loads(now)
             due = inf
             for desk in self.desks.values():
                 self._act(desk, now, out)
@@ -213,6 +243,12 @@
         if min(self.spread_at, self.refresh_at) <= now:
             self._spread(now, out)
 
+    def _note_loads(self, now):
+        """Have the nodes of the pool told of backend servers whose load has changed."""
+        for desk in self.desks.values():
+            if abs(self._count_runs(desk, now) - desk.told_runs) >= TOLD_RUNS:
+                desk.is_changed = True
+
     def _match_rights(self, now, out):
         book = self.node.book
         for name, known in book.servers.items():
@@ -221,7 +257,9 @@
             if desk is not None and desk.entry.born_ms != known.entry.born_ms:
                 desk = None  # it has started again, empty
             if fence and (desk is None or desk.fence != fence):
-                self.desks[name] = OrderDesk(known.entry, fence, self.chart, now + FIRST_READ_S)
+                self.desks[name] = OrderDesk(
+                    known.entry, fence, self.chart, self.load_times, now + FIRST_READ_S
+                )
                 out.emit(LogEvent("right_held", f"server={name} fence={fence}"))
             elif not fence and desk is not None and known.stop_at <= now:
                 del self.desks[name]
@@ -242,6 +280,7 @@
             if is_refresh:
                 nodes = list(self.node.book.nodes) if is_far else pool
                 desk.told = {p.key: p.ready_at for p in desk.usable()}
+                desk.told_runs = self._count_runs(desk, now)
                 self._send(self._build_full_report(desk, now), nodes, out)
             elif name in changed:
                 self._send_changes(desk, pool, now, out)
@@ -251,6 +290,8 @@
         added = [p for p in usable.values() if desk.told.get(p.key) != p.ready_at]
         removed = [key for key in desk.told if key not in usable]
         desk.told = {p.key: p.ready_at for p in usable.values()}
-        if added or removed:
+        runs = self._count_runs(desk, now)
+        if added or removed or abs(runs - desk.told_runs) >= TOLD_RUNS:
+            desk.told_runs = runs
             holdings = [AdapterHolding(p.key, p.version, max(0.0, p.ready_at - now)) for p in added]
             self._send(self._build_report(desk, now, holdings, removed, True), nodes, out)
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -315,6 +315,7 @@
             relay.avoid.add(server)
         elif holding is not None and now - holding.ready_at < SETTLE_S:
             self.node.holdings.delay(server, key, now + NOT_READY_S)
+            self.node.orders.note_early(server, key, now, out)
         elif message.status == 421 and holding is not None:
             self.node.holdings.forget(server, key)
             self.node.orders.doubt(server, key, now, out)
--- a/medlarbeam/gateway/server_choice.py
+++ b/medlarbeam/gateway/server_choice.py
@@ -1,9 +1,15 @@
 """Choice of the backend server for a request, from all that the gateway knows."""
 
 from medlarbeam.algorithms.fleet_routing import Candidate
+from medlarbeam.algorithms.routing import rank_servers
 
 __all__ = ["ServerChoice"]
 
+# An adapter is loaded at one of its first places only, so that the work of a choice does not grow
+# with the fleet. The places behind cost seconds of waiting, see `PlacedRouting`.
+HOME_PLACES = 8
+MAX_KNOWN_HOMES = 20_000  # adapters whose places are remembered, about 400 bytes each
+
 
 class ServerChoice:
     """Puts the candidates of a request together for a routing policy.
@@ -12,13 +18,22 @@
     ----------
     node : Gateway
     routing : FleetRouting
+
+    Attributes
+    ----------
+    homes : dict
+        First places of an adapter in a service: the names of the backend servers in order.
+    homes_epoch : int
+        Membership for which `homes` holds.
     """
 
-    __slots__ = ("node", "routing")
+    __slots__ = ("homes", "homes_epoch", "node", "routing")
 
     def __init__(self, node, routing):
         self.node = node
         self.routing = routing
+        self.homes = {}
+        self.homes_epoch = 0
 
     def choose(self, relay, now):
         """Return the best `Candidate` for a relay at `now` (s), or None.
@@ -26,16 +41,47 @@
         Backend servers that are suspected are taken only where there are no others.
         """
         key = relay.request.key
-        entries = [
-            entry
-            for entry in self.node.book.usable_servers(relay.service, now)
-            if entry.name not in relay.avoid
-        ]
+        if key is None or not key.adapter:
+            return self._choose_among(self._find_all(relay, now), [], key, now)
+        homes = self._find_usable(self._find_homes(relay.service, key), relay, now)
+        holders = self._find_usable(self.node.holdings.find_servers(key), relay, now)
+        choice = self._choose_among({e.name: e for e in homes + holders}.values(), homes, key, now)
+        if choice is None:
+            homes = self._find_all(relay, now)
+            choice = self._choose_among(homes, homes, key, now)
+        return choice
+
+    def _choose_among(self, entries, homes, key, now):
         trusted = [e for e in entries if self.node.stats.may_use(e.name, now)]
-        candidates = [self._view(entry, key, now) for entry in trusted or entries]
-        return self.routing.choose(str(key) if key is not None else "", candidates)
+        places = {entry.name: place for place, entry in enumerate(homes)}
+        candidates = [
+            self._view(entry, key, places.get(entry.name, len(homes)), now)
+            for entry in trusted or entries
+        ]
+        return self.routing.choose(candidates)
+
+    def _find_all(self, relay, now):
+        entries = self.node.book.usable_servers(relay.service, now)
+        return [entry for entry in entries if entry.name not in relay.avoid]
+
+    def _find_usable(self, names, relay, now):
+        """Return the entries of `names` that may get the request, in order."""
+        servers = self.node.book.servers
+        known = [servers[name] for name in names if name in servers and name not in relay.avoid]
+        return [k.entry for k in known if k.stop_at > now and k.entry.service == relay.service]
+
+    def _find_homes(self, service, key):
+        book = self.node.book
+        if self.homes_epoch != book.membership or len(self.homes) >= MAX_KNOWN_HOMES:
+            self.homes.clear()
+            self.homes_epoch = book.membership
+        homes = self.homes.get((service, key))
+        if homes is None:
+            names = [n for n, known in book.servers.items() if known.entry.service == service]
+            homes = self.homes[service, key] = rank_servers(str(key), names, HOME_PLACES)
+        return homes
 
-    def _view(self, entry, key, now):
+    def _view(self, entry, key, place, now):
         node = self.node
         return Candidate(
             entry,
@@ -44,6 +90,7 @@
             self._find_ready_s(entry, key, now),
             self._has_holder(entry.name, now),
             node.holdings.find_spare(entry.name),
+            place,
         )
 
     def _find_ready_s(self, entry, key, now):
--- a/medlarbeam/gateway/server_stats.py
+++ b/medlarbeam/gateway/server_stats.py
@@ -88,6 +88,11 @@
             record.trial_at = now
         return record
 
+    def count_open(self, name):
+        """Return the number of this node's runs on a backend server."""
+        record = self.records.get(name)
+        return record.open_runs if record is not None else 0
+
     def close_run(self, name):
         """Count a run that has ended."""
         record = self.record(name)
@@ -137,12 +142,12 @@
 
     def occupancy(self, entry, now):
         """Return the load of a backend server in rounds of its slots."""
+        busy = self.node.holdings.find_running(entry.name, now)
         record = self.records.get(entry.name)
-        if record is None:
-            return 0.0
-        busy = record.open_runs
-        if record.load is not None and now - record.load_at < LOAD_AGE_S:
-            busy = max(busy, record.load.running + record.load.waiting)
+        if record is not None:
+            busy = max(busy, record.open_runs)
+            if record.load is not None and now - record.load_at < LOAD_AGE_S:
+                busy = max(busy, record.load.running + record.load.waiting)
         return busy / max(1, entry.slots)
 
     def count_suspects(self):
--- a/medlarbeam/gateway/tests/test_order_desk.py
+++ b/medlarbeam/gateway/tests/test_order_desk.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from medlarbeam.algorithms.load_times import LoadTimes
 from medlarbeam.classes.fleet import AdapterKey, EngineState
 from medlarbeam.classes.gateway_effects import ReadState, ServerOrder
 from medlarbeam.classes.gateway_messages import OrderAnswered
@@ -19,7 +20,7 @@
     __slots__ = ("desk", "in_use", "now", "releases")
 
     def __init__(self, held=(), coming=(), orders=4):
-        self.desk = OrderDesk(make_server("w1", "llm"), 7, CHART, 0.0)
+        self.desk = OrderDesk(make_server("w1", "llm"), 7, CHART, LoadTimes(), 0.0)
         self.now = 1.0
         self.in_use = set()
         self.releases = {}
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -11,6 +11,7 @@
 from medlarbeam.gateway.tests.fleet_samples import make_settings
 from medlarbeam.platform.__main__ import build_gateway_shell
 from medlarbeam.platform.settings import PlatformSettings
+from medlarbeam.standins.free_ports import find_free_addresses
 from medlarbeam.standins.platform_store import PlatformStore
 from medlarbeam.standins.platform_worker import PlatformWorker, event
 
@@ -24,12 +25,6 @@
     return sock, f"127.0.0.1:{sock.getsockname()[1]}"
 
 
-def free_address():
-    sock, address = bind()
-    sock.close()
-    return address
-
-
 def route(name, kind, service, **fields):
     return {
         "name": name,
@@ -71,14 +66,15 @@
 class Deployment:
     """A gateway with two workers of each service and a store, all on loopback."""
 
-    __slots__ = ("front", "runner", "shell", "store", "workers")
+    __slots__ = ("addresses", "front", "runner", "shell", "store", "workers")
 
     def __init__(self):
         self.store = PlatformStore()
         self.workers = {name: PlatformWorker(name) for name in ("l1", "l2", "w1", "w2")}
         self.runner = None
         self.shell = None
-        self.front = free_address()
+        self.addresses = find_free_addresses(4)
+        self.front = self.addresses[0]
 
     async def __aenter__(self):
         sock, address = bind()
@@ -90,10 +86,8 @@
             self.register(worker)
         self.store.put("op/config", dumps(CONFIG))
         gateway = make_settings("n1", "z1")
-        gateway.address = free_address()
-        settings = PlatformSettings(
-            gateway, self.front, free_address(), gateway.address, free_address(), address
-        )
+        _, ready, gateway.address, metrics = self.addresses
+        settings = PlatformSettings(gateway, self.front, ready, gateway.address, metrics, address)
         self.shell = build_gateway_shell(settings)
         await self.shell.start()
         async with asyncio.timeout(5):
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -23,6 +23,7 @@
     adapterDemand @16 :AdapterDemand;
     holdingReport @17 :HoldingReport;
     useReport @18 :UseReport;
+    earlyRefusal @19 :EarlyRefusal;
   }
 }
 
@@ -240,6 +241,7 @@
   isPartial @5 :Bool;
   removed @6 :List(AdapterKey);
   spare @7 :Int32;
+  running @8 :UInt32;
 }
 
 struct UseReport {
@@ -247,4 +249,11 @@
   server @1 :Text;
   keys @2 :List(AdapterKey);
   serial @3 :UInt64;
+  running @4 :UInt32;
+}
+
+struct EarlyRefusal {
+  node @0 :Text;
+  server @1 :Text;
+  key @2 :AdapterKey;
 }
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -17,6 +17,7 @@
     Cancel,
     Chunk,
     CrashReport,
+    EarlyRefusal,
     End,
     FetchCatalog,
     FetchRecord,
@@ -134,11 +135,12 @@
     ),
     "holdingReport": Layout(
         HoldingReport,
-        "node server fence serial spare is_partial",
+        "node server fence serial spare is_partial running",
         ListField("holdings", _HOLDING),
         ListField("removed", _KEY),
     ),
-    "useReport": Layout(UseReport, "node server serial", ListField("keys", _KEY)),
+    "earlyRefusal": Layout(EarlyRefusal, "node server", RecordField("key", _KEY)),
+    "useReport": Layout(UseReport, "node server serial running", ListField("keys", _KEY)),
 }
 _MEMBER_OF = {layout.kind: member for member, layout in _LAYOUTS.items()}
 
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -20,6 +20,7 @@
     Cancel,
     Chunk,
     CrashReport,
+    EarlyRefusal,
     End,
     FetchCatalog,
     FetchRecord,
@@ -104,8 +105,9 @@
     Leaving("n1"),
     AdapterDemand("n1", "i-1", AdapterKey("m0", "a7"), 2, -0.5),
     HoldingReport("n1", "i-1", 41, 7, [AdapterHolding(AdapterKey("m0", "a7"), 3, 0.25)]),
-    HoldingReport("n1", "i-1", 41, 8, [], [AdapterKey("m0", "a7")], -3, True),
-    UseReport("n2", "i-1", 9, [AdapterKey("m0", "a7"), AdapterKey("m0", "")]),
+    HoldingReport("n1", "i-1", 41, 8, [], [AdapterKey("m0", "a7")], -3, True, 12),
+    UseReport("n2", "i-1", 9, [AdapterKey("m0", "a7"), AdapterKey("m0", "")], 5),
+    EarlyRefusal("n2", "i-1", AdapterKey("m0", "a7")),
 ]
 
 NOTE = ReleaseNote(
