Pause between calls of the watch by the bounds of the deployment; take rights over sooner

The pause is now 0.35 of the time in which a change must be in force.

The test of the late second answer asks for whole answers, and a test shows that an answer without a length passes a reset without check_end.

--- a/medlarbeam/gateway/fleet_book.py
+++ b/medlarbeam/gateway/fleet_book.py
@@ -20,7 +20,6 @@
 # alone has more likely been removed; it counts for the bound on leaving backend servers.
 LAPSE_S = 1.8
 LAPSE_SHARE = 0.3  # of all backend servers, at least two, that vanish together in a lapse
-KNOWN_AFTER_S = 1.1  # from the removal of an entry until its event is known, at most
 # A loss of the store this long before an entry vanished may be the reason for it: a heartbeat that
 # could not be written counts three intervals of about 1.2 s.
 OUTAGE_MEMORY_S = 5.0
@@ -213,7 +212,8 @@
         known.gone_at = now
         known.stop_at = min(known.stop_at, now)
         if now - self.lost_at < OUTAGE_MEMORY_S and not known.draining:
-            known.stop_at = now + max(0.0, self.node.settings.drain_s - KNOWN_AFTER_S)
+            settings = self.node.settings
+            known.stop_at = now + max(0.0, settings.drain_s - settings.known_after_s)
             self._keep_lapsed(now)
 
     def _keep_lapsed(self, now):
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -10,11 +10,11 @@
 
 __all__ = ["LEASE_S", "OrderRights"]
 
-LEASE_S = 4.0  # how long the registration of a node that is killed stands
-RENEW_S = 1.0
+LEASE_S = 2.5  # how long the registration of a node that is killed stands
+RENEW_S = 0.75  # a renewal costs a tenth of a call; three are missed before the lease ends
 # A node gives orders for this long after its last renewal, so that it rides out most outages of the
 # store. Whoever takes over waits as long, which makes the takeover from a lost node slow.
-VALID_S = 10.0
+VALID_S = 6.0
 MARGIN_S = 0.5  # orders in flight, and the drift of clocks within VALID_S
 CHECK_S = 0.25
 RETRY_S = 1.0  # pause after a right was refused, so that a full store is not pressed
--- a/medlarbeam/gateway/settings.py
+++ b/medlarbeam/gateway/settings.py
@@ -19,6 +19,8 @@
         Least time between the orders of two nodes to one backend server.
     drain_s : float
         Time within which a leaving backend server must get no more work.
+    known_after_s : float
+        Time from a change in the store until this node knows it, at most, while the store answers.
     grace_s : float
         Time from the order to stop until the process is killed.
     retry_ratio, retry_window_s, retry_extra : float
@@ -31,6 +33,7 @@
         "failure_domain",
         "grace_s",
         "incarnation",
+        "known_after_s",
         "name",
         "retry_extra",
         "retry_ratio",
@@ -47,6 +50,7 @@
         *,
         turn_gap_s,
         drain_s,
+        known_after_s,
         grace_s,
         retry_ratio,
         retry_window_s,
@@ -58,6 +62,7 @@
         self.incarnation = incarnation
         self.turn_gap_s = turn_gap_s
         self.drain_s = drain_s
+        self.known_after_s = known_after_s
         self.grace_s = grace_s
         self.retry_ratio = retry_ratio
         self.retry_window_s = retry_window_s
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -38,6 +38,7 @@
         5,
         turn_gap_s=3.0,
         drain_s=2.0,
+        known_after_s=1.1,
         grace_s=8.0,
         retry_ratio=0.2,
         retry_window_s=10.0,
--- a/medlarbeam/gateway/tests/test_order_rights.py
+++ b/medlarbeam/gateway/tests/test_order_rights.py
@@ -25,8 +25,8 @@
 FREE = [
     ("server-without-a-right-is-taken-at-once", [], [], 1, 1),
     ("right-of-a-live-node-stays", [OrderRight("w1", "n2", 3)], [OTHER], 60, 0),
-    ("right-of-a-missing-node-waits", [OrderRight("w1", "n2", 3)], [], 12, 0),
-    ("right-of-a-missing-node-is-taken-later", [OrderRight("w1", "n2", 3)], [], 16, 1),
+    ("right-of-a-missing-node-waits", [OrderRight("w1", "n2", 3)], [], VALID_S + 2.9, 0),
+    ("right-of-a-missing-node-is-taken-later", [OrderRight("w1", "n2", 3)], [], VALID_S + 6, 1),
     ("right-that-was-given-back-waits-for-the-gap", [OrderRight("w1", "", 3)], [], 3, 0),
     ("right-that-was-given-back-is-taken", [OrderRight("w1", "", 3)], [], 5, 1),
     ("own-right-needs-no-taking", own_rights(["w1"]), [], 20, 0),
--- a/medlarbeam/platform/settings.py
+++ b/medlarbeam/platform/settings.py
@@ -9,6 +9,12 @@
 
 __all__ = ["PlatformSettings", "read_platform_settings"]
 
+# Share of the time within which a change must be in force that a node waits between two calls of
+# the watch: the changes of many heartbeats come with one call then, and calls are priced. The rest
+# is for a slow store, whose answer takes up to 0.25 s, and for a call that has to be repeated.
+GATHER_SHARE = 0.35
+SLOW_CALL_S = 0.6
+
 
 class PlatformSettings(Record):
     """Settings of the process.
@@ -19,11 +25,14 @@
     front, ready, datagrams, metrics, store : str
         ``ip:port`` for callers, the load balancer's check, other nodes and readers of the metrics,
         and of the store.
+    gather_s : float
+        Pause between two calls of the store's watch.
     """
 
-    __slots__ = ("datagrams", "front", "gateway", "metrics", "ready", "store")
+    __slots__ = ("datagrams", "front", "gather_s", "gateway", "metrics", "ready", "store")
 
-    def __init__(self, gateway, front, ready, datagrams, metrics, store):
+    def __init__(self, gateway, front, ready, datagrams, metrics, store, gather_s):
+        self.gather_s = gather_s
         self.metrics = metrics
         self.gateway = gateway
         self.front = front
@@ -59,13 +68,16 @@
     def bound(name, default):
         return take(bounds, name, float, default)
 
+    drain_s = bound("drainMs", 2000) / 1000.0
+    gather_s = GATHER_SHARE * min(drain_s, bound("configApplyMs", 2000) / 1000.0)
     gateway = GatewaySettings(
         take(document, "nodeName", str),
         take(document, "zone", str),
         datagrams,
         incarnation,
         turn_gap_s=bound("leaseMs", 3000) / 1000.0,
-        drain_s=bound("drainMs", 2000) / 1000.0,
+        drain_s=drain_s,
+        known_after_s=gather_s + SLOW_CALL_S,
         grace_s=bound("graceS", 8),
         retry_ratio=bound("retryBudgetRatio", 0.2),
         retry_window_s=bound("budgetWindowS", 10),
@@ -78,4 +90,5 @@
         datagrams,
         f"{ip}:{ports[-1]}",
         take(take(document, "platform", dict), "address", str),
+        gather_s,
     )
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -44,8 +44,6 @@
 # A connection may go silent without a reset: a watch that waits this long is asked anew, so that a
 # change is known within the bound on configurations.
 WATCH_S = 1.5
-# Pause between two calls of the watch, so that the changes of many heartbeats come with one call.
-GATHER_S = 0.5
 CALL_S = 1.0  # an answer takes some ms; a slow store takes up to 60 times as long
 CONNECT_S = 0.5
 BACKOFF_S = 0.25  # after a failure, growing up to the next
@@ -128,7 +126,7 @@
                     # Registered before it reads, the node knows its rights from the first snapshot.
                     await self._keep(KeepLease(LEASE_S))
                 after = await self._watch(after) if after else await self._read_all()
-                await asyncio.sleep(GATHER_S)
+                await asyncio.sleep(self.settings.gather_s)
                 pause_s = BACKOFF_S
             except (StoreError, FormatError) as error:
                 if getattr(error, "status", 0) == 410:
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -9,6 +9,7 @@
 from orjson import dumps
 
 from medlarbeam.gateway.tests.fleet_samples import make_settings
+from medlarbeam.platform import server_client
 from medlarbeam.platform.__main__ import build_gateway_shell
 from medlarbeam.platform.settings import PlatformSettings
 from medlarbeam.standins.free_ports import find_free_addresses
@@ -87,7 +88,9 @@
         self.store.put("op/config", dumps(CONFIG))
         gateway = make_settings("n1", "z1")
         _, ready, gateway.address, metrics = self.addresses
-        settings = PlatformSettings(gateway, self.front, ready, gateway.address, metrics, address)
+        settings = PlatformSettings(
+            gateway, self.front, ready, gateway.address, metrics, address, 0.5
+        )
         self.shell = build_gateway_shell(settings)
         await self.shell.start()
         async with asyncio.timeout(5):
@@ -192,8 +195,20 @@
         return [await deployment.call(session, "read", f"id-{i}") for i in range(8)]
 
     results = run(scenario)
-    assert all(body == b"paid" for status, body in results if status == 200)
-    assert all(status in (200, 502) for status, body in results)
+    assert results[0] == (200, b"paid")
+    assert results.count((200, b"paid")) >= len(results) // 2
+    assert {status for status, body in results if body != b"paid"} <= {502}
+
+
+def test_reset_is_taken_for_the_end_without_the_check(monkeypatch):
+    """Shows that `check_end` is what keeps half an answer without a length from passing."""
+    monkeypatch.setattr(server_client, "check_end", lambda response, protocol: None)
+
+    async def scenario(deployment, session):
+        deployment.behave("unframed_reset")
+        return await deployment.call(session, "read", "id-1")
+
+    assert run(scenario)[0] == 200
 
 
 def test_stream_goes_on_at_the_other_worker_without_a_gap():
