--- a/medlarbeam/gateway/adapter_uses.py
+++ b/medlarbeam/gateway/adapter_uses.py
@@ -8,7 +8,7 @@
 
 __all__ = ["AdapterUses"]
 
-DELAY_S = 0.01  # uses that begin or end within this time are reported together
+DELAY_S = 0.03  # uses that begin or end within this time are reported together
 REPEAT_S = 0.25  # a report is sent again this often, against lost datagrams
 
 
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -72,21 +72,14 @@
             ]
         )
 
-    def is_in_pool(self, failure_domain):
-        """Return whether adapters have their homes over `failure_domain` and this node's together.
+    def _is_pool_of_own(self):
+        """Return whether this node's failure domain has engines enough to be a pool by itself.
 
         Bytes between failure domains are dear, but few backend servers hold few adapters.
         """
-        if failure_domain == self.settings.failure_domain:
-            return True
-        near = 0
-        for known in self.book.servers.values():
-            entry = known.entry
-            if entry.failure_domain == self.settings.failure_domain and self.book.find_engine(
-                entry
-            ):
-                near += 1
-        return near < POOL_SERVERS
+        domain = self.settings.failure_domain
+        near = [k.entry for k in self.book.servers.values() if k.entry.failure_domain == domain]
+        return sum(1 for entry in near if self.book.find_engine(entry)) >= POOL_SERVERS
 
     def measure(self, now):
         """Return the levels that the metrics page shows at `now` (s), by name."""
@@ -104,4 +97,7 @@
 
     def find_pool_nodes(self):
         """Return the names of the nodes that share the pool of this node."""
-        return [n.name for n in self.book.nodes.values() if self.is_in_pool(n.failure_domain)]
+        domain = self.settings.failure_domain
+        is_own = self._is_pool_of_own()
+        nodes = self.book.nodes.values()
+        return [n.name for n in nodes if n.failure_domain == domain or not is_own]
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -174,6 +174,7 @@
         server = choice.entry.name
         priority = relay.route.priority
         holder = self.node.rights.find_holder(server)
+        relay.reason = f"waited for {key} on {server}, ordered by {holder or 'nobody'}"
         due = relay.aim_at - START_S
         self._wait(relay, now + DEMAND_S)
         if holder == self.node.settings.name:
@@ -214,6 +215,7 @@
         relay.run_id = f"{relay.request.request_id}.{self.run_count}"
         relay.server = entry
         relay.sends += 1
+        relay.reason = ""
         relay.sent_at = now
         if relay.first_sent_at is None:
             relay.first_sent_at = now
