--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -48,8 +48,8 @@
     is_once : bool
         Whether the request must not meet a connection that the backend server may be closing.
     first_limit_s, gap_limit_s : float
-        Longest wait for the beginning of the answer and for each further event; the run is given
-        up then. Infinite for none.
+        Longest wait for the beginning of the answer and for each further event, after which the
+        gateway hears `RunStalled`. Infinite for none.
     """
 
     __slots__ = (
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -16,6 +16,7 @@
     "RunBroken",
     "RunEnded",
     "RunRefused",
+    "RunStalled",
     "RunStarted",
     "SnapshotRead",
     "StateRead",
@@ -151,6 +152,26 @@
         self.is_caller_served = is_caller_served
 
 
+class RunStalled(Record):
+    """A run has brought nothing for as long as `StartFleetRun` allows; it goes on.
+
+    Parameters
+    ----------
+    run_id : str
+    events : int
+        Id of the last event that was passed to the caller, 0 for none.
+    quiet_s : float
+        Time since it was sent or brought something.
+    """
+
+    __slots__ = ("events", "quiet_s", "run_id")
+
+    def __init__(self, run_id, events, quiet_s):
+        self.run_id = run_id
+        self.events = events
+        self.quiet_s = quiet_s
+
+
 class EntryRead(Record):
     """An entry of the store that was written.
 
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -5,13 +5,11 @@
 from medlarbeam.algorithms.fleet_routing import PlacedRouting
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.fleet import RouteKind
 from medlarbeam.classes.gateway_effects import (
     CutAnswer,
     PassAnswer,
     RefuseRequest,
     SendDatagram,
-    StartFleetRun,
     StopFleetRun,
 )
 from medlarbeam.classes.gateway_messages import (
@@ -21,6 +19,7 @@
     RunBroken,
     RunEnded,
     RunRefused,
+    RunStalled,
     RunStarted,
 )
 from medlarbeam.classes.peer_messages import AdapterDemand
@@ -28,6 +27,7 @@
 from medlarbeam.gateway.relay import Relay, RelayTimers
 from medlarbeam.gateway.retry_share import RetryShare
 from medlarbeam.gateway.route_table import choose_service
+from medlarbeam.gateway.run_plan import has_attempt_left, plan_run
 from medlarbeam.gateway.server_choice import ServerChoice
 from medlarbeam.node.component import Component
 
@@ -39,11 +39,9 @@
 IDLE_S = 0.05  # a request without any backend server looks again this often
 NO_SERVER_SHARE = 0.5  # of the aim, after which it is refused
 NOT_READY_S = 0.03  # an adapter that was expected and is not there is tried again after this
+MOVE_WAIT_S = 0.05  # a quiet run is moved only to where its adapter is, or nearly
 SETTLE_S = 0.6  # a refusal this soon after a load is put down to the load
 RETRY_AFTER_S = 0.2
-FIRST_LIMIT_SHARE = 1.2  # of the aim that a backend server may use before another is tried
-LONG_PROMPT_TOKENS = 3000  # prompts beyond this take a large part of the aim to read
-GAP_LIMIT_SHARE = 2.0  # of the longest pause that is on time
 ANSWER_SLACK_S = 0.15  # for the backend server's own answer at its deadline
 
 
@@ -84,6 +82,7 @@
             RunAnswered: self.take_answered,
             RunRefused: self.take_refused,
             RunBroken: self.take_broken,
+            RunStalled: self.take_stalled,
         }
 
     def open_count(self):
@@ -97,13 +96,13 @@
         book = self.node.book
         if not book.is_known():
             failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, "no configuration is known yet")
-            self._refuse(request.request_id, failure, RETRY_AFTER_S, out)
+            self._refuse(request, failure, RETRY_AFTER_S, out)
             return
         route = book.routes.match(request.host, request.path)
         if route is None:
             reason = f"no route for {request.host}{request.path} in {book.config.version}"
             failure = Failure(ErrorKind.UNKNOWN_SERVICE, reason)
-            self._refuse(request.request_id, failure, 0.0, out)
+            self._refuse(request, failure, 0.0, out)
             return
         service = choose_service(route, self.node.rng)
         relay = Relay(request, route, service, self.chart.initial, now)
@@ -122,9 +121,10 @@
         self.longest_waits[route.name] = longest_s
         return longest_s - left_s
 
-    def _refuse(self, request_id, failure, retry_after_s, out):
-        out.emit(LogEvent("request_refused", repr(failure), request_id))
-        out.emit(RefuseRequest(request_id, failure, retry_after_s))
+    def _refuse(self, request, failure, retry_after_s, out):
+        detail = f"attempt={request.attempt_id} {failure!r}"
+        out.emit(LogEvent("request_refused", detail, request.request_id))
+        out.emit(RefuseRequest(request.request_id, failure, retry_after_s))
 
     def take_left(self, message, now, out):
         """Stop the work for a caller that has left."""
@@ -224,42 +224,18 @@
         self.node.uses.begin(entry.name, relay.request.key, now)
         self.chart.fire(relay, "sent", self, now, out, None)
         self.timers.set(relay, relay.give_up_at + ANSWER_SLACK_S)
-        out.emit(self._build_run(relay, entry))
+        version = self.node.book.releases.get(relay.request.key, 0)
+        out.emit(plan_run(relay, entry, version))
         out.emit(
             LogEvent(
                 "run_sent",
                 f"run={relay.run_id} server={entry.name} route={relay.route.name} "
                 f"adapter={relay.request.key} send={relay.sends} "
-                f"waited_s={now - relay.arrived_at:.3f}",
+                f"waited_s={now - relay.arrived_at:.3f} attempt={relay.request.attempt_id}",
                 relay.request.request_id,
             )
         )
 
-    def _build_run(self, relay, entry):
-        route = relay.route
-        is_stream = route.kind is RouteKind.STREAM
-        first_limit_s = gap_limit_s = inf
-        if self._has_attempt_left(relay):
-            first_limit_s = route.aim_s * FIRST_LIMIT_SHARE
-            first_limit_s *= max(1.0, relay.request.tokens / LONG_PROMPT_TOKENS)
-            gap_limit_s = route.gap_s * GAP_LIMIT_SHARE or inf
-        version = self.node.book.releases.get(relay.request.key, 0)
-        return StartFleetRun(
-            relay.run_id,
-            relay.request.request_id,
-            entry,
-            relay.give_up_at,
-            route.priority,
-            version,
-            is_stream,
-            not route.is_repeatable(),
-            first_limit_s,
-            gap_limit_s,
-        )
-
-    def _has_attempt_left(self, relay):
-        return relay.route.is_repeatable() and relay.runs + 1 < relay.route.attempts
-
     def leave_server(self, relay, now, out, message):
         """Count the end of the present run."""
         self.by_run.pop(relay.run_id, None)
@@ -355,6 +331,43 @@
         self.chart.fire(relay, "broken", self, now, out, message)
         self._settle(relay, now, out)
 
+    def take_stalled(self, message, now, out):
+        """Move a quiet run to another backend server if there is a better one.
+
+        A run of a busy server may still answer; it is moved only to where it can begin at once. One
+        of a server that is not heard at all is moved also to where its adapter has to be loaded.
+        """
+        relay = self.by_run.get(message.run_id)
+        if relay is None:
+            return
+        may_move = has_attempt_left(relay) and self.may_repeat(relay, now, out, message)
+        better = self._find_better_server(relay, now) if may_move else ""
+        out.emit(
+            LogEvent(
+                "run_stalled",
+                f"run={message.run_id} server={relay.server.name} quiet_s={message.quiet_s:.3f} "
+                f"may_move={may_move} better={better}",
+                relay.request.request_id,
+            )
+        )
+        if not better:
+            return
+        out.emit(StopFleetRun(message.run_id))
+        reason = f"nothing came for {message.quiet_s:.3f} s"
+        broken = RunBroken(message.run_id, reason, message.events, relay.is_served, True)
+        self.take_broken(broken, now, out)
+
+    def _find_better_server(self, relay, now):
+        """Return the name of the backend server that should go on with a quiet run, or ""."""
+        server = relay.server.name
+        choice = self.choice.choose(relay, now, relay.avoid | {server})
+        if choice is None:
+            return ""
+        is_ready = choice.ready_in_s is not None and choice.ready_in_s <= MOVE_WAIT_S
+        if not is_ready and self.node.stats.is_heard(server, relay.sent_at):
+            return ""
+        return choice.entry.name
+
     def _settle(self, relay, now, out):
         """Send a relay that waits again, or forget one that has ended."""
         if self.chart.has_tag(relay, "waiting"):
@@ -437,7 +450,7 @@
 
     def _give_up(self, relay, failure, retry_after_s, out):
         relay.outcome = failure.kind.value
-        self._refuse(relay.request.request_id, failure, retry_after_s, out)
+        self._refuse(relay.request, failure, retry_after_s, out)
 
     def _cut(self, relay, out):
         relay.outcome = "cut"
--- a/medlarbeam/gateway/server_choice.py
+++ b/medlarbeam/gateway/server_choice.py
@@ -35,19 +35,21 @@
         self.homes = {}
         self.homes_epoch = 0
 
-    def choose(self, relay, now):
+    def choose(self, relay, now, avoid=None):
         """Return the best `Candidate` for a relay at `now` (s), or None.
 
-        Backend servers that are suspected are taken only where there are no others.
+        Backend servers that are suspected are taken only where there are no others. The names in
+        `avoid` are not taken, by default those that the relay avoids.
         """
+        avoid = relay.avoid if avoid is None else avoid
         key = relay.request.key
         if key is None or not key.adapter:
-            return self._choose_among(self._find_all(relay, now), [], key, now)
-        homes = self._find_usable(self._find_homes(relay.service, key), relay, now)
-        holders = self._find_usable(self.node.holdings.find_servers(key), relay, now)
+            return self._choose_among(self._find_all(relay.service, avoid, now), [], key, now)
+        homes = self._find_usable(self._find_homes(relay.service, key), relay.service, avoid, now)
+        holders = self._find_usable(self.node.holdings.find_servers(key), relay.service, avoid, now)
         choice = self._choose_among({e.name: e for e in homes + holders}.values(), homes, key, now)
         if choice is None:
-            homes = self._find_all(relay, now)
+            homes = self._find_all(relay.service, avoid, now)
             choice = self._choose_among(homes, homes, key, now)
         return choice
 
@@ -60,15 +62,15 @@
         ]
         return self.routing.choose(candidates)
 
-    def _find_all(self, relay, now):
-        entries = self.node.book.usable_servers(relay.service, now)
-        return [entry for entry in entries if entry.name not in relay.avoid]
+    def _find_all(self, service, avoid, now):
+        entries = self.node.book.usable_servers(service, now)
+        return [entry for entry in entries if entry.name not in avoid]
 
-    def _find_usable(self, names, relay, now):
+    def _find_usable(self, names, service, avoid, now):
         """Return the entries of `names` that may get the request, in order."""
         servers = self.node.book.servers
-        known = [servers[name] for name in names if name in servers and name not in relay.avoid]
-        return [k.entry for k in known if k.stop_at > now and k.entry.service == relay.service]
+        known = [servers[name] for name in names if name in servers and name not in avoid]
+        return [k.entry for k in known if k.stop_at > now and k.entry.service == service]
 
     def _find_homes(self, service, key):
         book = self.node.book
--- a/medlarbeam/gateway/tests/test_relays.py
+++ b/medlarbeam/gateway/tests/test_relays.py
@@ -15,10 +15,12 @@
     RunBroken,
     RunEnded,
     RunRefused,
+    RunStalled,
     RunStarted,
 )
 from medlarbeam.exceptions import RunState
 from medlarbeam.gateway.tests.fleet_samples import (
+    COLD,
     HOT,
     Driven,
     make_driven,
@@ -157,3 +159,52 @@
     (answer,) = driven.find(RefuseRequest)
     assert answer.failure.run_state is run_state
     assert ANSWERS[answer.failure.kind].status == status
+
+
+def stall(run, quiet_s=0.6):
+    return RunStalled(run, 0, quiet_s)
+
+
+STALLS = [
+    ("quiet-run-is-moved-to-a-holder", "chat", [HOT], False, True),
+    ("quiet-run-of-a-busy-server-waits-where-nobody-else-holds-it", "chat", [COLD], True, False),
+    ("run-of-a-server-that-is-not-heard-is-moved-to-be-loaded", "chat", [COLD], False, True),
+    ("run-that-may-not-be-repeated-is-left-alone", "draft", [HOT], False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("route", "held", "is_heard", "is_moved"), [s[1:] for s in STALLS], ids=[s[0] for s in STALLS]
+)
+def test_run_that_brings_nothing(route, held, is_heard, is_moved):
+    servers = [make_server("w1", "llm"), make_server("w2", "llm", adapters=held)]
+    driven = make_driven(servers=servers, rights=own_rights())
+    driven.gateway.stats.open_run("w2", driven.now)  # so that w1 is chosen first
+    driven.send(route, HOT)
+    (run,) = driven.find(StartFleetRun)
+    assert run.server.name == "w1"
+    if is_heard:
+        driven.gateway.stats.hear("w1", driven.now + 0.1)
+    driven.now += 0.6
+    driven.give(stall(run.run_id))
+    assert bool(driven.find(StopFleetRun)) is is_moved
+    if not is_moved:
+        driven.give(RunStarted(run.run_id, None))
+        driven.give(RunEnded(run.run_id, 200, None))
+    else:
+        driven.give(RunEnded(run.run_id, 200, None))  # too late: it counts no more
+        assert driven.gateway.relays.open_count() == 1
+
+
+def test_quiet_run_waits_while_the_budget_for_repeats_is_empty():
+    """Giving it up told a caller 502 that would have been answered within its deadline."""
+    driven = make_driven(rights=own_rights())
+    driven.gateway.relays.retries.settings.retry_extra = 0
+    driven.send("chat", HOT)
+    (run,) = driven.find(StartFleetRun)
+    while driven.gateway.relays.retries.take("llm", 1, driven.now):
+        pass
+    driven.now += 0.6
+    driven.give(stall(run.run_id))
+    assert driven.find(StopFleetRun) == driven.find(RefuseRequest) == []
+    assert driven.gateway.relays.open_count() == 1
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -1,7 +1,6 @@
 """Client of the backend servers: runs, orders and reports."""
 
 import asyncio
-from math import inf
 
 from aiohttp import ClientOSError, ClientTimeout
 from aiohttp.web import Response
@@ -37,6 +36,7 @@
     read_load,
     run_headers,
 )
+from medlarbeam.platform.stall_watch import StallWatch
 
 __all__ = ["ServerClient"]
 
@@ -116,8 +116,7 @@
             served = exchange.stream is not None
             reason = describe_error(error)
             if guard.sent:
-                is_silent = isinstance(error, TimeoutError)
-                message = RunBroken(effect.run_id, reason, exchange.last_event, served, is_silent)
+                message = RunBroken(effect.run_id, reason, exchange.last_event, served)
             else:
                 message = RunRefused(effect.run_id, 0, f"nothing was sent: {reason}", None)
         finally:
@@ -125,12 +124,10 @@
         self.driver.deliver(message)
 
     async def _exchange(self, effect, exchange):
-        loop = asyncio.get_running_loop()
         now = self.driver.read_clock()
         session = self.single_session if effect.is_once else self.session
         resumed_at = exchange.last_event if exchange.stream is not None else 0
-        limit = loop.time() + effect.first_limit_s if effect.first_limit_s < inf else None
-        async with asyncio.timeout_at(limit) as timeout:
+        with StallWatch(self.driver, effect, exchange) as watch:
             async with session.request(
                 exchange.http.method,
                 URL(f"http://{effect.server.address}{exchange.http.raw_path}", encoded=True),
@@ -147,7 +144,7 @@
                     return RunRefused(effect.run_id, response.status, refusal, load)
                 check_answer(response, exchange)
                 if effect.is_stream and response.status == 200:
-                    await self._relay_stream(effect, exchange, response, load, timeout)
+                    await self._relay_stream(effect, exchange, response, load, watch)
                     check_end(response, protocol)
                     exchange.finish(exchange.stream)
                     return RunEnded(effect.run_id, response.status, load)
@@ -162,23 +159,20 @@
         exchange.kept[effect.run_id] = answer
         return RunAnswered(effect.run_id, response.status, load)
 
-    async def _relay_stream(self, effect, exchange, response, load, timeout):
-        loop = asyncio.get_running_loop()
+    async def _relay_stream(self, effect, exchange, response, load, watch):
         cutter = EventCutter(exchange.last_event)
         is_first = True
         async for piece in response.content.iter_any():
             data = cutter.feed(piece)
-            if data:
-                await exchange.begin_stream(response.status, answer_headers(response.headers))
-                await exchange.stream.write(data)
-                exchange.last_event = cutter.last_event
-                if is_first:
-                    is_first = False
-                    self.driver.deliver(RunStarted(effect.run_id, load))
-                if effect.gap_limit_s < inf:
-                    timeout.reschedule(loop.time() + effect.gap_limit_s)
-                elif is_first is False and timeout.when() is not None:
-                    timeout.reschedule(None)
+            if not data:
+                continue
+            watch.hear()
+            await exchange.begin_stream(response.status, answer_headers(response.headers))
+            await exchange.stream.write(data)
+            exchange.last_event = cutter.last_event
+            if is_first:
+                is_first = False
+                self.driver.deliver(RunStarted(effect.run_id, load))
         if cutter.rest:
             raise BadAnswerError("the stream ended inside an event")
         await exchange.begin_stream(response.status, answer_headers(response.headers))
