Report uses and holdings less often, and keep a timer that is early enough

They are repeated every 0.6 s and gathered for 0.03 s, reports of holdings for 0.1 s; a node that waits for an adapter is still told at once. The shell leaves its timer where it is due before the next deadline: it was set anew for half of all messages.

--- a/medlarbeam/daemon/shell.py
+++ b/medlarbeam/daemon/shell.py
@@ -140,8 +140,8 @@
 
     def _set_timer(self, wait_s):
         deadline = max(self.node.next_deadline(), self.read_clock() + wait_s)
-        if self.timer is not None and self.timer.when() == deadline:
-            return  # most messages leave the deadline as it is
+        if self.timer is not None and self.timer.when() <= deadline:
+            return  # it looks again when it is due; most messages move the deadline a little
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/medlarbeam/gateway/adapter_uses.py
+++ b/medlarbeam/gateway/adapter_uses.py
@@ -9,7 +9,9 @@
 __all__ = ["AdapterUses"]
 
 DELAY_S = 0.03  # uses that begin or end within this time are reported together
-REPEAT_S = 0.25  # a report is sent again this often, against lost datagrams
+# A report is sent again this often, against lost datagrams: 28 nodes that use 45 engines sent 5,000
+# reports a second with 0.25 s. `USE_LIFE_S` of the order desk is more than twice as long.
+REPEAT_S = 0.6
 
 
 class AdapterUses(Component):
--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -18,7 +18,7 @@
 ANSWER_LIMIT_S = 2.0  # then the answer to a report is taken to be lost
 WANT_S = 0.6  # a demand that is not repeated for this long is dropped
 FIRST_USE_S = 0.15  # an adapter that was loaded so lately is kept for the request that waits
-USE_LIFE_S = 0.6  # a report of use that is not renewed for this long does not count
+USE_LIFE_S = 1.5  # a report of use that is not renewed for this long does not count
 
 
 class Place:
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -23,7 +23,9 @@
 REVIEW_S = 0.1
 # A new holder reads the state once the orders of the process before it have surely arrived.
 FIRST_READ_S = 0.05
-SPREAD_S = 0.02  # changes within this time are told to the other nodes together
+# Changes within this time are told to the nodes of the pool together; a node whose request waits
+# for an adapter is told at once.
+SPREAD_S = 0.1
 TOLD_RUNS = 3  # change of the requests on a backend server that is worth a report
 REFRESH_S = 2.0  # full report to the nodes of the pool, against lost datagrams
 FAR_REFRESH_S = 6.0  # and to all nodes, which need it when their own pool fails
