--- a/medlarbeam/cli/main.py
+++ b/medlarbeam/cli/main.py
@@ -19,6 +19,7 @@
     Status,
     Undrain,
 )
+from medlarbeam.cli.explain import explain_request, read_lines
 from medlarbeam.cli.tables import render_document
 from medlarbeam.exceptions import ErrorKind, FormatError
 
@@ -77,6 +78,8 @@
 NoteFile = Annotated[str, Arg(help="Release note, YAML or JSON.")]
 NoteId = Annotated[str, Arg(help="Id of the note.")]
 NewNoteId = Annotated[str | None, Arg(long="--note-id", help="Id of the note; default: a new one.")]
+RequestId = Annotated[str, Arg(help="Id of the request, or the caller's id of its attempt.")]
+LogFile = Annotated[str, Arg(help="Log of one or more nodes; - for standard input.")]
 Server = Annotated[str, Arg(help="Name of the backend server.")]
 
 
@@ -133,6 +136,27 @@
         """Give a drained backend server new work again."""
         return run_command(Undrain(server), node, operator, json)
 
+    @command(name="explain")
+    def explain(self, request_id: RequestId, log_file: LogFile = "-", json: Json = False):
+        """Show what a gateway's log says about a request, and what happened around it."""
+        return explain(request_id, log_file, json, sys.stdout, sys.stderr)
+
+
+def explain(request_id, log_file, json, stdout, stderr):
+    """Print the explanation of a request; return the exit code, 0 or 1 where it is not found."""
+    try:
+        if log_file == "-":
+            found = explain_request(request_id, read_lines(sys.stdin))
+        else:
+            with open(log_file, encoding="utf-8", errors="replace") as file:
+                found = explain_request(request_id, read_lines(file))
+    except (FormatError, OSError) as error:
+        print(f"medlarctl: {error}", file=stderr)
+        return EXIT_REFUSED
+    document = found.document()
+    print(dumps(document).decode() if json else render_document(document), file=stdout)
+    return 0
+
 
 async def _ask(order, connection):
     headers = {
