--- /dev/null
+++ b/medlarbeam/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the gateway: real processes, faults from outside, an independent checker."""
--- /dev/null
+++ b/medlarbeam/soak/deployment.py
@@ -0,0 +1,215 @@
+"""Gateways as processes, with stand-ins of the store and the workers behind proxies."""
+
+import asyncio
+import os
+import signal
+import sys
+from asyncio.subprocess import DEVNULL, create_subprocess_exec
+
+from aiohttp.web import AppRunner
+from orjson import dumps
+
+from medlarbeam.soak.proxy import FaultProxy
+from medlarbeam.soak.worker import SoakWorker
+from medlarbeam.standins.free_ports import find_free_addresses
+from medlarbeam.standins.platform_store import PlatformStore
+
+__all__ = ["ADAPTERS", "PLACES", "Deployment", "SoakGateway"]
+
+HOST = "soak.example"
+PLACES = 3
+ADAPTERS = 8
+START_S = 15.0
+STOP_S = 10.0
+DRAIN_S = 2.0
+TURN_GAP_S = 3.0
+ENGINE = {
+    "slots": 4,
+    "weightsMb": 100.0,
+    "adapterCapacity": PLACES,
+    "loadsPerS": 7.0,
+    "models": [{"name": "m0", "weightsMb": 50.0, "loadTimeS": 1.0, "adapterSizeMb": 1.0}],
+}
+
+
+def build_route(name, kind, service, **fields):
+    """Return the document of a route."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "routeKind": kind,
+        "timeoutMs": 2500,
+        "goalLatencyMs": 500,
+        "service": service,
+        "attempts": 2,
+        "priority": 0,
+        **fields,
+    }
+
+
+ROUTES = [
+    build_route("read", "idempotent", "ledger"),
+    build_route("pay", "non_idempotent", "ledger", attempts=1),
+    build_route("chat", "streaming", "llm", resumable=True, gapAimMs=250),
+    build_route("draft", "streaming", "llm", attempts=1, gapAimMs=250, priority=2),
+]
+
+
+class SoakGateway:
+    """A gateway process with its settings file and its own proxy to the store."""
+
+    __slots__ = ("front", "log", "name", "process", "ready", "settings_path", "store_proxy")
+
+    def __init__(self, name, front, ready, settings_path, log, store_proxy):
+        self.name = name
+        self.front = front
+        self.ready = ready
+        self.settings_path = settings_path
+        self.log = log
+        self.store_proxy = store_proxy
+        self.process = None
+
+    async def start(self):
+        """Start the process."""
+        env = {**os.environ, "MEDLARBEAM_CONFIG": str(self.settings_path)}
+        self.process = await create_subprocess_exec(
+            sys.executable, "-m", "medlarbeam.platform", env=env, stdin=DEVNULL, stdout=self.log
+        )
+
+    def send_signal(self, number):
+        """Send a signal to this process, if it still runs."""
+        if self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    async def stop(self):
+        """End the process; return its exit status."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_S):
+                return await self.process.wait()
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            return await self.process.wait()
+
+
+class Deployment:
+    """The whole deployment; use it as an asynchronous context manager.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings and logs.
+    rng : random.Random
+    gateways, engines : int
+    """
+
+    __slots__ = (
+        "born",
+        "count",
+        "folder",
+        "gateways",
+        "orders",
+        "proxies",
+        "rng",
+        "runner",
+        "runs",
+        "store",
+        "version",
+        "workers",
+    )
+
+    def __init__(self, folder, rng, gateways=3, engines=3):
+        self.folder = folder
+        self.rng = rng
+        self.runs = []
+        self.orders = []
+        self.store = PlatformStore()
+        names = [f"engine-{i}" for i in range(engines)] + ["ledger-0", "ledger-1"]
+        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders) for n in names}
+        self.born = dict.fromkeys(names, 1)
+        self.proxies = {}
+        self.gateways = {}
+        self.count = gateways
+        self.runner = None
+        self.version = 0
+
+    async def __aenter__(self):
+        self.runner = AppRunner(self.store.build_app())
+        await self.runner.setup()
+        (address,) = find_free_addresses(1)
+        host, _, port = address.rpartition(":")
+        await asyncio.get_running_loop().create_server(self.runner.server, host, int(port))
+        for worker in self.workers.values():
+            await worker.start()
+            proxy = self.proxies[worker.name] = FaultProxy(worker.address)
+            await proxy.start()
+            self.register(worker.name)
+        self.write_config(ROUTES)
+        for index in range(self.count):
+            await self._add_gateway(f"gw-{index}", f"fd-{index % 2}", address)
+        async with asyncio.timeout(START_S):
+            while len(self.store.items) < self.count + len(self.workers) + 1 + self._engines():
+                await asyncio.sleep(0.05)
+        return self
+
+    def _engines(self):
+        return sum(1 for name in self.workers if name.startswith("engine"))
+
+    async def _add_gateway(self, name, domain, store_address):
+        front, ready, peers, metrics = find_free_addresses(4)
+        proxy = FaultProxy(store_address)
+        await proxy.start()
+        path = self.folder / f"{name}.toml"
+        ports = [int(a.rpartition(":")[2]) for a in (peers, metrics)]
+        path.write_text(
+            f'nodeName = "{name}"\nip = "127.0.0.1"\nzone = "{domain}"\ninternalPorts = {ports}\n'
+            f'[listen]\nfront = "{front}"\nreadyAddr = "{ready}"\n'
+            f"[bounds]\nleaseMs = {int(TURN_GAP_S * 1000)}\ndrainMs = {int(DRAIN_S * 1000)}\n"
+            "graceS = 8\nretryBudgetExtra = 60\n"
+            f'[platform]\naddress = "{proxy.address}"\n',
+            encoding="utf-8",
+        )
+        log = (self.folder / f"{name}.log").open("wb")
+        gateway = self.gateways[name] = SoakGateway(name, front, ready, path, log, proxy)
+        await gateway.start()
+
+    async def __aexit__(self, *error):
+        for gateway in self.gateways.values():
+            await gateway.stop()
+            gateway.store_proxy.stop()
+            gateway.log.close()
+        for name, worker in self.workers.items():
+            self.proxies[name].stop()
+            worker.stop()
+        await self.runner.cleanup()
+
+    def register(self, name, state="ready"):
+        """Write the entry of a worker."""
+        is_engine = name.startswith("engine")
+        document = {
+            "service": "llm" if is_engine else "ledger",
+            "address": self.proxies[name].address,
+            "zone": f"fd-{int(name[-1]) % 2}",
+            "slots": 4,
+            "state": state,
+            "born": self.born[name],
+            "models": [{"name": "m0", "version": 1, "adapters": []}] if is_engine else [],
+        }
+        self.store.put(f"servers/{name}", dumps(document))
+
+    def restart_worker(self, name):
+        """Register a new start of a worker, which holds nothing."""
+        worker = self.workers[name]
+        worker.orders = 0
+        worker.adapters.clear()
+        self.born[name] += 1
+        self.register(name)
+
+    def write_config(self, routes):
+        """Write the next configuration."""
+        self.version += self.rng.randint(1, 3)
+        services = [{"name": "ledger"}, {"name": "llm", "engine": ENGINE}]
+        document = {"version": self.version, "limits": {}, "routes": routes, "services": services}
+        self.store.put("op/config", dumps(document))
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -6,7 +6,7 @@
 
 from orjson import dumps, loads
 
-__all__ = ["PlatformWorker"]
+__all__ = ["ANSWERS", "PlatformWorker", "event"]
 
 STAMP = b"X-Server-Stamp: s.1\r\n"
 
@@ -69,12 +69,16 @@
     async def _answer(self, writer, path, headers, body):
         """Answer one request; return whether the connection stays open."""
         if path == "/report":
-            return self._write(writer, 200, b"", dumps(self._build_state()))
+            return self.write(writer, 200, b"", dumps(self._build_state()))
         if path == "/order":
-            return self._write(writer, self._take_order(loads(body)), b"", b"")
+            return self.write(writer, self.take_order(loads(body)), b"", b"")
+        return await self.answer_request(writer, path, headers, body)
+
+    async def answer_request(self, writer, path, headers, body):
+        """Answer a caller's request; return whether the connection stays open."""
         attempt = headers["x-attempt-id"]
         if self.behaviour == "refuse":
-            return self._write(writer, 503, b"X-Not-Executed: 1\r\n", b"")
+            return self.write(writer, 503, b"X-Not-Executed: 1\r\n", b"")
         self.ran.append(attempt)
         answer = ANSWERS[self.behaviour]
         if headers.get("accept-stream") or "x-model" in headers:
@@ -88,7 +92,8 @@
         model = {"name": "m0", "version": 1, "adapters": [f"{a}@1" for a in self.adapters]}
         return {"models": [model], "seq": self.orders, "busy": False, "coming": []}
 
-    def _take_order(self, order):
+    def take_order(self, order):
+        """Carry out an order and return the status of its answer."""
         if order["expected"] != self.orders:
             return 409
         self.orders += 1
@@ -98,7 +103,8 @@
         self.adapters.discard(order["adapter"])
         return 200
 
-    def _write(self, writer, status, headers, body):
+    def write(self, writer, status, headers, body):
+        """Write a whole answer; return whether the connection stays open."""
         writer.write(
             b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s" % (status, headers, len(body), body)
         )
