Give popular adapters a copy in each failure domain that uses them

A popular adapter has one home for all failure domains, so most of its requests cross them, and a domain that is cut off has to load it. Requests that leave the domain are counted; once they pay for a load, a copy is asked for behind all demands, where an engine of the domain has places to spare.

--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -24,6 +24,7 @@
 )
 from medlarbeam.classes.peer_messages import AdapterDemand
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
+from medlarbeam.gateway.near_copies import NearCopies
 from medlarbeam.gateway.relay import Relay, RelayTimers
 from medlarbeam.gateway.retry_share import RetryShare
 from medlarbeam.gateway.route_table import choose_service
@@ -35,6 +36,7 @@
 
 START_S = 0.35  # from the order of a load to the first event, usually
 LATE_SHARE = 0.5  # of its time that a request waits before it is refused, once it is late
+COPY_PRIORITY = 99  # behind every request that waits
 DEMAND_S = 0.1  # a demand is repeated this often while its request waits
 IDLE_S = 0.05  # a request without any backend server looks again this often
 NO_SERVER_SHARE = 0.5  # of the aim, after which it is refused
@@ -53,6 +55,7 @@
         "chart",
         "choice",
         "longest_waits",
+        "near_copies",
         "open",
         "retries",
         "run_count",
@@ -64,6 +67,7 @@
         super().__init__(node)
         self.chart = load_chart("relay", Relays)
         self.choice = ServerChoice(node, PlacedRouting())
+        self.near_copies = NearCopies(node)
         self.retries = RetryShare(node.settings)
         self.longest_waits = {}
         self.open = {}
@@ -172,11 +176,13 @@
             return
         key = relay.request.key
         server = choice.entry.name
-        priority = relay.route.priority
-        holder = self.node.rights.find_holder(server)
-        relay.reason = f"waited for {key} on {server}, ordered by {holder or 'nobody'}"
-        due = relay.aim_at - START_S
         self._wait(relay, now + DEMAND_S)
+        holder = self._demand(server, key, relay.route.priority, relay.aim_at - START_S, now, out)
+        relay.reason = f"waited for {key} on {server}, ordered by {holder or 'nobody'}"
+
+    def _demand(self, server, key, priority, due, now, out):
+        """Ask for a load of `key` on `server`; return the name of the node that can order it."""
+        holder = self.node.rights.find_holder(server)
         if holder == self.node.settings.name:
             self.node.orders.demand(server, key, priority, due, holder, now, out)
         elif holder:
@@ -185,6 +191,22 @@
             self.node.contacts.note_demand(holder, now, out)
             demand = AdapterDemand(name, server, key, priority, due - now)
             out.emit(SendDatagram(address, demand))
+        return holder
+
+    def _want_near_copy(self, relay, entry, now, out):
+        """Ask for a copy of a popular adapter whose requests leave the failure domain."""
+        key = relay.request.key
+        if key is None or not key.adapter:
+            return
+        if entry.failure_domain == self.node.settings.failure_domain:
+            return
+        if not self.near_copies.note_far(key, now):
+            return
+        homes = self.choice.find_homes(relay.service, key, now)
+        server = self.near_copies.find_place(homes, key, now)
+        if server:
+            out.emit(LogEvent("copy_wanted", f"adapter={key} server={server}"))
+            self._demand(server, key, COPY_PRIORITY, now, now, out)
 
     def _wait(self, relay, until):
         key = relay.request.key
@@ -226,6 +248,7 @@
         self.timers.set(relay, relay.give_up_at + ANSWER_SLACK_S)
         version = self.node.book.releases.get(relay.request.key, 0)
         out.emit(plan_run(relay, entry, version))
+        self._want_near_copy(relay, entry, now, out)
         out.emit(
             LogEvent(
                 "run_sent",
--- a/medlarbeam/gateway/server_choice.py
+++ b/medlarbeam/gateway/server_choice.py
@@ -53,6 +53,10 @@
             choice = self._choose_among(homes, homes, key, now)
         return choice
 
+    def find_homes(self, service, key, now):
+        """Return the entries of the first homes of an adapter that take work, in order."""
+        return self._find_usable(self._find_homes(service, key), service, (), now)
+
     def _choose_among(self, entries, homes, key, now):
         trusted = [e for e in entries if self.node.stats.may_use(e.name, now)]
         places = {entry.name: place for place, entry in enumerate(homes)}
--- /dev/null
+++ b/medlarbeam/gateway/tests/test_near_copies.py
@@ -0,0 +1,56 @@
+"""Popular adapters get a copy in the failure domain whose requests leave it."""
+
+import pytest
+
+from medlarbeam.classes.fleet import FleetNode
+from medlarbeam.classes.gateway_effects import SendDatagram, StartFleetRun
+from medlarbeam.classes.gateway_messages import NodeDatagram, RunEnded
+from medlarbeam.classes.peer_messages import AdapterDemand, AdapterHolding, HoldingReport
+from medlarbeam.gateway.tests.fleet_samples import HOT, make_driven, make_server, own_rights
+
+OTHERS = [FleetNode(f"n{i}", "z1", f"10.0.0.{i}:7000", 5) for i in (2, 3, 4, 5)]
+
+
+def play(requests, pause_s, nodes, spare, held):
+    """Send requests for an adapter that is held far away; return the demands for a copy."""
+    servers = [
+        make_server("far", "llm", domain="z2"),
+        make_server("near", "llm", adapters=[HOT] if held else []),
+    ]
+    driven = make_driven(
+        servers=servers, rights=own_rights(["near"], "n2"), nodes=OTHERS[: max(1, nodes - 1)]
+    )
+    report = HoldingReport(
+        "n2", "near", 3, 1, [AdapterHolding(HOT, 1, 9.0)] if held else [], spare=spare
+    )
+    demands = []
+    for number in range(requests):
+        driven.give(NodeDatagram(report))
+        effects = driven.send("chat", HOT, request_id=f"r{number}")
+        (run,) = [e for e in effects if isinstance(e, StartFleetRun)]
+        assert run.server.name == "far"
+        demands += [e.body for e in effects if isinstance(e, SendDatagram)]
+        driven.give(RunEnded(run.run_id, 200, None))
+        driven.now += pause_s
+    return [d for d in demands if isinstance(d, AdapterDemand)]
+
+
+COPIES = [
+    ("popular-adapter-gets-a-copy", 12, 0.2, 2, 5, False, True),
+    ("seldom-used-adapter-stays-far", 12, 30.0, 2, 5, False, False),
+    ("few-requests-here-are-many-in-a-domain-of-many-nodes", 3, 0.1, 5, 5, False, True),
+    ("one-request-says-nothing", 1, 0.1, 5, 5, False, False),
+    ("full-engine-keeps-its-adapters", 12, 0.2, 2, 1, False, False),
+    ("copy-on-its-way-is-not-asked-for-again", 12, 0.2, 2, 5, True, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("requests", "pause_s", "nodes", "spare", "held", "is_wanted"),
+    [c[1:] for c in COPIES],
+    ids=[c[0] for c in COPIES],
+)
+def test_copy_is_wanted_where_it_pays(requests, pause_s, nodes, spare, held, is_wanted):
+    demands = play(requests, pause_s, nodes, spare, held)
+    assert bool(demands) is is_wanted
+    assert all(d.server == "near" and d.key == HOT and d.priority == 99 for d in demands)
