--- a/medlarbeam/gateway/fleet_book.py
+++ b/medlarbeam/gateway/fleet_book.py
@@ -10,7 +10,13 @@
     OrderRight,
     ServerEntry,
 )
-from medlarbeam.classes.gateway_messages import EntryGone, EntryRead, SnapshotRead, StoreLost
+from medlarbeam.classes.gateway_messages import (
+    EntryGone,
+    EntryRead,
+    LeaseRenewed,
+    SnapshotRead,
+    StoreLost,
+)
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.node.component import Component
 
@@ -65,6 +71,8 @@
         By the name of the backend server.
     revision : int
         Revision of the store up to which everything is known, 0 before the first snapshot.
+    lost_since : float or None
+        Time (s) of the first call without an answer since the lease was renewed last.
     membership : int
         Grows whenever a backend server becomes known or is gone.
     node_gone_at : dict of str to float
@@ -75,6 +83,7 @@
         "config",
         "keys",
         "lost_at",
+        "lost_since",
         "membership",
         "node_gone_at",
         "nodes",
@@ -99,6 +108,7 @@
         self.node_gone_at = {}
         self.revision = 0
         self.lost_at = -inf
+        self.lost_since = None
         self.membership = 0
 
     def handlers(self):
@@ -108,6 +118,7 @@
             EntryGone: self.take_gone,
             SnapshotRead: self.take_snapshot,
             StoreLost: self.take_loss,
+            LeaseRenewed: self.take_renewal,
         }
 
     def is_known(self):
@@ -119,6 +130,15 @@
         if now - self.lost_at > OUTAGE_MEMORY_S:
             out.emit(LogEvent("store_lost", message.reason, level="warning"))
         self.lost_at = now
+        if self.lost_since is None:
+            self.lost_since = now
+
+    def take_renewal(self, message, now, out):
+        """Note that the store answers again."""
+        if self.lost_since is not None:
+            away_s = now - self.lost_since
+            self.lost_since = None
+            out.emit(LogEvent("store_heard", f"away_s={away_s:.3f}"))
 
     def take_snapshot(self, message, now, out):
         """Replace everything by a snapshot."""
--- a/medlarbeam/gateway/tests/test_fleet_book.py
+++ b/medlarbeam/gateway/tests/test_fleet_book.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from medlarbeam.classes.gateway_messages import EntryGone, EntryRead, SnapshotRead, StoreLost
+from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.gateway_messages import (
+    EntryGone,
+    EntryRead,
+    LeaseRenewed,
+    SnapshotRead,
+    StoreLost,
+)
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.gateway.tests.fleet_samples import (
     ROUTES,
@@ -110,3 +117,20 @@
 def test_longest_prefix_selects_the_route(host, path, name):
     route = RouteTable(NESTED).match(host, path)
     assert (route.name if route else None) == name
+
+
+LOSSES = [
+    ("one-line-when-the-store-is-lost-and-one-when-it-is-back", 3, ["store_lost", "store_heard"]),
+    ("renewal-without-a-loss-writes-nothing", 0, []),
+]
+
+
+@pytest.mark.parametrize(("losses", "names"), [c[1:] for c in LOSSES], ids=[c[0] for c in LOSSES])
+def test_loss_of_the_store_is_logged(losses, names):
+    driven = make_driven()
+    events = []
+    for _ in range(losses):
+        events += driven.give(StoreLost("down"))
+    events += driven.give(LeaseRenewed(driven.now, False))
+    events += driven.give(LeaseRenewed(driven.now, False))
+    assert [e.name for e in events if isinstance(e, LogEvent)] == names
