Number reports of holdings on from those of earlier starts

Ruled out: orders refused (none were given), the store (heard), a holder without the right. Serials now begin with the incarnation of the process, and the first report of a desk is a full one. test_holding_reports failed for both restarts before.

The stand-in of the store lets leases run out and never gives an id twice.

--- a/medlarbeam/gateway/order_desk.py
+++ b/medlarbeam/gateway/order_desk.py
@@ -181,7 +181,7 @@
         self.asked_at = -inf
         self.not_before = now
         self.serial = 0
-        self.told = {}
+        self.told = None
         self.told_runs = 0
 
     # Knowledge
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -26,6 +26,10 @@
 # Changes within this time are told to the nodes of the pool together; a node whose request waits
 # for an adapter is told at once.
 SPREAD_S = 0.1
+# A right and its fencing number outlive this process and a start of the engine, so the serials of
+# reports have to go on from those before: incarnations are milliseconds, and a node sends far fewer
+# reports than this in one.
+SERIALS_PER_INCARNATION = 1 << 20
 TOLD_RUNS = 3  # change of the requests on a backend server that is worth a report
 REFRESH_S = 2.0  # full report to the nodes of the pool, against lost datagrams
 FAR_REFRESH_S = 6.0  # and to all nodes, which need it when their own pool fails
@@ -43,6 +47,7 @@
         "load_times",
         "refresh_at",
         "review_at",
+        "serial",
         "spread_at",
     )
 
@@ -51,6 +56,7 @@
         self.chart = load_place_chart()
         self.desks = {}
         self.load_times = LoadTimes()
+        self.serial = node.settings.incarnation * SERIALS_PER_INCARNATION
         self.budget = None
         self.changed = set()
         self.review_at = 0.0
@@ -191,7 +197,8 @@
     def _publish(self, desk, now):
         """Take a change of a desk over at once, and note that the other nodes have to hear it."""
         desk.is_changed = False
-        desk.serial += 1
+        self.serial += 1
+        desk.serial = self.serial
         self.node.holdings.take_report(self._build_full_report(desk, now), now)
         self.changed.add(desk.entry.name)
         self.spread_at = min(self.spread_at, now + SPREAD_S)
@@ -280,7 +287,8 @@
             self.far_at = now + FAR_REFRESH_S
         pool = self.node.find_pool_nodes()
         for name, desk in self.desks.items():
-            if is_refresh:
+            # The first report of a desk replaces what was told of an earlier start of the engine.
+            if is_refresh or name in changed and desk.told is None:
                 nodes = list(self.node.book.nodes) if is_far else pool
                 desk.told = {p.key: p.ready_at for p in desk.usable()}
                 desk.told_runs = self._count_runs(desk, now)
--- /dev/null
+++ b/medlarbeam/gateway/tests/test_holding_reports.py
@@ -0,0 +1,71 @@
+"""Reports of a holder are believed after a restart of the holder or of the engine."""
+
+import pytest
+
+from medlarbeam.classes.fleet import EngineState
+from medlarbeam.classes.gateway_effects import ReadState, SendDatagram
+from medlarbeam.classes.gateway_messages import NodeDatagram, StateRead
+from medlarbeam.classes.peer_messages import HoldingReport
+from medlarbeam.gateway.tests.fleet_samples import (
+    COLD,
+    HOT,
+    FleetNode,
+    make_driven,
+    make_server,
+    make_settings,
+    own_rights,
+)
+
+PEER = FleetNode("n2", "z1", "10.0.0.2:7000", 5)
+
+
+def make_holder(incarnation=5):
+    settings = make_settings()
+    settings.incarnation = incarnation
+    driven = make_driven(settings, servers=[make_server("w1", "llm")], nodes=[PEER])
+    driven.read("node/n1", FleetNode("n1", "z1", "10.0.0.1:7000", incarnation))
+    driven.read("right/w1", own_rights(["w1"])[0])
+    return driven
+
+
+def report(driven, held, seconds=1.0):
+    """Let the engine report what it holds; return the holder's reports to the peer."""
+    effects = driven.pass_time(0.2)
+    for _ in range(20):
+        effects += driven.pass_time(seconds / 20)
+        if any(isinstance(e, ReadState) for e in effects):
+            break
+    state = EngineState(4, {"m0"}, dict.fromkeys(held, 1), {}, False)
+    effects += driven.give(StateRead("w1", state, "")) + driven.pass_time(seconds)
+    bodies = [e.body for e in effects if isinstance(e, SendDatagram)]
+    return [body for body in bodies if isinstance(body, HoldingReport)]
+
+
+def restart_engine(holder):
+    holder.read("servers/w1", make_server("w1", "llm", born_ms=2))
+    return holder
+
+
+def restart_holder(holder):
+    return make_holder(incarnation=6)
+
+
+RESTARTS = [("engine", restart_engine), ("holder", restart_holder)]
+
+
+@pytest.mark.parametrize("restart", [r[1] for r in RESTARTS], ids=[r[0] for r in RESTARTS])
+def test_reports_after_a_restart_replace_those_before(restart):
+    """The same right gave the same fencing number, and a serial from 0 was taken to be old."""
+    peer = make_driven(servers=[make_server("w1", "llm")])
+    holder = make_holder()
+    for held in ([HOT], [HOT, COLD], [HOT]):
+        for body in report(holder, held):
+            peer.give(NodeDatagram(body))
+        holder.gateway.orders.desks["w1"].doubt(holder.now)
+    assert peer.gateway.holdings.find("w1", HOT) is not None
+    holder = restart(holder)
+    for body in report(holder, [COLD]):
+        peer.give(NodeDatagram(body))
+    assert peer.gateway.holdings.find("w1", COLD) is not None
+    assert peer.gateway.holdings.find("w1", HOT) is None
+    assert holder.gateway.holdings.find("w1", HOT) is None
--- a/medlarbeam/standins/platform_store.py
+++ b/medlarbeam/standins/platform_store.py
@@ -34,8 +34,18 @@
         }
 
 
+class StoredLease:
+    """A lease: how long it runs from each renewal (s), and until when (loop time, s)."""
+
+    __slots__ = ("ends_at", "ttl_s")
+
+    def __init__(self, ttl_s, now):
+        self.ttl_s = ttl_s
+        self.ends_at = now + ttl_s
+
+
 class PlatformStore:
-    """Items with revisions, leases without expiry, and a history for watches.
+    """Items with revisions, leases, and a history for watches.
 
     Attributes
     ----------
@@ -43,16 +53,30 @@
         "" for none, ``busy`` answers 503, ``silent`` never answers.
     calls : list of str
         Path of each call.
+
+    Notes
+    -----
+    A lease that has run out is ended by the next call of anyone.
     """
 
-    __slots__ = ("calls", "fault", "history", "items", "leases", "oldest", "revision")
+    __slots__ = (
+        "calls",
+        "fault",
+        "history",
+        "items",
+        "last_lease",
+        "leases",
+        "oldest",
+        "revision",
+    )
 
     def __init__(self):
         self.items = {}
         self.history = []
         self.oldest = 0
         self.revision = 1
-        self.leases = set()
+        self.leases = {}
+        self.last_lease = 1000
         self.fault = ""
         self.calls = []
 
@@ -77,10 +101,21 @@
                 await asyncio.sleep(3600)
             if self.fault == "busy":
                 return Response(status=503)
+            self._end_old_leases()
             return await call(request)
 
         return answer
 
+    def _end_old_leases(self):
+        now = asyncio.get_running_loop().time()
+        for lease in [i for i, known in self.leases.items() if known.ends_at <= now]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [item.key for item in self.items.values() if item.lease == lease]:
+            self.delete(key)
+
     def put(self, key, data, lease=0):
         """Write an item with the bytes `data`, as the operator or a worker does."""
         self._put(key, b64encode(data).decode(), lease)
@@ -93,9 +128,8 @@
 
     def end_leases(self):
         """End all leases and delete their items."""
-        self.leases.clear()
-        for key in [item.key for item in self.items.values() if item.lease]:
-            self.delete(key)
+        for lease in list(self.leases):
+            self._end_lease(lease)
 
     def forget_history(self):
         """Drop the history, so that watches get 410."""
@@ -147,19 +181,21 @@
 
     async def grant(self, request):
         """Answer ``POST /kv-lease``."""
-        lease = 1000 + len(self.leases)
-        self.leases.add(lease)
-        return json_response({"lease": lease, "ttlMs": loads(await request.read())["ttlMs"]})
+        ttl_ms = loads(await request.read())["ttlMs"]
+        self.last_lease += 1
+        now = asyncio.get_running_loop().time()
+        self.leases[self.last_lease] = StoredLease(ttl_ms / 1000.0, now)
+        return json_response({"lease": self.last_lease, "ttlMs": ttl_ms})
 
     async def keep(self, request):
         """Answer ``POST /kv-keep/ID``."""
-        known = int(request.match_info["lease"]) in self.leases
-        return json_response({"ttlMs": 1000}, status=200 if known else 404)
+        lease = self.leases.get(int(request.match_info["lease"]))
+        if lease is None:
+            return Response(status=404)
+        lease.ends_at = asyncio.get_running_loop().time() + lease.ttl_s
+        return json_response({"ttlMs": int(lease.ttl_s * 1000)})
 
     async def end(self, request):
         """Answer ``DELETE /kv-lease-end/ID``."""
-        lease = int(request.match_info["lease"])
-        self.leases.discard(lease)
-        for key in [item.key for item in self.items.values() if item.lease == lease]:
-            self.delete(key)
+        self._end_lease(int(request.match_info["lease"]))
         return json_response({})
