--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -42,6 +42,8 @@
         Number of prompt tokens plus the number of tokens that may be generated.
     fingerprint : int
         Digest of the path and body of the request, the same for every attempt.
+    shared_parts : tuple of str
+        Ids of the prompt parts that other requests may share, in the order of the prompt.
     """
 
     __slots__ = (
@@ -52,10 +54,22 @@
         "key",
         "path",
         "request_id",
+        "shared_parts",
         "tokens",
     )
 
-    def __init__(self, request_id, attempt_id, host, path, deadline, key, tokens, fingerprint):
+    def __init__(
+        self,
+        request_id,
+        attempt_id,
+        host,
+        path,
+        deadline,
+        key,
+        tokens,
+        fingerprint,
+        shared_parts=(),
+    ):
         self.request_id = request_id
         self.attempt_id = attempt_id
         self.host = host
@@ -64,6 +78,7 @@
         self.key = key
         self.tokens = tokens
         self.fingerprint = fingerprint
+        self.shared_parts = shared_parts
 
 
 class CallerDisconnected(Record):
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -258,7 +258,8 @@
                 "run_sent",
                 f"run={relay.run_id} server={entry.name} route={relay.route.name} "
                 f"adapter={relay.request.key} send={relay.sends} "
-                f"waited_s={now - relay.arrived_at:.3f} attempt={relay.request.attempt_id}",
+                f"waited_s={now - relay.arrived_at:.3f} attempt={relay.request.attempt_id} "
+                f"parts={','.join(relay.request.shared_parts)}",
                 relay.request.request_id,
             )
         )
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -15,6 +15,7 @@
     "parse_adapter_key",
     "parse_deadline_s",
     "parse_load",
+    "parse_shared_parts",
     "parse_tokens",
     "response_headers",
     "run_headers",
@@ -117,6 +118,15 @@
     return AdapterKey(model, adapter)
 
 
+def parse_shared_parts(headers):
+    """Return the ids of the prompt parts that other requests may share, in order.
+
+    The last part in ``X-Prompt-Prefix`` belongs to the request or its session alone.
+    """
+    parts = headers.get("X-Prompt-Prefix", "").split(",")
+    return tuple(part.partition(":")[0].strip().lower() for part in parts[:-1])
+
+
 def parse_tokens(headers):
     """Return the token count of a request: prompt, including shared prefixes, and output."""
     total = sum(_parse_number(part) for part in headers.get("X-Token-Usage", "").split(","))
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -18,6 +18,7 @@
     forwarded_headers,
     parse_adapter_key,
     parse_deadline_s,
+    parse_shared_parts,
     parse_tokens,
 )
 
@@ -247,6 +248,7 @@
         parse_adapter_key(http_request.headers),
         parse_tokens(http_request.headers),
         xxh3_64_intdigest(path.encode() + b"\n" + body),
+        parse_shared_parts(http_request.headers),
     )
 
 
