--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -124,7 +124,8 @@
     The last part in ``X-Prompt-Prefix`` belongs to the request or its session alone.
     """
     parts = headers.get("X-Prompt-Prefix", "").split(",")
-    return tuple(part.partition(":")[0].strip().lower() for part in parts[:-1])
+    names = (part.partition(":")[0].strip().lower() for part in parts[:-1])
+    return tuple(name for name in names if name)
 
 
 def parse_tokens(headers):
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -17,6 +17,7 @@
     parse_adapter_key,
     parse_deadline_s,
     parse_load,
+    parse_shared_parts,
     parse_tokens,
     run_headers,
 )
@@ -88,3 +89,22 @@
 )
 def test_header_is_parsed(parse, headers, expected):
     assert parse(CIMultiDict(headers)) == expected
+
+
+PROMPT_PREFIXES = [
+    (
+        "own-part-of-the-request-is-not-shared",
+        {"X-Prompt-Prefix": "5C1e:8, 91bd:4,e4:2"},
+        "5c1e 91bd",
+    ),
+    ("single-part-is-not-shared", {"X-Prompt-Prefix": "5c1e:8"}, ""),
+    ("request-without-parts", {}, ""),
+    ("malformed-parts", {"X-Prompt-Prefix": ",,"}, ""),
+]
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"), [p[1:] for p in PROMPT_PREFIXES], ids=[p[0] for p in PROMPT_PREFIXES]
+)
+def test_shared_parts_of_a_prompt(headers, expected):
+    assert parse_shared_parts(CIMultiDict(headers)) == tuple(expected.split())
