Keep the request rate that a backend server names, by all gateways together

Cause: nothing read the header Server-Limit. The selection goes by adapters and load, and a server at half speed still had free slots. A limit for each gateway alone would not help: all together would send a multiple.

Change: ServerLoad carries the limit, and ServerLimits divides it among the first gateways in hash order, one token bucket each. Gateways report limits and their end to each other. Limited servers load no further adapters while others have no limit. Only headers of a response that has just begun count: those of a stream that ends now say what was so at its start.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -32,14 +32,17 @@
         Number of requests running and waiting.
     concurrency : int
         Number of requests that can run at once.
+    rate_limit : float or None
+        Requests per second that it takes from all nodes together, None for no limit.
     """
 
-    __slots__ = ("concurrency", "running", "waiting")
+    __slots__ = ("concurrency", "rate_limit", "running", "waiting")
 
-    def __init__(self, running, waiting, concurrency):
+    def __init__(self, running, waiting, concurrency, rate_limit=None):
         self.running = running
         self.waiting = waiting
         self.concurrency = concurrency
+        self.rate_limit = rate_limit
 
 
 class StartFleetRun(Record):
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -23,6 +23,8 @@
     "ModelCount",
     "Ping",
     "Pong",
+    "RateLimitReport",
+    "ServerRate",
     "ServerSummary",
     "UseReport",
 ]
@@ -504,3 +506,33 @@
     def __init__(self, node, fingerprints):
         self.node = node
         self.fingerprints = fingerprints
+
+
+class ServerRate(Record):
+    """Request rate that a backend server has named.
+
+    Parameters
+    ----------
+    server : str
+    rate : float
+        Requests per second from all nodes together; negative if the server no longer names one.
+    age_s : float
+        Time (s) since the response from which the sender knows it.
+    """
+
+    __slots__ = ("age_s", "rate", "server")
+
+    def __init__(self, server, rate, age_s):
+        self.server = server
+        self.rate = rate
+        self.age_s = age_s
+
+
+class RateLimitReport(Record):
+    """Request rates that backend servers have named in responses to the sender."""
+
+    __slots__ = ("limits", "node")
+
+    def __init__(self, node, limits):
+        self.node = node
+        self.limits = limits
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -10,6 +10,7 @@
 from medlarbeam.gateway.orders import Orders
 from medlarbeam.gateway.relays import Relays
 from medlarbeam.gateway.server_health import ServerHealth
+from medlarbeam.gateway.server_limits import ServerLimits
 from medlarbeam.node.component import ComponentHost
 
 __all__ = ["Gateway"]
@@ -38,6 +39,7 @@
         "health",
         "holdings",
         "lifecycle",
+        "limits",
         "orders",
         "reachability",
         "relays",
@@ -53,6 +55,7 @@
         self.fleet = FleetState(self)
         self.reachability = NodeReachability(self)
         self.health = ServerHealth(self)
+        self.limits = ServerLimits(self)
         self.crashes = CrashSuspects(self)
         self.lifecycle = GatewayLifecycle(self)
         self.rights = OrderRights(self)
@@ -66,6 +69,7 @@
                 self.fleet,
                 self.reachability,
                 self.health,
+                self.limits,
                 self.crashes,
                 self.lifecycle,
                 self.rights,
@@ -96,6 +100,7 @@
             "servers": sum(1 for k in fleet.servers.values() if k.stop_at > now),
             "suspect_servers": self.health.count_suspects(),
             "ordered_servers": len(self.orders.schedulers),
+            "limited_servers": len(self.limits.limits),
             "quarantines": self.crashes.count_quarantined(),
             "loads_in_transit": self.orders.count_in_transit(),
         }
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -251,6 +251,7 @@
             relay.first_sent_at = now
         self.relays_by_run[relay.run_id] = relay
         self.node.health.open_run(entry.name, now)
+        self.node.limits.record_send(entry.name, now)
         self.node.uses.begin(entry.name, relay.request.key, now)
         self.chart.fire(relay, "sent", self, now, out, None)
         self.timers.set(relay, relay.deadline_at + RESPONSE_SLACK_S)
@@ -281,14 +282,23 @@
             relay.is_response_started = True
             relay.record_response_start(now)
             self.node.health.record_response(relay.server.name, now)
-            self.node.health.record_load(relay.server.name, message.load, now)
+            self._record_load(relay, message, now)
             self.chart.fire(relay, "started", self, now, out, message)
 
+    def _record_load(self, relay, message, now):
+        """Record the load and the rate limit in the headers of a response that has just begun."""
+        self.node.health.record_load(relay.server.name, message.load, now)
+        if message.load is not None:
+            self.node.limits.observe(relay.server.name, message.load.rate_limit, now)
+
     def handle_run_completed(self, message, now, out):
         """Record that the caller has received the whole response."""
         relay = self.relays_by_run.get(message.run_id)
         if relay is not None:
-            self.node.health.record_load(relay.server.name, message.load, now)
+            if relay.is_response_started:  # its limit is known since the start
+                self.node.health.record_load(relay.server.name, message.load, now)
+            else:
+                self._record_load(relay, message, now)
             self.node.health.record_outcome(relay.server.name, "succeeded", now, out)
             self.node.crashes.record_success(relay.request, now, out)
             relay.record_response_start(now)
@@ -300,7 +310,7 @@
         relay = self.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        self.node.health.record_load(relay.server.name, message.load, now)
+        self._record_load(relay, message, now)
         event = "failed" if message.status >= 500 else "succeeded"
         self.node.health.record_outcome(relay.server.name, event, now, out)
         relay.runs += 1
@@ -317,7 +327,7 @@
         server = relay.server.name
         key = relay.request.key
         relay.reason = f"{server}: {message.reason}"
-        self.node.health.record_load(server, message.load, now)
+        self._record_load(relay, message, now)
         holding = self.node.holdings.find(server, key) if key is not None else None
         if message.status == 0:
             self.node.health.record_outcome(server, "unreachable", now, out)
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -24,8 +24,8 @@
     ----------
     preferred_servers : dict
         Names of the preferred servers by service and `AdapterKey`, in rendezvous hash order.
-    preferred_servers_version : int
-        Value of `FleetState.membership_version` for which `preferred_servers` is valid.
+    preferred_servers_version : tuple of int
+        Versions of `FleetState` and `ServerLimits` for which `preferred_servers` is valid.
     """
 
     __slots__ = ("node", "preferred_servers", "preferred_servers_version", "routing")
@@ -34,7 +34,7 @@
         self.node = node
         self.routing = routing
         self.preferred_servers = {}
-        self.preferred_servers_version = 0
+        self.preferred_servers_version = (0, 0)
 
     def choose(self, relay, now, excluded=None):
         """Return the best `Candidate` for a relay at `now` (s), or None.
@@ -75,27 +75,40 @@
 
     def _find_all(self, service, excluded, now):
         entries = self.node.fleet.usable_servers(service, now)
-        return [entry for entry in entries if entry.name not in excluded]
+        return [
+            entry
+            for entry in entries
+            if entry.name not in excluded and self.node.limits.may_send(entry.name, now)
+        ]
 
     def _find_usable(self, names, service, excluded, now):
         """Return the entries of the named servers that accept requests of `service`, in order."""
         servers = self.node.fleet.servers
-        known = [servers[name] for name in names if name in servers and name not in excluded]
+        known = [
+            servers[name]
+            for name in names
+            if name in servers and name not in excluded and self.node.limits.may_send(name, now)
+        ]
         return [k.entry for k in known if k.stop_at > now and k.entry.service == service]
 
     def _find_preferred_servers(self, service, key):
         fleet = self.node.fleet
+        limits = self.node.limits
+        version = (fleet.membership_version, limits.version)
         if (
-            self.preferred_servers_version != fleet.membership_version
+            self.preferred_servers_version != version
             or len(self.preferred_servers) >= MAX_CACHED_ADAPTERS
         ):
             self.preferred_servers.clear()
-            self.preferred_servers_version = fleet.membership_version
+            self.preferred_servers_version = version
         preferred = self.preferred_servers.get((service, key))
         if preferred is None:
             names = [n for n, known in fleet.servers.items() if known.entry.service == service]
+            # A server that takes few requests serves the adapters that it holds, but loads no
+            # others while there are servers without a limit.
+            unlimited = [name for name in names if not limits.is_limited(name)]
             preferred = self.preferred_servers[service, key] = rank_servers(
-                str(key), names, MAX_PREFERRED_SERVERS
+                str(key), unlimited or names, MAX_PREFERRED_SERVERS
             )
         return preferred
 
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -28,6 +28,7 @@
 INSTANCE_ID = "X-Instance-Id"
 LAST_EVENT_ID = "Last-Event-Id"
 NOT_RUN = "X-Not-Executed"
+RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
 
 MAX_SHARED_PARTS = 256
@@ -80,7 +81,8 @@
 
 def response_headers(headers):
     """Return the backend server's headers for the caller, as a list of ``(name, value)``."""
-    return _filter(headers, HOP_BY_HOP | {"date", "server", INSTANCE_ID.lower(), "x-server-load"})
+    internal = {"date", "server", "x-server-load", INSTANCE_ID.lower(), RATE_LIMIT.lower()}
+    return _filter(headers, HOP_BY_HOP | internal)
 
 
 def run_headers(forwarded, effect, last_event, now):
@@ -153,9 +155,19 @@
 
 
 def parse_load(headers):
-    """Return the `ServerLoad` in response headers, None if it is missing or malformed."""
+    """Return the `ServerLoad` in response headers, None if they have neither load nor limit."""
+    rate_limit = _parse_rate(headers.get(RATE_LIMIT, ""))
     parts = headers.get("X-Server-Load", "").split(",")
     if len(parts) != 3:
-        return None
+        return None if rate_limit is None else ServerLoad(0, 0, 0, rate_limit)
     running, waiting, concurrency = (_parse_number(part) for part in parts)
-    return ServerLoad(running, waiting, concurrency)
+    return ServerLoad(running, waiting, concurrency, rate_limit)
+
+
+def _parse_rate(text):
+    """Return a decimal number of requests per second, None if it is missing or malformed."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if 0.0 <= rate < inf else None
--- a/medlarbeam/platform/metrics.py
+++ b/medlarbeam/platform/metrics.py
@@ -69,6 +69,7 @@
                 ("suspect_servers", "Backend servers that are suspected of being faulty."),
                 ("ordered_servers", "Backend servers for which this node holds the order right."),
                 ("loads_in_transit", "Adapters that are being loaded on those servers."),
+                ("limited_servers", "Backend servers that name a request rate."),
                 ("quarantines", "Prompt parts and requests that are refused."),
                 ("log_lines_dropped", "Log lines dropped since the start."),
             )
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 
 from medlarbeam.classes.fleet import AdapterKey
-from medlarbeam.classes.gateway_effects import StartFleetRun
+from medlarbeam.classes.gateway_effects import ServerLoad, StartFleetRun
 from medlarbeam.gateway.tests.fleet_samples import make_server
 from medlarbeam.platform.headers import (
     forwarded_headers,
@@ -79,6 +79,14 @@
     ("tokens", parse_tokens, {"X-Token-Usage": "1460,80"}, 1540),
     ("tokens-are-not-numbers", parse_tokens, {"X-Token-Usage": "-5,x"}, 0),
     ("incomplete-load", parse_load, {"X-Server-Load": "1,2"}, None),
+    ("rate-limit-alone", parse_load, {"Server-Limit": "4.6"}, ServerLoad(0, 0, 0, 4.6)),
+    (
+        "load-and-rate-limit",
+        parse_load,
+        {"X-Server-Load": "1,2,8", "Server-Limit": "0.5"},
+        ServerLoad(1, 2, 8, 0.5),
+    ),
+    ("rate-limit-is-not-a-number", parse_load, {"Server-Limit": "nan"}, None),
 ]
 
 
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -26,6 +26,7 @@
     earlyRefusal @19 :EarlyRefusal;
     deathReport @20 :DeathReport;
     clearanceReport @21 :ClearanceReport;
+    rateLimitReport @22 :RateLimitReport;
   }
 }
 
@@ -278,3 +279,14 @@
   node @0 :Text;
   fingerprints @1 :List(Text);
 }
+
+struct ServerRate {
+  server @0 :Text;
+  rate @1 :Float64;
+  ageS @2 :Float64;
+}
+
+struct RateLimitReport {
+  node @0 :Text;
+  limits @1 :List(ServerRate);
+}
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -32,6 +32,8 @@
     ModelCount,
     Ping,
     Pong,
+    RateLimitReport,
+    ServerRate,
     ServerSummary,
     UseReport,
 )
@@ -104,6 +106,7 @@
 _LOST_RUN = StructLayout(
     LostRun, "fingerprint", TextListField("shared_parts"), TextListField("served_parts")
 )
+_RATE = StructLayout(ServerRate, "server", FloatField("rate"), FloatField("age_s"))
 _SHARD = StructLayout(CatalogShard, "key", ListField("items", _ADAPTER))
 
 _LAYOUTS = {
@@ -160,6 +163,7 @@
         FloatField("served_age_s"),
         ListField("runs", _LOST_RUN),
     ),
+    "rateLimitReport": StructLayout(RateLimitReport, "node", ListField("limits", _RATE)),
     "clearanceReport": StructLayout(ClearanceReport, "node", TextListField("fingerprints")),
 }
 _MEMBERS = {layout.record_class: member for member, layout in _LAYOUTS.items()}
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -35,6 +35,8 @@
     ModelCount,
     Ping,
     Pong,
+    RateLimitReport,
+    ServerRate,
     ServerSummary,
     UseReport,
 )
@@ -112,6 +114,7 @@
     UseReport("n2", "i-1", 9, [AdapterKey("m0", "a7"), AdapterKey("m0", "")], 5),
     EarlyRefusal("n2", "i-1", AdapterKey("m0", "a7")),
     DeathReport("n1", "i-1/5", 0.25, 0.5, [LostRun("f00d", ["5e5e", "1a"], ["5e5e"])]),
+    RateLimitReport("n1", [ServerRate("i-1", 4.5, 0.25), ServerRate("i-2", -1.0, 0.0)]),
     ClearanceReport("n1", ["request:f00d", "part:5e5e"]),
 ]
 
