--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -10,7 +10,6 @@
     CancelFleetRun,
     PassErrorResponse,
     RefuseRequest,
-    SendDatagram,
 )
 from medlarbeam.classes.gateway_messages import (
     CallerDisconnected,
@@ -22,11 +21,10 @@
     RunStalled,
     RunStarted,
 )
-from medlarbeam.classes.peer_messages import AdapterDemand
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
 from medlarbeam.gateway.crash_evidence import list_request_fingerprints
+from medlarbeam.gateway.load_requests import LoadRequests
 from medlarbeam.gateway.relay import Relay, RelayTimers
-from medlarbeam.gateway.replica_policy import ReplicaPolicy
 from medlarbeam.gateway.route_table import choose_service
 from medlarbeam.gateway.run_plan import has_attempt_left, plan_run
 from medlarbeam.gateway.server_selector import ServerSelector
@@ -37,7 +35,6 @@
 
 EXPECTED_START_S = 0.35  # expected time from a load order to the first event
 MAX_WAIT_SHARE = 0.5  # of the time to the deadline; a late request that waits longer is refused
-REPLICA_PRIORITY = 99  # lower than that of any waiting request
 DEMAND_INTERVAL_S = 0.1  # between repeats of a demand while its request waits
 RECHECK_INTERVAL_S = 0.05  # between selections while no backend server is available
 NO_SERVER_WAIT_SHARE = 0.5  # of the latency goal, after which the request is refused
@@ -53,10 +50,10 @@
 
     __slots__ = (
         "chart",
+        "load_requests",
         "longest_timeouts",
         "open_relays",
         "relays_by_run",
-        "replicas",
         "retry_budget",
         "run_count",
         "selector",
@@ -68,7 +65,7 @@
         super().__init__(node)
         self.chart = load_chart("relay", Relays)
         self.selector = ServerSelector(node, AdapterAffinityRouting())
-        self.replicas = ReplicaPolicy(node)
+        self.load_requests = LoadRequests(node, self.selector)
         self.retry_budget = SharedRetryBudget(node.settings)
         self.longest_timeouts = {}
         self.open_relays = {}
@@ -181,39 +178,11 @@
         key = relay.request.key
         server = choice.entry.name
         self._wait(relay, now + DEMAND_INTERVAL_S)
-        holder = self._request_load(
+        holder = self.load_requests.request_load(
             server, key, relay.route.priority, relay.goal_at - EXPECTED_START_S, now, out
         )
         relay.reason = f"waited for {key} on {server}, ordered by {holder or 'nobody'}"
 
-    def _request_load(self, server, key, priority, due, now, out):
-        """Request a load of `key` on `server`; return the name of the right's holder, or ""."""
-        holder = self.node.rights.find_holder(server)
-        if holder == self.node.settings.name:
-            self.node.orders.handle_demand(server, key, priority, due, holder, now, out)
-        elif holder:
-            address = self.node.fleet.nodes[holder].address
-            name = self.node.settings.name
-            self.node.reachability.record_demand(holder, now, out)
-            demand = AdapterDemand(name, server, key, priority, due - now)
-            out.emit(SendDatagram(address, demand))
-        return holder
-
-    def _request_replica(self, relay, entry, now, out):
-        """Request a local replica of an adapter that other failure domains often serve."""
-        key = relay.request.key
-        if key is None or not key.adapter:
-            return
-        if entry.failure_domain == self.node.settings.failure_domain:
-            return
-        if not self.replicas.count_remote(key, now):
-            return
-        preferred = self.selector.find_preferred_servers(relay.service, key, now)
-        server = self.replicas.find_server(preferred, key, now)
-        if server:
-            out.emit(LogEvent("copy_wanted", f"adapter={key} server={server}"))
-            self._request_load(server, key, REPLICA_PRIORITY, now, now, out)
-
     def _wait(self, relay, until):
         key = relay.request.key
         if key is not None:
@@ -257,7 +226,7 @@
         self.timers.set(relay, relay.deadline_at + RESPONSE_SLACK_S)
         version = self.node.fleet.published_versions.get(relay.request.key, 0)
         out.emit(plan_run(relay, entry, version))
-        self._request_replica(relay, entry, now, out)
+        self.load_requests.request_replica(relay, entry, now, out)
         out.emit(
             LogEvent(
                 "run_sent",
