Bound the size of all responses of backend servers

A backend server in trouble may send bytes without end. Callers of a plain service then waited until their deadline and got 504, and a refused payment, which had not run, was answered 504 in place of 503, because the whole body was read first. MAX_RESPONSE_BYTES was declared and not used.

read_body raises above a limit and closes the connection; the bodies of refusals and order responses, which nobody needs, are discarded after 16 KB or 0.1 s. The stand-in of a worker learns six kinds of endless responses.

--- a/medlarbeam/daemon/backend_client.py
+++ b/medlarbeam/daemon/backend_client.py
@@ -30,6 +30,7 @@
     apply_send_guard,
     describe_error,
     open_session,
+    read_body,
 )
 from medlarbeam.exceptions import ErrorKind, Failure, FormatError, RunState
 
@@ -324,14 +325,7 @@
 
 async def read_body_text(response, limit):
     """Return the body of a response as text; raise FormatError if it exceeds `limit` bytes."""
-    blocks = []
-    size = 0
-    async for block in response.content.iter_any():
-        size += len(block)
-        if size > limit:
-            raise FormatError(f"response is larger than the limit of {limit} bytes")
-        blocks.append(block)
-    return b"".join(blocks).decode("utf-8")
+    return (await read_body(response, limit)).decode("utf-8")
 
 
 async def read_to_end(response):
--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -14,7 +14,7 @@
 )
 from aiohttp.abc import AbstractResolver
 
-from medlarbeam.exceptions import MedlarbeamError
+from medlarbeam.exceptions import FormatError, MedlarbeamError
 
 __all__ = [
     "CALL_ERRORS",
@@ -24,6 +24,7 @@
     "apply_send_guard",
     "describe_error",
     "open_session",
+    "read_body",
 ]
 
 CALL_ERRORS = (ClientError, asyncio.TimeoutError, OSError, ValueError, MedlarbeamError)
@@ -142,3 +143,16 @@
         return type(error).__name__
     text = " ".join(str(error).split())
     return f"{type(error).__name__}: {text}" if text else type(error).__name__
+
+
+async def read_body(response, limit):
+    """Return the body of a response; raise FormatError if it exceeds `limit` bytes."""
+    blocks = []
+    size = 0
+    async for block in response.content.iter_any():
+        size += len(block)
+        if size > limit:
+            response.close()
+            raise FormatError(f"response is larger than the limit of {limit} bytes")
+        blocks.append(block)
+    return b"".join(blocks)
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -1,8 +1,15 @@
 """HTTP client of the backend servers: runs, orders and state reports."""
 
 import asyncio
+import logging
 
-from aiohttp import ClientOSError, ClientPayloadError, ClientTimeout, ServerDisconnectedError
+from aiohttp import (
+    ClientError,
+    ClientOSError,
+    ClientPayloadError,
+    ClientTimeout,
+    ServerDisconnectedError,
+)
 from aiohttp.web import Response
 from orjson import dumps
 from yarl import URL
@@ -26,7 +33,13 @@
     ServerOrderResult,
 )
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
-from medlarbeam.daemon.http_client import SendGuard, apply_send_guard, describe_error, open_session
+from medlarbeam.daemon.http_client import (
+    SendGuard,
+    apply_send_guard,
+    describe_error,
+    open_session,
+    read_body,
+)
 from medlarbeam.exceptions import FormatError
 from medlarbeam.platform.documents import decode_engine_state, decode_object
 from medlarbeam.platform.event_splitter import EventSplitter
@@ -43,12 +56,16 @@
 
 __all__ = ["ServerClient"]
 
+log = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 0.3  # a reachable backend server accepts within a few ms
 # Orders get a response within a few ms, or are carried out late without a response.
 ORDER_TIMEOUT_S = 0.05
 REPORT_TIMEOUT_S = 0.5
 PROBE_TIMEOUT_S = 0.3  # a crashed process refuses a connection within a few ms
-MAX_RESPONSE_BYTES = 8 << 20
+MAX_RESPONSE_BYTES = 2 << 20  # of a response that is passed on as a whole, and of a report
+MAX_REFUSAL_BYTES = 16 << 10  # read so that the connection can be reused
+REFUSAL_TIMEOUT_S = 0.1
 NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
@@ -168,7 +185,7 @@
                 load = parse_load(response.headers)
                 refusal = find_refusal(response)
                 if refusal:
-                    await response.read()
+                    await discard_body(response)
                     return RunRefused(effect.run_id, response.status, refusal, load)
                 check_response(response, exchange)
                 if effect.is_stream and response.status == 200:
@@ -176,7 +193,7 @@
                     check_response_end(response, protocol)
                     exchange.finish(exchange.stream)
                     return RunCompleted(effect.run_id, response.status, load)
-                body = await response.read()
+                body = await read_body(response, MAX_RESPONSE_BYTES)
                 check_response_end(response, protocol)
         buffered = Response(
             status=response.status, body=body, headers=response_headers(response.headers)
@@ -248,7 +265,7 @@
                         headers=headers,
                         allow_redirects=False,
                     ) as response:
-                        await response.read()
+                        await discard_body(response)
             message = ServerOrderResult(effect, response.status, "")
         except Exception as error:  # every order must result in exactly one message
             message = ServerOrderResult(effect, 0, describe_error(error))
@@ -264,7 +281,7 @@
                         headers={"X-Expect-Instance": name},
                         allow_redirects=False,
                     ) as response:
-                        text = await response.read()
+                        text = await read_body(response, MAX_RESPONSE_BYTES)
             if response.status != 200:
                 raise FormatError(f"HTTP {response.status}")
             message = EngineStateResult(name, decode_engine_state(decode_object(text)), "")
@@ -273,6 +290,16 @@
         self.driver.deliver(message)
 
 
+async def discard_body(response):
+    """Read and discard a short body; close the connection if it is long or slow."""
+    try:
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            await read_body(response, MAX_REFUSAL_BYTES)
+    except (ClientError, FormatError, OSError) as error:  # includes timeouts
+        log.debug("response discarded: %s", error, extra={"event": "response_discarded"})
+        response.close()
+
+
 def find_refusal(response):
     """Return why the backend server did not run the request, "" if it did not refuse it."""
     if NOT_RUN in response.headers or response.status in (421, 429):
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+from resource import RUSAGE_SELF, getrusage
 
 import pytest
 from aiohttp import ClientError, ClientSession, ClientTimeout
@@ -193,6 +194,39 @@
     assert seen_runs in runs
 
 
+ENDLESS = [
+    ("no-response-without-end", "endless_garbage", "pay", {502}, {1}),
+    ("head-without-end", "endless_head", "pay", {502}, {1}),
+    ("informational-responses-without-end", "endless_status", "pay", {502, 504}, {1}),
+    ("body-without-end", "endless_body", "pay", {502}, {1}),
+    ("body-without-length-and-end", "endless_unframed_body", "pay", {502}, {1}),
+    ("error-response-without-end", "endless_body", "read", {502}, {2}),
+    ("event-without-end", "endless_body", "draft", {502, BROKEN}, {1}),
+    ("refusal-without-end-has-not-run", "endless_refusal", "pay", {503}, {0}),
+]
+MAX_MEMORY_GROWTH_KB = 64 * 1024
+
+
+@pytest.mark.parametrize(
+    ("response_mode", "name", "statuses", "runs"),
+    [e[1:] for e in ENDLESS],
+    ids=[e[0] for e in ENDLESS],
+)
+def test_endless_response_ends_with_a_failure_and_bounded_memory(
+    response_mode, name, statuses, runs
+):
+    async def scenario(deployment, session):
+        deployment.set_response_mode(response_mode)
+        before = getrusage(RUSAGE_SELF).ru_maxrss
+        status, _ = await deployment.call(session, name, "id-1")
+        return status, getrusage(RUSAGE_SELF).ru_maxrss - before, deployment.count_runs("id-1")
+
+    status, growth_kb, seen_runs = run(scenario)
+    assert status in statuses
+    assert growth_kb <= MAX_MEMORY_GROWTH_KB
+    assert seen_runs in runs
+
+
 def test_duplicate_response_is_not_passed_to_next_request():
     async def scenario(deployment, session):
         deployment.set_response_mode("twice")
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -244,6 +244,53 @@
     return True
 
 
+async def send_without_end(writer, data):
+    """Send the same bytes until the caller closes the connection."""
+    try:
+        while not writer.is_closing():
+            writer.write(data)
+            await writer.drain()
+    except ConnectionError:
+        return False
+    return False
+
+
+async def send_endless_garbage(worker, writer, attempt, body_parts):
+    """Send bytes that are not an HTTP response, without end."""
+    return await send_without_end(writer, b"\x00\xff no answer " * 512)
+
+
+async def send_endless_head(worker, writer, attempt, body_parts):
+    """Send header lines without end."""
+    writer.write(build_head(attempt))
+    return await send_without_end(writer, b"X-More: 1\r\n" * 512)
+
+
+async def send_endless_status(worker, writer, attempt, body_parts):
+    """Send informational responses without end."""
+    return await send_without_end(writer, b"HTTP/1.1 100 Continue\r\n\r\n" * 64)
+
+
+async def send_endless_body(worker, writer, attempt, body_parts):
+    """Send a body in chunks without end."""
+    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    return await send_without_end(writer, encode_chunk(b"x" * 8192))
+
+
+async def send_endless_unframed_body(worker, writer, attempt, body_parts):
+    """Send a body without a length and without end."""
+    writer.write(build_head(attempt, headers=b"Connection: close\r\n\r\n"))
+    return await send_without_end(writer, b"x" * 8192)
+
+
+async def send_endless_refusal(worker, writer, attempt, body_parts):
+    """Refuse a request with a body without end."""
+    worker.executed_attempts.remove(attempt)
+    refusal = b"X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    writer.write(build_head(attempt, 503, refusal))
+    return await send_without_end(writer, encode_chunk(b"x" * 8192))
+
+
 async def send_nothing(worker, writer, attempt, body_parts):
     """Never respond to the request."""
     await asyncio.sleep(3600)
@@ -261,5 +308,11 @@
     "encoded": send_encoded,
     "twice": send_extra_response,
     "garbage": send_garbage,
+    "endless_garbage": send_endless_garbage,
+    "endless_head": send_endless_head,
+    "endless_status": send_endless_status,
+    "endless_body": send_endless_body,
+    "endless_unframed_body": send_endless_unframed_body,
+    "endless_refusal": send_endless_refusal,
     "never": send_nothing,
 }
