Teach the soak requests that crash workers, and named request rates

Two fault kinds: harmful_part adds callers whose prompts crash each worker that runs them, rate_limit makes a worker name a rate. The checker reports harmful requests that go on to run (BUDGET) and rates that are exceeded (RATE); a gateway under another fault, or without the store, is excused.

--- a/medlarbeam/soak/__main__.py
+++ b/medlarbeam/soak/__main__.py
@@ -67,7 +67,13 @@
         fault_intervals = await inject_faults(deployment, rng, config.seconds, config.pause_s)
         await asyncio.gather(*tasks)
         return History(
-            requests, deployment.runs, deployment.orders, fault_intervals, recovery_deadline
+            requests,
+            deployment.runs,
+            deployment.orders,
+            fault_intervals,
+            recovery_deadline,
+            deployment.harmful_requests,
+            deployment.crashed_at,
         )
 
 
--- a/medlarbeam/soak/callers.py
+++ b/medlarbeam/soak/callers.py
@@ -24,11 +24,14 @@
     rng : random.Random
     records : list
         List to which a `RequestRecord` is appended for each request.
+    shared_parts : tuple of str
+        Parts that the prompts of the caller share with those of others.
     """
 
-    __slots__ = ("gateways", "name", "records", "rng", "sent_count")
+    __slots__ = ("gateways", "name", "records", "rng", "sent_count", "shared_parts")
 
-    def __init__(self, name, gateways, rng, records):
+    def __init__(self, name, gateways, rng, records, shared_parts=("5e5e",)):
+        self.shared_parts = shared_parts
         self.name = name
         self.gateways = gateways
         self.rng = rng
@@ -61,6 +64,8 @@
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
         }
         if route in ("chat", "draft"):
+            parts = [*self.shared_parts, attempt.encode().hex()]
+            headers["X-Prompt-Prefix"] = ",".join(f"{part}:10" for part in parts)
             headers["X-Model"] = f"m0/a{min(self.rng.randrange(ADAPTERS) for _ in range(2))}"
         sent_at = loop.time()
         status, body, sent = INCOMPLETE, b"", []
--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -4,6 +4,7 @@
 
 from medlarbeam.classes.record import Record
 from medlarbeam.soak.deployment import ADAPTER_CAPACITY, DRAIN_S, ORDER_GAP_S
+from medlarbeam.soak.faults import RATE_LIMIT
 from medlarbeam.soak.records import INCOMPLETE
 from medlarbeam.soak.worker import expected_body
 
@@ -19,6 +20,14 @@
 RESPONSE_LIMIT_S = 3.8  # deadline of the callers (3 s) plus time to deliver the response
 MIN_SERVED_SHARE = 0.9  # of the requests sent after the recovery deadline
 HARMLESS_KINDS = {"reload", "config"}
+CONTACT_S = 3.0  # within which all gateways have to know of crashes and limits
+MAX_CRASHES = 5  # after which no more than `MAX_LATE_RUNS` harmful requests may reach workers
+MAX_LATE_RUNS = 3
+RATE_WINDOW_S = 4.0
+RATE_OVERSHOOT = 1.5
+RATE_EXTRA = 5
+# A gateway that these kinds affect may not know of a limit.
+DISTURBING_KINDS = {"kill", "terminate", "freeze", "store", "store_link", "worker_link"}
 
 
 class History(Record):
@@ -32,11 +41,34 @@
     fault_intervals : list of FaultInterval
     recovery_deadline : float
         Time (s) from which requests have to be served again.
+    harmful_requests : list of RequestRecord
+        Requests that crash each worker that runs them.
+    crashed_at : list of float
+        Times (s) of the crashes.
     """
 
-    __slots__ = ("fault_intervals", "orders", "recovery_deadline", "requests", "runs")
+    __slots__ = (
+        "crashed_at",
+        "fault_intervals",
+        "harmful_requests",
+        "orders",
+        "recovery_deadline",
+        "requests",
+        "runs",
+    )
 
-    def __init__(self, requests, runs, orders, fault_intervals, recovery_deadline):
+    def __init__(
+        self,
+        requests,
+        runs,
+        orders,
+        fault_intervals,
+        recovery_deadline,
+        harmful_requests=(),
+        crashed_at=(),
+    ):
+        self.harmful_requests = harmful_requests
+        self.crashed_at = crashed_at
         self.requests = requests
         self.runs = runs
         self.orders = orders
@@ -70,7 +102,7 @@
 def check_runs(history):
     """Yield unrequested runs, repeated at-most-once requests, and refused requests that ran."""
     runs = Counter(run.attempt for run in history.runs)
-    known = {request.attempt for request in history.requests}
+    known = {r.attempt for r in [*history.requests, *history.harmful_requests]}
     for attempt in set(runs) - known:
         yield f"UNASKED {attempt} ran"
     for request in history.requests:
@@ -156,6 +188,43 @@
                 yield f"LOST {request.attempt} ({request.route}) at shutdown of {request.gateway}"
 
 
+def check_harmful_requests(history):
+    """Yield a message if harmful requests go on to reach workers after `MAX_CRASHES`."""
+    if len(history.crashed_at) < MAX_CRASHES:
+        return
+    since = sorted(history.crashed_at)[MAX_CRASHES - 1] + CONTACT_S
+    gateways = {request.attempt: request.gateway for request in history.harmful_requests}
+    late = [
+        run
+        for run in history.runs
+        if run.attempt in gateways
+        and run.started_at > since
+        and not history.overlaps_fault(
+            run.started_at - CONTACT_S,
+            run.started_at,
+            targets={gateways[run.attempt], "store"},
+        )
+    ]
+    if len(late) > MAX_LATE_RUNS:
+        yield f"BUDGET {len(late)} harmful requests ran, the last one {late[-1].attempt}"
+
+
+def check_rate_limits(history):
+    """Yield workers that got more requests than the limit that they named allows."""
+    for interval in history.fault_intervals:
+        if interval.kind != "rate_limit":
+            continue
+        since, until = interval.since + CONTACT_S, interval.ended_at
+        if history.overlaps_fault(since - CONTACT_S, until, DISTURBING_KINDS):
+            continue
+        times = [r.started_at for r in history.runs if r.worker == interval.target]
+        for start in [at for at in times if since <= at <= until - RATE_WINDOW_S]:
+            count = sum(start <= at < start + RATE_WINDOW_S for at in times)
+            if count > RATE_OVERSHOOT * RATE_LIMIT * RATE_WINDOW_S + RATE_EXTRA:
+                yield f"RATE {interval.target} got {count} requests in {RATE_WINDOW_S} s"
+                break
+
+
 def check_response_times(history):
     """Yield requests that waited for a response longer than `RESPONSE_LIMIT_S`."""
     for request in history.requests:
@@ -182,6 +251,8 @@
     check_orders,
     check_drains,
     check_planned_stops,
+    check_harmful_requests,
+    check_rate_limits,
     check_response_times,
     check_recovery,
 ]
--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -22,6 +22,7 @@
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
 DRAIN_S = 2.0
+CRASH_DOWN_S = 1.5
 ORDER_GAP_S = 3.0  # minimum gap between orders of two holders of the order right
 ENGINE = {
     "slots": 4,
@@ -115,12 +116,15 @@
     """
 
     __slots__ = (
+        "crashed_at",
         "folder",
         "gateway_count",
         "gateways",
+        "harmful_requests",
         "incarnations",
         "orders",
         "proxies",
+        "restarts",
         "rng",
         "runner",
         "runs",
@@ -139,6 +143,9 @@
         self.workers = {n: SoakWorker(n, rng, self.runs, self.orders) for n in names}
         self.incarnations = dict.fromkeys(names, 1)
         self.proxies = {}
+        self.crashed_at = []
+        self.harmful_requests = []
+        self.restarts = []
         self.gateways = {}
         self.gateway_count = gateways
         self.runner = None
@@ -156,6 +163,7 @@
             proxy = self.proxies[worker.name] = FaultProxy(worker.address)
             await proxy.start()
             self.register(worker.name)
+            self.restarts.append(asyncio.create_task(self.keep_restarting(worker.name)))
         self.write_config(ROUTES)
         for index in range(self.gateway_count):
             await self._add_gateway(f"gw-{index}", f"fd-{index % 2}", address)
@@ -191,6 +199,8 @@
         await gateway.start()
 
     async def __aexit__(self, *error):
+        for task in self.restarts:
+            task.cancel()
         for gateway in self.gateways.values():
             await gateway.stop()
             gateway.store_proxy.stop()
@@ -222,6 +232,18 @@
         self.incarnations[name] += 1
         self.register(name)
 
+    async def keep_restarting(self, name):
+        """Restart a worker some seconds after each crash; its connections are refused meanwhile."""
+        worker, proxy = self.workers[name], self.proxies[name]
+        while True:
+            await worker.crashed.wait()
+            self.crashed_at.append(asyncio.get_running_loop().time())
+            proxy.stop()
+            await asyncio.sleep(CRASH_DOWN_S)
+            worker.crashed.clear()
+            await proxy.start()
+            self.restart_worker(name)
+
     def write_config(self, routes):
         """Write the next version of the configuration to the store."""
         self.version += self.rng.randint(1, 3)
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -4,14 +4,22 @@
 import logging
 import signal
 from abc import ABC, abstractmethod
+from random import Random
 
+from medlarbeam.soak.callers import Caller
 from medlarbeam.soak.deployment import ROUTES
 from medlarbeam.soak.records import FaultInterval
+from medlarbeam.soak.worker import HARMFUL_PART
 
-__all__ = ["FAULTS", "Fault", "inject_faults"]
+__all__ = ["FAULTS", "RATE_LIMIT", "Fault", "inject_faults"]
 
 log = logging.getLogger(__name__)
 
+HARMFUL_S = 6.0
+HARMFUL_CALLERS = 2
+RATE_LIMIT = 6.0  # requests per second
+RATE_LIMIT_S = 5.0
+
 
 class Fault(ABC):
     """One kind of fault."""
@@ -147,6 +155,46 @@
         deployment.restart_worker(target)
 
 
+class HarmfulPart(Fault):
+    """Callers send prompts with a part that crashes each worker that runs them."""
+
+    __slots__ = ()
+    name = "harmful_part"
+
+    def choose(self, deployment, rng):
+        """Return ``callers``."""
+        return "callers"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Run callers whose prompts contain the harmful part; see `Fault.apply`."""
+        until = asyncio.get_running_loop().time() + HARMFUL_S
+        callers = [
+            Caller(
+                f"harmful-{len(deployment.harmful_requests)}-{number}",
+                list(deployment.gateways.values()),
+                Random(rng.random()),
+                deployment.harmful_requests,
+                ("5e5e", HARMFUL_PART),
+            )
+            for number in range(HARMFUL_CALLERS)
+        ]
+        await asyncio.gather(*(caller.run(until) for caller in callers))
+
+
+class RateLimit(WorkerLink):
+    """A worker names the rate of requests that it takes."""
+
+    __slots__ = ()
+    name = "rate_limit"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Make a worker name a limit; see `Fault.apply`."""
+        worker = deployment.workers[target]
+        worker.rate_limit = RATE_LIMIT
+        await asyncio.sleep(duration_s + RATE_LIMIT_S)
+        worker.rate_limit = None
+
+
 class StoreFault(Fault):
     """The store rejects or ignores calls, discards its history or expires all leases."""
 
@@ -191,6 +239,8 @@
     WorkerLink(),
     WorkerFaults(),
     WorkerDrain(),
+    HarmfulPart(),
+    RateLimit(),
     StoreFault(),
     ConfigChange(),
 ]
--- a/medlarbeam/soak/proxy.py
+++ b/medlarbeam/soak/proxy.py
@@ -46,8 +46,9 @@
         self.writers = set()
 
     async def start(self):
-        """Listen on a free port chosen by the operating system."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port chosen by the operating system, or on that of before."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     def stop(self):
--- a/medlarbeam/soak/tests/test_checker.py
+++ b/medlarbeam/soak/tests/test_checker.py
@@ -24,7 +24,9 @@
     return OrderRecord("engine-0", holder, fence, held, at)
 
 
-def history(requests=(), runs=(), orders=(), fault_intervals=()):
+def history(
+    requests=(), runs=(), orders=(), fault_intervals=(), harmful_requests=(), crashed_at=()
+):
     """Return the history of a run that recovered, with additional records."""
     final = request("final", at=RECOVERY_DEADLINE + 1.0)
     return History(
@@ -33,13 +35,36 @@
         list(orders),
         list(fault_intervals),
         RECOVERY_DEADLINE,
+        list(harmful_requests),
+        list(crashed_at),
     )
 
 
 STREAM = expected_body("a", True)
 STOP = FaultInterval("terminate", "gw-0", 49.0, 55.0)
 DRAIN = FaultInterval("worker_drain", "ledger-0", 40.0, 46.0)
+CRASHES = [40.0, 40.1, 40.2, 40.3, 40.4]
+HARMFUL = [request(f"h{number}", "chat", 502) for number in range(4)]
+LIMITED = FaultInterval("rate_limit", "engine-0", 40.0, 48.0)
 VIOLATIONS = [
+    (
+        "harmful-requests-go-on-to-run",
+        "BUDGET",
+        {
+            "harmful_requests": HARMFUL,
+            "runs": [run(f"h{number}", "engine-0", 44.0) for number in range(4)],
+            "crashed_at": CRASHES,
+        },
+    ),
+    (
+        "limit-of-a-worker-is-exceeded",
+        "RATE",
+        {
+            "requests": [request(f"q{n}", "read") for n in range(60)],
+            "runs": [run(f"q{n}", "engine-0", 43.5 + n / 20) for n in range(60)],
+            "fault_intervals": [LIMITED],
+        },
+    ),
     (
         "response-of-another-request",
         "MIXED",
@@ -113,6 +138,22 @@
 
 FREEZE = FaultInterval("freeze", "gw-0", 49.0, 53.0)
 ALLOWED_HISTORIES = [
+    (
+        "harmful-requests-run-before-all-gateways-know",
+        {
+            "harmful_requests": HARMFUL,
+            "runs": [run(f"h{number}", "engine-0", 43.0) for number in range(4)],
+            "crashed_at": CRASHES,
+        },
+    ),
+    (
+        "limit-of-a-worker-is-kept",
+        {
+            "requests": [request(f"q{n}", "read") for n in range(24)],
+            "runs": [run(f"q{n}", "engine-0", 43.5 + n / 6) for n in range(24)],
+            "fault_intervals": [LIMITED],
+        },
+    ),
     ("successful-request", {"requests": [request("a")], "runs": [run("a")]}),
     (
         "idempotent-request-runs-twice",
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -5,11 +5,12 @@
 from medlarbeam.classes.record import Record
 from medlarbeam.standins.platform_worker import RESPONDERS, PlatformWorker, encode_event
 
-__all__ = ["OrderRecord", "RunRecord", "SoakWorker", "expected_body"]
+__all__ = ["HARMFUL_PART", "OrderRecord", "RunRecord", "SoakWorker", "expected_body"]
 
 EVENT_COUNT = 6
 EVENT_PAUSE_S = 0.02
 SERVICE_TIME_S = 0.03
+HARMFUL_PART = "bad0"
 FAULTS = ("error", "reset", "half", "refuse")
 
 
@@ -54,7 +55,7 @@
 
 
 class SoakWorker(PlatformWorker):
-    """Worker that fails a random share of its requests.
+    """Worker that fails a random share of its requests, and crashes under a harmful prompt part.
 
     Parameters
     ----------
@@ -63,9 +64,14 @@
     runs, order_records : list
         Lists to which a `RunRecord` for each execution and an `OrderRecord` for each order are
         appended.
+
+    Attributes
+    ----------
+    crashed : asyncio.Event
+        Set when the worker has to be taken down and restarted.
     """
 
-    __slots__ = ("fault_probability", "order_records", "rng", "runs")
+    __slots__ = ("crashed", "fault_probability", "order_records", "rng", "runs")
 
     def __init__(self, name, rng, runs, order_records):
         super().__init__(name, EVENT_COUNT)
@@ -73,6 +79,8 @@
         self.runs = runs
         self.order_records = order_records
         self.fault_probability = 0.0
+        self.harmful_part = HARMFUL_PART
+        self.crashed = asyncio.Event()
 
     async def respond(self, writer, path, headers, body):
         """Execute a request if it is addressed to this worker and its adapter is loaded."""
@@ -88,6 +96,9 @@
         now = asyncio.get_running_loop().time()
         self.runs.append(RunRecord(attempt, self.name, now))
         await asyncio.sleep(SERVICE_TIME_S)
+        if self.is_harmful(headers):
+            self.crashed.set()
+            return False
         if adapter:
             pieces = build_events(attempt, int(headers.get("last-event-id", 0)) + 1)
         else:
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -32,6 +32,8 @@
         Loaded adapters.
     harmful_part : str
         Part of a prompt under which the worker crashes, "" for none.
+    rate_limit : float or None
+        Requests per second that complete responses name.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "harmful_part",
         "name",
         "order_count",
+        "rate_limit",
         "response_mode",
         "server",
     )
@@ -55,6 +58,7 @@
         self.order_count = 0
         self.adapters = set()
         self.harmful_part = ""
+        self.rate_limit = None
         self.connections = set()
         self.server = None
         self.address = ""
@@ -106,7 +110,7 @@
         if self.response_mode == "refuse":
             return self.write_response(writer, 503, b"X-Not-Executed: 1\r\n", b"")
         self.executed_attempts.append(attempt)
-        if self.harmful_part and f"{self.harmful_part}:" in headers.get("x-prompt-prefix", ""):
+        if self.is_harmful(headers):
             return self.crash()
         responder = RESPONDERS[self.response_mode]
         if headers.get("accept-stream") or "x-model" in headers:
@@ -116,6 +120,11 @@
             body_parts = [b"paid"]
         return await responder(self, writer, attempt, body_parts)
 
+    def is_harmful(self, headers):
+        """Return whether a request crashes this worker."""
+        part = f"{self.harmful_part}:"
+        return bool(self.harmful_part) and part in headers.get("x-prompt-prefix", "")
+
     def _build_report(self):
         model = {"name": "m0", "version": 1, "adapters": [f"{a}@1" for a in self.adapters]}
         return {"models": [model], "seq": self.order_count, "busy": False, "coming": []}
@@ -169,7 +178,10 @@
 
 async def send_complete(worker, writer, attempt, body_parts):
     """Send a complete response in chunks."""
-    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    headers = b"Transfer-Encoding: chunked\r\n\r\n"
+    if worker.rate_limit is not None:
+        headers = b"Server-Limit: %.1f\r\n" % worker.rate_limit + headers
+    writer.write(build_head(attempt, headers=headers))
     for piece in body_parts:
         writer.write(encode_chunk(piece))
         await writer.drain()
