--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -207,7 +207,11 @@
     def handle_probe_result(self, message, now, out):
         """Give strikes to the lost runs of a backend server that refuses connections."""
         lost = self.lost.pop(message.server, None)
-        if lost is None or not message.is_refused:
+        if lost is None:
+            return
+        if not message.is_refused:
+            detail = f"server={message.server} lost_runs={len(lost.requests)} {message.reason}"
+            out.emit(LogEvent("server_not_crashed", detail))
             return
         self.node.health.record_outcome(message.server, "unreachable", now, out)
         death_id = f"{lost.entry.name}/{lost.entry.started_at_ms}"
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -206,6 +206,17 @@
     gateway.crash(["a1", "bad"])
 
 
+def hear_of_crashes_before_one_review(gateway):
+    """Let a part and a request reach their limits at once, the part at one more crash."""
+    for number in range(4):
+        gateway.serve(["a1"])
+        runs = [LostRun("77" if number else "1", ["bad"])]
+        gateway.harness.deliver(NodeDatagram(DeathReport("n2", f"x{number}/1", 0.0, 0.0, runs)))
+        gateway.harness.gateway.crashes.review_at = gateway.harness.now + 1.0
+        gateway.harness.pass_time(0.1)
+    gateway.harness.pass_time(2.0)
+
+
 def wait_between_crashes(gateway):
     gateway.crash(["a1", "bad"])
     gateway.harness.pass_time(SUSPECT_S + 1)
@@ -228,6 +239,7 @@
     ("connections-are-reset-by-a-live-server", lose_connections_to_a_live_server, "bad", False),
     ("one-request-does-not-convict-its-parts", crash_under_repeats_of_one_request, "bad", False),
     ("another-node-reports-crashes", hear_of_crashes, "bad", True),
+    ("request-is-explained-by-its-part", hear_of_crashes_before_one_review, "bad", True),
     ("quarantine-in-the-store-after-a-restart", read_published_quarantine, "bad", True),
     ("quarantine-expires", quarantine_until_it_expires, "bad", False),
     ("first-crash-after-a-quarantine-renews-it", crash_after_the_quarantine, "bad", True),
