Require a least weight of the evidence against a prompt part

Cause: a gateway that had just started was not registered at one of the other gateways and got the reports of the second one only. It saw the part that all prompts share at two crashes (6 lost runs) and the harmful part at one, not the last, so that the shared part had no rival and was quarantined for all.

Evidence: quarantine_started part:5e5e at gw-1 with deaths engine-0 and engine-2; gw-0 and gw-2 report the harmful part at all three.

Change: crashes squared by lost runs must reach 1, and a rival at any crash of the part counts, not only at the last one.

Before: popular-part-at-a-node-that-knows-few-runs and popular-part-without-a-rival fail.

--- a/medlarbeam/gateway/crash_evidence.py
+++ b/medlarbeam/gateway/crash_evidence.py
@@ -24,6 +24,9 @@
 # Crashes that suffice if another part was in flight at the same ones, or if nothing was served.
 AMBIGUOUS_STRIKES = 5
 MIN_STRIKE_GAP_S = 0.05  # backend servers that fail together crash within a few ms
+# Least weight of the evidence against a prompt part. That against a popular one is lighter, also
+# at a node that knows a part of the lost runs only.
+MIN_WEIGHT = 1.0
 # Weight of a crash under a prompt part with which requests were served before it.
 SERVED_WEIGHT = 0.5
 MAX_DEATHS = 16  # kept for each fingerprint
@@ -171,7 +174,7 @@
     """Return the records among `suspected` whose fingerprints are to be quarantined.
 
     A request is convicted by its own crashes, since its quarantine concerns its repeats alone. A
-    prompt part is convicted if no other part of its last crash has as much evidence against it.
+    prompt part is convicted if no other part of its crashes has as much evidence against it.
 
     Parameters
     ----------
@@ -189,9 +192,9 @@
         return strikes >= REQUEST_STRIKES
     if strikes < PART_STRIKES:
         return False
-    last = next(reversed(record.deaths))
-    rivals = [r.find_weight() for r in parts if r is not record and last in r.deaths]
-    most = max(rivals, default=0.0)
-    if strikes >= AMBIGUOUS_STRIKES:
-        return most <= record.find_weight()
-    return most < record.find_weight()
+    weight = record.find_weight()
+    rivals = [r for r in parts if r is not record and not record.deaths.keys().isdisjoint(r.deaths)]
+    most = max((rival.find_weight() for rival in rivals), default=0.0)
+    if weight < MIN_WEIGHT or most > weight:
+        return False
+    return most < weight or strikes >= AMBIGUOUS_STRIKES
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -315,6 +315,8 @@
     ("part-of-one-run-at-each-crash", {"bad": [1, 1, 1]}, ["bad"]),
     ("popular-part", {"bad": [1, 1, 1], "all": [9, 9, 9]}, ["bad"]),
     ("popular-part-alone-has-a-rival", {"all": [9, 9, 9], "one": [0, 0, 1]}, []),
+    ("popular-part-at-a-node-that-knows-few-runs", {"all": [5, 1], "one": [1, 0]}, []),
+    ("popular-part-without-a-rival", {"all": [4, 4]}, []),
     ("equal-evidence", {"x": [1, 1], "y": [1, 1]}, []),
     ("equal-evidence-at-many-crashes", {"x": [1] * 5, "y": [1] * 5}, ["x", "y"]),
 ]
