--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -10,7 +10,6 @@
 from medlarbeam.classes.gateway_effects import (
     ProbeServer,
     PublishQuarantine,
-    SendDatagram,
     WithdrawQuarantine,
 )
 from medlarbeam.classes.gateway_messages import (
@@ -231,7 +230,7 @@
         for batch in split_runs(runs):
             report = DeathReport(name, death_id, age_s, served_age_s, batch)
             self._apply_death(report, now, out)
-            self._broadcast(report, out)
+            self.node.fleet.broadcast(report, out)
 
     def _build_lost_run(self, request):
         served = [part for part in request.shared_parts if part in self.served_parts]
@@ -246,11 +245,6 @@
         if is_new and cancelled:
             self._report_death(report.death_id, report.age_s, cancelled, now, out)
 
-    def _broadcast(self, body, out):
-        for node in self.node.fleet.nodes.values():
-            if node.name != self.node.settings.name:
-                out.emit(SendDatagram(node.address, body))
-
     def handle_datagram(self, message, now, out):
         """Handle a death report or a clearance of another node."""
         body = message.body
@@ -371,7 +365,7 @@
         self.announce_at = inf
         for start in range(0, len(names), MAX_REPORTED):
             part = names[start : start + MAX_REPORTED]
-            self._broadcast(ClearanceReport(self.node.settings.name, part), out)
+            self.node.fleet.broadcast(ClearanceReport(self.node.settings.name, part), out)
 
     def _set_expiry(self, record, at):
         record.expires_at = at
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -10,6 +10,7 @@
     PublishedVersion,
     ServerRegistration,
 )
+from medlarbeam.classes.gateway_effects import SendDatagram
 from medlarbeam.classes.gateway_messages import (
     EntryDeleted,
     EntryUpdated,
@@ -256,6 +257,12 @@
             if known.stop_at > now and known.entry.service == service
         ]
 
+    def broadcast(self, body, out):
+        """Send a datagram to each other registered node."""
+        for node in self.nodes.values():
+            if node.name != self.node.settings.name:
+                out.emit(SendDatagram(node.address, body))
+
     def find_engine(self, server):
         """Return the `Engine` of the service of a `ServerRegistration`, or None."""
         service = self.config.services.get(server.service) if self.config else None
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -7,6 +7,8 @@
 
 __all__ = ["Relay", "RelayTimers"]
 
+MAX_WAIT_SHARE = 0.5  # of the time to the deadline; a late request that waits longer is refused
+
 
 class Relay:
     """A caller's request from its arrival to the end of its response.
@@ -93,6 +95,13 @@
         self.sent_at = -inf
         self.next_check_at = inf
 
+    def find_wait_limit(self):
+        """Return the time (s) until which the request may wait for a backend server."""
+        if self.runs or self.is_response_started:
+            return self.deadline_at
+        share = MAX_WAIT_SHARE * (self.deadline_at - self.arrived_at)
+        return min(self.deadline_at, max(self.goal_at, self.arrived_at + share))
+
     def record_response_start(self, now):
         """Record that the response to the caller has started by `now` (s)."""
         if self.response_started_at is None:
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -34,7 +34,6 @@
 __all__ = ["Relays"]
 
 EXPECTED_START_S = 0.35  # expected time from a load order to the first event
-MAX_WAIT_SHARE = 0.5  # of the time to the deadline; a late request that waits longer is refused
 DEMAND_INTERVAL_S = 0.1  # between repeats of a demand while its request waits
 RECHECK_INTERVAL_S = 0.05  # between selections while no backend server is available
 NO_SERVER_WAIT_SHARE = 0.5  # of the latency goal, after which the request is refused
@@ -142,7 +141,7 @@
         if self.node.crashes.find_quarantined(relay.request) is not None:
             self._fire_and_process(relay, "quarantined", now, out)
             return
-        if now >= self._find_wait_limit(relay):
+        if now >= relay.find_wait_limit():
             relay.reason = relay.reason or "no backend server had capacity in time"
             self.chart.fire(relay, "deadline", self, now, out, None)
             self._process_state(relay, now, out)
@@ -155,13 +154,6 @@
         else:
             self._start_run(relay, choice.entry, now, out)
 
-    def _find_wait_limit(self, relay):
-        """Return the time (s) until which a request may wait for a backend server."""
-        if relay.runs or relay.is_response_started:
-            return relay.deadline_at
-        share = MAX_WAIT_SHARE * (relay.deadline_at - relay.arrived_at)
-        return min(relay.deadline_at, max(relay.goal_at, relay.arrived_at + share))
-
     def _wait_for_server(self, relay, now, out):
         limit = relay.arrived_at + relay.route.latency_goal_s * NO_SERVER_WAIT_SHARE
         if now >= limit:
@@ -187,7 +179,7 @@
         key = relay.request.key
         if key is not None:
             self.waiting.setdefault(key, {})[relay.request.request_id] = relay
-        self.timers.set(relay, min(until, self._find_wait_limit(relay)))
+        self.timers.set(relay, min(until, relay.find_wait_limit()))
 
     def wake(self, keys, now):
         """Schedule an immediate selection for the relays that wait for one of `keys`."""
--- a/medlarbeam/gateway/server_limits.py
+++ b/medlarbeam/gateway/server_limits.py
@@ -5,7 +5,6 @@
 from medlarbeam.algorithms.routing import rank_servers
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.gateway_effects import SendDatagram
 from medlarbeam.classes.gateway_messages import NodeDatagram
 from medlarbeam.classes.peer_messages import RateLimitReport, ServerRate
 from medlarbeam.node.component import Component
@@ -207,10 +206,7 @@
     def _report(self, items, out):
         text = " ".join(f"{item.server}={item.rate:.2f}" for item in items)
         out.emit(LogEvent("rate_limits", text))
-        report = RateLimitReport(self.node.settings.name, items)
-        for node in self.node.fleet.nodes.values():
-            if node.name != self.node.settings.name:
-                out.emit(SendDatagram(node.address, report))
+        self.node.fleet.broadcast(RateLimitReport(self.node.settings.name, items), out)
 
     # Actions of the chart
 
