Log where a stream was late: first event, longest pause, slow caller

Callers saw streams late, and the log gave only their total time. The line of a served request, a histogram and the page for operators now tell the first event, the longest pause with the event before it, and the longest write to the caller.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -159,17 +159,30 @@
         Time until the request was first sent to a backend server, or until it ended unsent.
     send_count : int
         Number of times the request was sent to a backend server.
+    longest_pause_s : float or None
+        Longest time between two events of a complete stream, None for other responses.
     """
 
-    __slots__ = ("first_response_s", "kind", "outcome", "priority", "send_count", "wait_s")
+    __slots__ = (
+        "first_response_s",
+        "kind",
+        "longest_pause_s",
+        "outcome",
+        "priority",
+        "send_count",
+        "wait_s",
+    )
 
-    def __init__(self, kind, priority, outcome, first_response_s, wait_s, send_count):
+    def __init__(
+        self, kind, priority, outcome, first_response_s, wait_s, send_count, longest_pause_s=None
+    ):
         self.kind = kind
         self.priority = priority
         self.outcome = outcome
         self.first_response_s = first_response_s
         self.wait_s = wait_s
         self.send_count = send_count
+        self.longest_pause_s = longest_pause_s
 
 
 class AbortResponse(Record):
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -41,6 +41,8 @@
         Model and adapter, None for a plain service.
     tokens : int
         Number of prompt tokens plus the number of tokens that may be generated.
+    prompt_tokens : int
+        Number of prompt tokens, 0 if the caller did not state it.
     fingerprint : int
         Digest of the path, prompt and body of the request, the same for every attempt.
     shared_parts : tuple of str
@@ -54,6 +56,7 @@
         "host",
         "key",
         "path",
+        "prompt_tokens",
         "request_id",
         "shared_parts",
         "tokens",
@@ -70,6 +73,7 @@
         tokens,
         fingerprint,
         shared_parts=(),
+        prompt_tokens=0,
     ):
         self.request_id = request_id
         self.attempt_id = attempt_id
@@ -78,6 +82,7 @@
         self.deadline = deadline
         self.key = key
         self.tokens = tokens
+        self.prompt_tokens = prompt_tokens
         self.fingerprint = fingerprint
         self.shared_parts = shared_parts
 
@@ -108,14 +113,24 @@
 
 
 class RunCompleted(Record):
-    """The complete response was passed to the caller's connection."""
+    """The complete response was passed to the caller's connection.
 
-    __slots__ = ("load", "run_id", "status")
+    Parameters
+    ----------
+    run_id : str
+    status : int
+    load : ServerLoad or None
+    timing : StreamTiming or None
+        None unless the response is a stream.
+    """
 
-    def __init__(self, run_id, status, load):
+    __slots__ = ("load", "run_id", "status", "timing")
+
+    def __init__(self, run_id, status, load, timing=None):
         self.run_id = run_id
         self.status = status
         self.load = load
+        self.timing = timing
 
 
 class RunErrorResponse(Record):
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -44,6 +44,8 @@
         Why the last run did not serve the caller.
     first_sent_at, response_started_at : float or None
         Times (s) of the first send and of the start of the response to the caller.
+    timing : StreamTiming or None
+        Times of the events of a stream that was served.
     outcome : str
         Result of the request, see `RecordRequestMetrics`.
     next_check_at : float
@@ -71,6 +73,7 @@
         "server",
         "service",
         "state",
+        "timing",
     )
 
     def __init__(self, request, route, service, state, now):
@@ -92,6 +95,7 @@
         self.first_sent_at = None
         self.response_started_at = None
         self.outcome = ""
+        self.timing = None
         self.sent_at = -inf
         self.next_check_at = inf
 
@@ -117,6 +121,7 @@
             None if started_at is None else started_at - self.arrived_at,
             (now if sent_at is None else sent_at) - self.arrived_at,
             self.sends,
+            self.timing.longest_pause_s if self.timing is not None else None,
         )
 
 
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -412,11 +412,13 @@
     def log_served(self, relay, now, out, message):
         """Log a request that was served."""
         relay.outcome = "served"
+        relay.timing = message.timing
+        timing = f" {message.timing.describe()}" if message.timing is not None else ""
         out.emit(
             LogEvent(
                 "request_served",
                 f"run={relay.run_id} server={relay.server.name} status={message.status} "
-                f"sends={relay.sends} total_s={now - relay.arrived_at:.3f}",
+                f"sends={relay.sends} total_s={now - relay.arrived_at:.3f}{timing}",
                 relay.request.request_id,
             )
         )
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -18,6 +18,7 @@
     "parse_adapter_key",
     "parse_deadline_s",
     "parse_load",
+    "parse_prompt_tokens",
     "parse_shared_parts",
     "parse_tokens",
     "response_headers",
@@ -149,6 +150,11 @@
     return max(total, 0)
 
 
+def parse_prompt_tokens(headers):
+    """Return the number of prompt tokens of a request, 0 if it states none."""
+    return _parse_number(headers.get("X-Token-Usage", "").partition(",")[0])
+
+
 def _parse_number(text):
     text = text.strip()
     return int(text) if text.isascii() and text.isdigit() else 0
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -18,6 +18,7 @@
     forwarded_headers,
     parse_adapter_key,
     parse_deadline_s,
+    parse_prompt_tokens,
     parse_shared_parts,
     parse_tokens,
 )
@@ -58,6 +59,8 @@
         Id of the last event that the caller received, 0 for none.
     stream : aiohttp.web.StreamResponse or None
         The response, once streaming has started.
+    timing : StreamTiming or None
+        Times of the events, once a run of a stream was sent.
     error_responses : dict of str to aiohttp.web.Response
         Buffered error responses by run id.
     outcome : asyncio.Future
@@ -73,6 +76,7 @@
         "outcome",
         "request",
         "stream",
+        "timing",
     )
 
     def __init__(self, http_request, body, request):
@@ -83,6 +87,7 @@
         text = http_request.headers.get(LAST_EVENT_ID, "")
         self.last_event = int(text) if text.isascii() and text.isdigit() else 0
         self.stream = None
+        self.timing = None
         self.error_responses = {}
         self.outcome = asyncio.get_running_loop().create_future()
 
@@ -249,6 +254,7 @@
         parse_tokens(http_request.headers),
         digest_request(http_request.headers, path, body),
         parse_shared_parts(http_request.headers),
+        parse_prompt_tokens(http_request.headers),
     )
 
 
--- a/medlarbeam/platform/metrics.py
+++ b/medlarbeam/platform/metrics.py
@@ -16,6 +16,8 @@
 PATH = "/metrics"
 # The latency goals of routes are between 0.1 and 2 s, and deadlines between 1.5 and 10 s.
 TIME_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.0, 2.0, 5.0, 10.0, inf)
+# The longest pauses that routes allow are between 0.25 and 0.3 s.
+PAUSE_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, inf)
 MAX_PRIORITY = 9  # limits the label values; a configuration may contain any number
 
 
@@ -34,6 +36,7 @@
         "events",
         "first_response_times",
         "gauges",
+        "longest_pauses",
         "registry",
         "retries",
         "wait_times",
@@ -59,6 +62,12 @@
             "Time spent waiting for a backend server.",
             buckets=TIME_BUCKETS,
         )
+        self.longest_pauses = self._create(
+            Histogram,
+            "longest_pause_seconds",
+            "Longest time without an event in a complete stream.",
+            buckets=PAUSE_BUCKETS,
+        )
         self.gauges = {
             name: self._create(Gauge, name, doc)
             for name, doc in (
@@ -94,6 +103,8 @@
         self.wait_times.add(labels, measured.wait_s)
         if measured.first_response_s is not None:
             self.first_response_times.add(labels, measured.first_response_s)
+        if measured.longest_pause_s is not None:
+            self.longest_pauses.add(labels, measured.longest_pause_s)
 
     def render(self, values, accept):
         """Return ``(body, headers)`` of the metrics page.
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -32,6 +32,7 @@
     RunStarted,
     ServerOrderResult,
 )
+from medlarbeam.classes.stream_timing import StreamTiming
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
 from medlarbeam.daemon.http_client import (
     SendGuard,
@@ -168,6 +169,8 @@
 
     async def _send_and_relay(self, effect, exchange):
         now = self.driver.read_clock()
+        if effect.is_stream and exchange.timing is None:
+            exchange.timing = StreamTiming(now)
         session = self.unpooled_session if effect.needs_new_connection else self.session
         resume_after = exchange.last_event if exchange.stream is not None else 0
         with StallTimer(self.driver, effect, exchange) as timer:
@@ -192,7 +195,7 @@
                     await self._relay_stream(effect, exchange, response, load, timer)
                     check_response_end(response, protocol)
                     exchange.finish(exchange.stream)
-                    return RunCompleted(effect.run_id, response.status, load)
+                    return RunCompleted(effect.run_id, response.status, load, exchange.timing)
                 body = await read_body(response, MAX_RESPONSE_BYTES)
                 check_response_end(response, protocol)
         buffered = Response(
@@ -206,14 +209,18 @@
 
     async def _relay_stream(self, effect, exchange, response, load, timer):
         splitter = EventSplitter(exchange.last_event)
+        timing = exchange.timing
         is_first = True
         async for chunk in response.content.iter_any():
             data = splitter.feed(chunk)
             if not data:
                 continue
             timer.record_progress()
+            now = self.driver.read_clock()
+            timing.record_event(exchange.last_event, now)
             await exchange.begin_stream(response.status, response_headers(response.headers))
             await exchange.stream.write(data)
+            timing.record_write(self.driver.read_clock() - now)
             exchange.last_event = splitter.last_event
             if is_first:
                 is_first = False
--- a/medlarbeam/platform/tests/test_metrics.py
+++ b/medlarbeam/platform/tests/test_metrics.py
@@ -34,6 +34,11 @@
         RecordRequestMetrics(RouteKind.IDEMPOTENT, 1, "served", 0.2, 0.1, 3),
         'medlarbeam_gateway_repeats_total{kind="idempotent",priority="1"} 2',
     ),
+    (
+        "pause-of-a-stream-is-recorded",
+        RecordRequestMetrics(STREAM, 0, "served", 0.2, 0.1, 1, 0.35),
+        'medlarbeam_gateway_longest_pause_seconds_bucket{kind="stream",le="0.4",priority="0"} 1',
+    ),
     (
         "priority-label-is-limited",
         RecordRequestMetrics(STREAM, 70_000, "left", None, 0.0, 0),
