Index the adapters that other nodes use, in place of a search for each one

Before each eviction and in each holding report the scheduler asked, for each adapter of an engine, whether any of the other nodes used it, and searched the reports of all nodes. The reports are now in a class of their own that keeps the nodes by adapter.

--- a/medlarbeam/gateway/order_scheduler.py
+++ b/medlarbeam/gateway/order_scheduler.py
@@ -6,6 +6,7 @@
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.fleet import AdapterKey
 from medlarbeam.classes.gateway_effects import FetchEngineState, ServerOrder
+from medlarbeam.gateway.remote_uses import RemoteUses
 
 __all__ = ["AdapterResidency", "LoadDemand", "OrderScheduler", "load_residency_chart"]
 
@@ -22,7 +23,6 @@
 READ_TIMEOUT_S = 2.0  # after which a state read is considered lost
 DEMAND_TTL_S = 0.6  # a demand expires if it is not repeated within this time
 UNUSED_GRACE_S = 0.15  # no eviction so soon after a load; the waiting request must arrive first
-USE_TTL_S = 1.5  # a use report expires if it is not renewed within this time
 
 
 class AdapterResidency:
@@ -106,18 +106,6 @@
         return (self.due < now, self.priority, self.due)
 
 
-class RemoteUse:
-    """Last use report of another node."""
-
-    __slots__ = ("at", "keys", "running", "serial")
-
-    def __init__(self, keys, serial, running, now):
-        self.keys = keys
-        self.serial = serial
-        self.running = running
-        self.at = now
-
-
 class OrderScheduler:
     """The expected state of one backend server, and its queue of demands.
 
@@ -173,7 +161,7 @@
         self.residencies = {}
         self.recently_unloaded = {}
         self.demands = {}
-        self.remote_uses = {}
+        self.remote_uses = RemoteUses()
         self.pending = None
         self.is_changing_weights = False
         self.is_reading = False
@@ -270,23 +258,8 @@
 
     def apply_use_report(self, report, now):
         """Apply the use report of another node, unless a newer one is known."""
-        known = self.remote_uses.get(report.node)
-        if known is not None and known.serial > report.serial and now - known.at < USE_TTL_S:
-            return
-        keys = set(report.keys)
-        for key in keys - (known.keys if known is not None else set()):
+        for key in self.remote_uses.apply_report(report, now):
             self.record_use(key, now)
-        self.remote_uses[report.node] = RemoteUse(keys, report.serial, report.running, now)
-
-    def is_used(self, key, now):
-        """Return whether runs of other nodes use `key`."""
-        return any(
-            key in use.keys and now - use.at < USE_TTL_S for use in self.remote_uses.values()
-        )
-
-    def count_remote_runs(self, now):
-        """Return the number of runs of other nodes on the backend server."""
-        return sum(use.running for use in self.remote_uses.values() if now - use.at < USE_TTL_S)
 
     def count_spare(self, engine, in_use, now):
         """Return the number of free or evictable adapter slots, minus the waiting demands."""
@@ -299,7 +272,7 @@
             self.chart.has_tag(residency, "resident")
             and not (residency.is_fresh and now - residency.ready_at < UNUSED_GRACE_S)
             and not in_use(residency.key)
-            and not self.is_used(residency.key, now)
+            and not self.remote_uses.is_used(residency.key, now)
             and residency.key not in self.demands
         )
 
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -235,7 +235,9 @@
         )
 
     def _count_runs(self, scheduler, now):
-        return self.node.health.count_runs(scheduler.entry.name) + scheduler.count_remote_runs(now)
+        return self.node.health.count_runs(scheduler.entry.name) + scheduler.remote_uses.count_runs(
+            now
+        )
 
     def next_deadline(self):
         """Return the time (s) of the next review or report."""
--- a/medlarbeam/gateway/tests/test_order_scheduler.py
+++ b/medlarbeam/gateway/tests/test_order_scheduler.py
@@ -7,7 +7,8 @@
 from medlarbeam.classes.gateway_effects import FetchEngineState, ServerOrder
 from medlarbeam.classes.gateway_messages import ServerOrderResult
 from medlarbeam.classes.peer_messages import UseReport
-from medlarbeam.gateway.order_scheduler import USE_TTL_S, OrderScheduler, load_residency_chart
+from medlarbeam.gateway.order_scheduler import OrderScheduler, load_residency_chart
+from medlarbeam.gateway.remote_uses import USE_TTL_S, RemoteUses
 from medlarbeam.gateway.tests.fleet_samples import ADAPTER_CAPACITY, make_engine, make_server
 
 CHART = load_residency_chart()
@@ -193,6 +194,29 @@
     assert (order.is_load if order else None) is is_load
 
 
+# Reports as (age in s, node, serial, keys), and whether the first key is in use.
+REPORTS = [
+    ("no-report", [], False),
+    ("use-by-one-of-two-nodes", [(0.2, "n2", 1, KEYS[:2]), (0.1, "n3", 1, [])], True),
+    ("use-that-ended", [(0.2, "n2", 1, KEYS[:2]), (0.1, "n2", 2, KEYS[1:2])], False),
+    ("ended-at-one-of-two-users", [(0.3, n, 1, KEYS[:1]) for n in ("n2", "n3")], True),
+    ("older-report-arrives-later", [(0.2, "n2", 2, KEYS[:1]), (0.1, "n2", 1, [])], True),
+    ("expired", [(USE_TTL_S + 0.1, "n2", 1, KEYS[:1])], False),
+    ("expired-use-is-reported-anew", [(2.0, "n2", 1, KEYS[:1]), (0.1, "n2", 2, KEYS[:1])], True),
+    ("restarted-node-begins-anew", [(2.0, "n2", 9, []), (0.1, "n2", 1, KEYS[:1])], True),
+]
+
+
+@pytest.mark.parametrize(
+    ("reports", "expected"), [r[1:] for r in REPORTS], ids=[r[0] for r in REPORTS]
+)
+def test_use_by_other_nodes_follows_their_last_reports(reports, expected):
+    uses = RemoteUses()
+    for age_s, node, serial, keys in reports:
+        uses.apply_report(UseReport(node, "w1", serial, keys), 100.0 - age_s)
+    assert uses.is_used(KEYS[0], 100.0) is expected
+
+
 EARLY = [
     ("load-takes-longer-than-estimated", False, 0.26, 0.26, 0.29),
     ("replacement-waits-for-its-runs", True, 0.3, 0.44, 0.46),
