--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -17,6 +17,7 @@
     "forwarded_headers",
     "parse_adapter_key",
     "parse_deadline_s",
+    "parse_last_event",
     "parse_load",
     "parse_prompt_tokens",
     "parse_shared_parts",
@@ -33,6 +34,7 @@
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
 
 MAX_SHARED_PARTS = 256
+MAX_DIGITS = 15  # of a number; `int` raises ValueError for thousands of digits
 MAX_PART_ID_CHARACTERS = 64
 
 # Hop-by-hop headers, and headers that the HTTP library generates itself.
@@ -114,8 +116,7 @@
 
 def parse_deadline_s(headers):
     """Return the caller's deadline in seconds from now, infinity if it sent no valid one."""
-    text = headers.get("X-Deadline-Ms", "")
-    return int(text) / 1000.0 if text.isascii() and text.isdigit() else inf
+    return _parse_number(headers.get("X-Deadline-Ms", ""), inf) / 1000.0
 
 
 def parse_adapter_key(headers):
@@ -155,9 +156,11 @@
     return _parse_number(headers.get("X-Token-Usage", "").partition(",")[0])
 
 
-def _parse_number(text):
+def _parse_number(text, default=0):
+    """Return the number in `text`, `default` if it is none or has too many digits."""
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else 0
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else default
 
 
 def parse_load(headers):
@@ -177,3 +180,8 @@
     except ValueError:
         return None
     return rate if 0.0 <= rate < inf else None
+
+
+def parse_last_event(headers):
+    """Return the id of the last event that a caller received, 0 if it names none."""
+    return _parse_number(headers.get(LAST_EVENT_ID, ""))
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -14,10 +14,10 @@
 from medlarbeam.exceptions import ERROR_RESPONSES, RunState
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
-    LAST_EVENT_ID,
     forwarded_headers,
     parse_adapter_key,
     parse_deadline_s,
+    parse_last_event,
     parse_prompt_tokens,
     parse_shared_parts,
     parse_tokens,
@@ -84,8 +84,7 @@
         self.body = body
         self.request = request
         self.headers = forwarded_headers(http_request.headers)
-        text = http_request.headers.get(LAST_EVENT_ID, "")
-        self.last_event = int(text) if text.isascii() and text.isdigit() else 0
+        self.last_event = parse_last_event(http_request.headers)
         self.stream = None
         self.timing = None
         self.error_responses = {}
