--- a/medlarbeam/gateway/prompt_pacing.py
+++ b/medlarbeam/gateway/prompt_pacing.py
@@ -65,7 +65,7 @@
     def estimate_remote(self, window_s, now):
         """Return the estimated tokens of the other nodes within the last `window_s`.
 
-        Of the window, only the part before the last report is known; the mean is the least.
+        The last report covers a shrinking part of the window, so the mean is the lower bound.
         """
         age_s = now - self.remote_at
         if age_s > REMOTE_MAX_AGE_S:
@@ -90,9 +90,9 @@
 
     An engine reads prompts between the tokens of its running streams, so prompts that arrive
     together become one pause for all of them. The tokens that an engine is given within the longest
-    pause that a stream may have are therefore limited. It follows from the time in
-    which the engines of a service read a token. The prompts of all nodes count: each node reports
-    its own to the holder of the engine's order right, and the holder reports the sum.
+    pause that a stream may have are therefore limited. The limit follows from the time in which the
+    engines of a service read a token. The prompts of all nodes count: each node reports its own to
+    the holder of the engine's order right, and the holder reports the sum.
 
     Attributes
     ----------
