--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -343,6 +343,22 @@
     assert run(scenario) == (200, b"paid")
 
 
+def test_right_that_another_node_took_in_an_outage_is_not_used_before_the_store_is_read():
+    async def scenario(deployment, session):
+        store = deployment.store
+        store.silent_paths.add("/kv-watch")
+        for engine in ("w1", "w2"):
+            store.put(f"medlarbeam/right/{engine}", dumps({"node": "n2"}))
+        store.revoke_all_leases()
+        await wait_until(lambda: "medlarbeam/node/n1" in store.items)
+        await deployment.call(session, "chat", "id-1", {"X-Deadline-Ms": "500"})
+        orders = sum(worker.order_count for worker in deployment.workers.values())
+        store.silent_paths.clear()
+        return orders
+
+    assert run(scenario) == 0
+
+
 BODIES = [
     ("body-above-the-library-s-limit-is-accepted", (1 << 20) + 10, 200, 1),
     ("body-above-the-configured-limit-is-refused", (3 << 20) + 1, 413, 0),
--- a/medlarbeam/standins/platform_store.py
+++ b/medlarbeam/standins/platform_store.py
@@ -51,6 +51,8 @@
     ----------
     injected_fault : str
         "" for none; with ``busy`` every call gets 503, with ``silent`` no call gets a response.
+    silent_paths : set of str
+        Paths whose calls get no response until the path is removed.
     calls : list of str
         Path of each call.
 
@@ -68,6 +70,7 @@
         "leases",
         "oldest_revision",
         "revision",
+        "silent_paths",
     )
 
     def __init__(self):
@@ -78,6 +81,7 @@
         self.leases = {}
         self.last_lease_id = 1000
         self.injected_fault = ""
+        self.silent_paths = set()
         self.calls = []
 
     def build_app(self):
@@ -104,7 +108,10 @@
             if self.injected_fault == "busy":
                 return Response(status=503)
             self._revoke_expired_leases()
-            return await call(request)
+            response = await call(request)
+            while request.path in self.silent_paths:
+                await asyncio.sleep(WATCH_POLL_S)
+            return response
 
         return handle
 
