Use order rights only once the store is known up to the own registration

Cause: a node without the store for longer than a takeover takes loses its rights to another node. When the store answers again, it registers and counts the rights in its copy as valid at once, although the watch has not yet reported the takeover. Evidence: in the incident's logs the orders with the old fencing token begin 9 ms after the line `registered`, the watch caught up later.

Change: the validity of rights requires that the known revision of the store has reached the revision of the node's registration. Rights of a registered node cannot be acquired, so an earlier takeover is known by then. The line `registered` shows both revisions.

--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -286,13 +286,16 @@
         Boot time (s) just before the call was sent; the lease cannot have started earlier.
     is_new : bool
         Whether this is a new lease; keys of an earlier lease may have been deleted.
+    revision : int
+        Store revision at which the node's registration was written under this lease.
     """
 
-    __slots__ = ("is_new", "sent_at")
+    __slots__ = ("is_new", "revision", "sent_at")
 
-    def __init__(self, sent_at, is_new):
+    def __init__(self, sent_at, is_new, revision):
         self.sent_at = sent_at
         self.is_new = is_new
+        self.revision = revision
 
 
 class LeaseExpired(Record):
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -148,10 +148,10 @@
         present = set()
         for entry in message.entries:
             present.add(entry.key)
-            self.handle_entry_updated(entry, now, out)
+            self._update_entry(entry, now, out)
         for key in [key for key in self.keys if key not in present]:
             if self.keys[key].revision <= message.revision:
-                self.handle_entry_deleted(EntryDeleted(key, message.revision), now, out)
+                self._delete_entry(EntryDeleted(key, message.revision), now, out)
         for name in self.find_missing_nodes():
             # After a gap in the history it is unknown how long the node has been missing.
             self.node_missing_since[name] = now
@@ -164,11 +164,14 @@
 
     def handle_entry_updated(self, message, now, out):
         """Apply a written entry unless a newer one is known."""
+        self.revision = max(self.revision, message.revision) if self.revision else 0
+        self._update_entry(message, now, out)
+
+    def _update_entry(self, message, now, out):
         known = self.keys.get(message.key)
         if known is not None and known.revision >= message.revision:
             return
         self.keys[message.key] = message
-        self.revision = max(self.revision, message.revision) if self.revision else 0
         value = message.value
         if isinstance(value, ServerRegistration):
             self._apply_server(value, now, out)
@@ -214,11 +217,14 @@
 
     def handle_entry_deleted(self, message, now, out):
         """Apply the deletion of an entry unless a newer revision is known."""
+        self.revision = max(self.revision, message.revision) if self.revision else 0
+        self._delete_entry(message, now, out)
+
+    def _delete_entry(self, message, now, out):
         known = self.keys.get(message.key)
         if known is None or known.revision > message.revision:
             return
         del self.keys[message.key]
-        self.revision = max(self.revision, message.revision) if self.revision else 0
         value = known.value
         if isinstance(value, ServerRegistration):
             self._remove_server(value, now, out)
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -28,10 +28,12 @@
     -----
     A right is an entry of the store without a lease. It names its holder, and its revision is the
     fencing token. A node may use its rights while its registration, which has a lease, was renewed
-    within `RIGHT_VALIDITY_S`. Another node may acquire a right once the registration of its holder
-    has been missing for `RIGHT_VALIDITY_S` plus the minimum gap between the orders of two holders;
-    the store checks in the same transaction that it is still missing. A restarted node reads its
-    own rights from the store and continues to use them.
+    within `RIGHT_VALIDITY_S`, and the node knows all changes of the store up to that registration:
+    rights of a registered node cannot be acquired, but they may have been before it registered.
+    Another node may acquire a right once the registration of its holder has been missing for
+    `RIGHT_VALIDITY_S` plus the minimum gap between the orders of two holders; the store checks in
+    the same transaction that it is still missing. A restarted node reads its own rights from the
+    store and continues to use them.
     """
 
     __slots__ = (
@@ -39,14 +41,14 @@
         "acquiring",
         "check_at",
         "confirmed_at",
-        "registered_at",
+        "registered_revision",
         "renew_at",
     )
 
     def __init__(self, node):
         super().__init__(node)
         self.confirmed_at = -inf
-        self.registered_at = inf
+        self.registered_revision = 0
         self.renew_at = 0.0
         self.check_at = 0.0
         self.acquiring = set()
@@ -63,7 +65,14 @@
     def handle_lease_renewed(self, message, now, out):
         """Extend the validity of the rights from the time at which the renewal was sent."""
         if message.is_new:
-            out.emit(LogEvent("registered", f"valid_s={RIGHT_VALIDITY_S}"))
+            out.emit(
+                LogEvent(
+                    "registered",
+                    f"valid_s={RIGHT_VALIDITY_S} revision={message.revision} "
+                    f"known_revision={self.node.fleet.revision}",
+                )
+            )
+        self.registered_revision = message.revision
         self.confirmed_at = max(self.confirmed_at, message.sent_at)
 
     def handle_lease_expired(self, message, now, out):
@@ -84,6 +93,7 @@
         registration = self.node.fleet.nodes.get(name)
         return (
             now < self.confirmed_at + RIGHT_VALIDITY_S
+            and self.node.fleet.revision >= self.registered_revision
             and registration is not None
             and registration.incarnation == self.node.settings.incarnation
         )
--- a/medlarbeam/gateway/tests/batching_fleet.py
+++ b/medlarbeam/gateway/tests/batching_fleet.py
@@ -95,7 +95,7 @@
         }
 
     def _renew_lease(self, name, effect):
-        self.call_at(self.now + 0.004, self.deliver, name, LeaseRenewed(self.now, False))
+        self.call_at(self.now + 0.004, self.deliver, name, LeaseRenewed(self.now, False, 0))
 
     def _fetch_state(self, name, effect):
         state = EngineState(0, ["m0"], {self.adapters[effect.server.name]: 1}, {}, False)
--- a/medlarbeam/gateway/tests/crash_fleet.py
+++ b/medlarbeam/gateway/tests/crash_fleet.py
@@ -136,7 +136,7 @@
         gateway = self.gateways[name] = Gateway(settings, Random(f"{name}-{self.rng.random()}"))
         entries = [EntryUpdated(key, value, 1) for key, value in self.store.items()]
         self._carry_out(name, gateway.handle(StoreSnapshot(entries, self.revision), self.now))
-        self._carry_out(name, gateway.handle(LeaseRenewed(self.now, True), self.now))
+        self._carry_out(name, gateway.handle(LeaseRenewed(self.now, True, 0), self.now))
 
     # Events
 
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -156,7 +156,7 @@
     entries += [(f"right/{r.server}", r) for r in rights]
     reads = [EntryUpdated(key, value, index + 1) for index, (key, value) in enumerate(entries)]
     harness.deliver(StoreSnapshot(reads, 10))
-    harness.deliver(LeaseRenewed(harness.now, True))
+    harness.deliver(LeaseRenewed(harness.now, True, 0))
     return harness
 
 
--- a/medlarbeam/gateway/tests/test_fleet_state.py
+++ b/medlarbeam/gateway/tests/test_fleet_state.py
@@ -151,6 +151,6 @@
     events = []
     for _ in range(losses):
         events += harness.deliver(StoreUnavailable("down"))
-    events += harness.deliver(LeaseRenewed(harness.now, False))
-    events += harness.deliver(LeaseRenewed(harness.now, False))
+    events += harness.deliver(LeaseRenewed(harness.now, False, 0))
+    events += harness.deliver(LeaseRenewed(harness.now, False, 0))
     assert [e.name for e in events if isinstance(e, LogEvent)] == names
--- a/medlarbeam/gateway/tests/test_order_rights.py
+++ b/medlarbeam/gateway/tests/test_order_rights.py
@@ -4,7 +4,13 @@
 
 from medlarbeam.classes.fleet import NodeRegistration, OrderRight
 from medlarbeam.classes.gateway_effects import AcquireRight
-from medlarbeam.classes.gateway_messages import EntryDeleted, LeaseExpired, LeaseRenewed
+from medlarbeam.classes.gateway_messages import (
+    EntryDeleted,
+    EntryUpdated,
+    LeaseExpired,
+    LeaseRenewed,
+    StoreSnapshot,
+)
 from medlarbeam.gateway.order_rights import RIGHT_VALIDITY_S
 from medlarbeam.gateway.tests.fleet_samples import make_harness, make_server, own_rights
 
@@ -16,7 +22,7 @@
     """Advance time with a lease renewal each second; return the `AcquireRight` effects."""
     acquired = []
     for _ in range(int(seconds)):
-        harness.deliver(LeaseRenewed(harness.now, False))
+        harness.deliver(LeaseRenewed(harness.now, False, 0))
         harness.pass_time(1.0)
         acquired += harness.find(AcquireRight)
     return acquired
@@ -89,6 +95,57 @@
     assert bool(harness.gateway.rights.find_fence("w1", harness.now)) is is_valid
 
 
+TAKEN = OrderRight("w1", "n2", 61)
+OWN = OrderRight("w1", "n1", 3)
+REGISTRATION = NodeRegistration("n1", "z1", "10.0.0.1:7000", 5)
+# Revisions: the other node took the right at 61, this node registered again at 62.
+RETURNS = [
+    ("nothing-read-since", [], 0),
+    ("only-the-loss-of-the-registration-read", [EntryDeleted("node/n1", 60)], 0),
+    (
+        "takeover-read",
+        [EntryUpdated("right/w1", TAKEN, 61), EntryUpdated("node/n1", REGISTRATION, 62)],
+        0,
+    ),
+    (
+        "no-takeover-up-to-the-registration",
+        [EntryDeleted("node/n1", 60), EntryUpdated("node/n1", REGISTRATION, 62)],
+        3,
+    ),
+    (
+        "snapshot-from-before-the-registration",
+        [
+            StoreSnapshot(
+                [EntryUpdated("right/w1", OWN, 6), EntryUpdated("node/n1", REGISTRATION, 62)], 59
+            )
+        ],
+        0,
+    ),
+    (
+        "snapshot-with-the-takeover",
+        [
+            StoreSnapshot(
+                [EntryUpdated("right/w1", TAKEN, 61), EntryUpdated("node/n1", REGISTRATION, 62)], 62
+            )
+        ],
+        0,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("messages", "fence"), [r[1:] for r in RETURNS], ids=[r[0] for r in RETURNS]
+)
+def test_right_is_used_after_an_outage_only_when_its_takeover_would_be_known(messages, fence):
+    harness = make_harness(servers=SERVER, rights=own_rights(["w1"]))
+    harness.pass_time(12.0)
+    harness.deliver(LeaseExpired())
+    harness.deliver(LeaseRenewed(harness.now, True, 62))
+    for message in messages:
+        harness.deliver(message)
+    assert harness.gateway.rights.find_fence("w1", harness.now) == fence
+
+
 def test_all_nodes_agree_on_the_preferred_holder():
     """Two nodes of a failure domain must not compete in the store for the same right."""
     nodes = [NodeRegistration(f"n{i}", "z1", f"10.0.0.{i}:7000", 5) for i in (1, 2, 3)]
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -82,6 +82,7 @@
         self.session = None
         self.lease = 0
         self.is_registered = False
+        self.registration_revision = 0
         self.is_renewing = False
         self.release_task = None
 
@@ -205,11 +206,11 @@
         try:
             if self.is_registered:
                 await self._call("POST", f"/kv-keep/{self.lease}")
-                self.driver.deliver(LeaseRenewed(sent_at, False))
+                self.driver.deliver(LeaseRenewed(sent_at, False, self.registration_revision))
             else:
                 await self._register(effect.ttl_s)
-                self.driver.deliver(LeaseRenewed(sent_at, True))
-        except (StoreError, FormatError) as error:
+                self.driver.deliver(LeaseRenewed(sent_at, True, self.registration_revision))
+        except (StoreError, FormatError, KeyError) as error:
             if getattr(error, "status", 0) == 404:
                 self.is_registered = False
                 self.lease = 0
@@ -227,7 +228,8 @@
         node = NodeRegistration(
             gateway.name, gateway.failure_domain, gateway.address, gateway.incarnation
         )
-        await self._write([], NODE_PREFIX + gateway.name, encode_node(node), self.lease)
+        response = await self._write([], NODE_PREFIX + gateway.name, encode_node(node), self.lease)
+        self.registration_revision = int(response["revision"])
         self.is_registered = True
 
     async def _write(self, expected, key, data, lease=0):
