Write down the timeline of the store that comes back from an older copy

The stand-in of the store can be set back to a copy: revisions are reused, a watch from a revision that it does not have gets 410, and every response names the era.

--- /dev/null
+++ b/medlarbeam/platform/tests/test_store_set_back.py
@@ -0,0 +1,97 @@
+"""A store that comes back from an older copy: revisions go back and are given out again.
+
+Guards against confirmed changes that are not applied, because a change from before the set-back
+has a higher revision, and against backend servers that are used although they leave.
+"""
+
+import asyncio
+
+import pytest
+from orjson import dumps
+
+from medlarbeam.platform.tests.test_whole_path import CONFIG, route, run, wait_until
+from medlarbeam.standins.platform_store import StoreCopy
+
+LOST_WRITES = 20  # more than the gateway and the workers write after the set-back
+ADDED_ROUTE = route("added", "idempotent", "ledger")
+
+
+def write_config(store, version, routes=()):
+    document = {**CONFIG, "version": version, "routes": [*CONFIG["routes"], *routes]}
+    store.put("op/config", dumps(document))
+
+
+def write_next_config(deployment):
+    write_config(deployment.store, 4, [ADDED_ROUTE])
+    write_config(deployment.store, 5, [ADDED_ROUTE])
+
+
+def overtake_revisions(deployment):
+    """Write the next configuration, then reach the revisions of the lost changes again."""
+    write_next_config(deployment)
+    for worker in list(deployment.workers.values()) * LOST_WRITES:
+        deployment.register(worker)
+
+
+def has_version(version):
+    return lambda deployment: deployment.shell.node.fleet.config.version == version
+
+
+def drain_server(deployment):
+    deployment.register(deployment.workers["l1"], state="draining")
+
+
+def uses_server(name, is_used):
+    def check(deployment):
+        shell = deployment.shell
+        servers = shell.node.fleet.usable_servers("ledger", shell.read_clock())
+        return (name in {server.name for server in servers}) is is_used
+
+    return check
+
+
+CHANGES = [
+    ("configuration", write_next_config, has_version(5)),
+    ("configuration-with-revisions-as-before", overtake_revisions, has_version(5)),
+    ("drain-of-a-server", drain_server, uses_server("l1", False)),
+]
+
+
+@pytest.mark.parametrize(
+    ("change", "is_applied"), [c[1:] for c in CHANGES], ids=[c[0] for c in CHANGES]
+)
+def test_change_after_a_set_back_is_applied(change, is_applied):
+    async def scenario(deployment, session):
+        store = deployment.store
+        copy = StoreCopy(store)
+        for worker in list(deployment.workers.values()) * LOST_WRITES:
+            deployment.register(worker)
+        write_config(store, 4, [ADDED_ROUTE])
+        await wait_until(lambda: has_version(4)(deployment))
+        store.set_back(copy)
+        change(deployment)
+        await wait_until(lambda: is_applied(deployment))
+
+    run(scenario)
+
+
+async def _call_added_route(deployment, session, seconds):
+    statuses = []
+    deadline = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < deadline:
+        attempt = f"id-{len(statuses)}"
+        statuses.append((await deployment.call(session, "added", attempt))[0])
+        await asyncio.sleep(0.05)
+    return set(statuses)
+
+
+def test_configuration_is_not_replaced_by_an_older_one_that_the_set_back_brings():
+    async def scenario(deployment, session):
+        store = deployment.store
+        copy = StoreCopy(store)
+        write_config(store, 4, [ADDED_ROUTE])
+        await wait_until(lambda: has_version(4)(deployment))
+        store.set_back(copy)
+        return await _call_added_route(deployment, session, 2.0)
+
+    assert run(scenario) == {200}
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -109,7 +109,7 @@
             worker.stop()
         await self.runner.cleanup()
 
-    def register(self, worker):
+    def register(self, worker, state="ready"):
         is_engine = worker.name.startswith("w")
         models = [{"name": "m0", "version": 1, "adapters": []}] if is_engine else []
         document = {
@@ -117,7 +117,7 @@
             "address": worker.address,
             "zone": "z1",
             "slots": 4,
-            "state": "ready",
+            "state": state,
             "born": 1,
             "models": models,
         }
--- a/medlarbeam/standins/platform_store.py
+++ b/medlarbeam/standins/platform_store.py
@@ -44,11 +44,25 @@
         self.expires_at = now + ttl_s
 
 
+class StoreCopy:
+    """Copy of a store's items, leases, history and revision, to set the store back to."""
+
+    __slots__ = ("history", "items", "leases", "revision")
+
+    def __init__(self, store):
+        self.items = dict(store.items)
+        self.leases = dict(store.leases)
+        self.history = list(store.history)
+        self.revision = store.revision
+
+
 class PlatformStore:
     """Items with revisions, leases, and a history of events for watches.
 
     Attributes
     ----------
+    era : int
+        Number of times that the store was set back to a copy; sent with every response.
     injected_fault : str
         "" for none; with ``busy`` every call gets 503, with ``silent`` no call gets a response.
     silent_paths : set of str
@@ -63,6 +77,7 @@
 
     __slots__ = (
         "calls",
+        "era",
         "history",
         "injected_fault",
         "items",
@@ -78,6 +93,7 @@
         self.history = []
         self.oldest_revision = 0
         self.revision = 1
+        self.era = 0
         self.leases = {}
         self.last_lease_id = 1000
         self.injected_fault = ""
@@ -106,9 +122,11 @@
             if self.injected_fault == "silent":
                 await asyncio.sleep(3600)
             if self.injected_fault == "busy":
-                return Response(status=503)
+                return Response(status=503, headers={"Store-Era": str(self.era)})
             self._revoke_expired_leases()
+            era = self.era
             response = await call(request)
+            response.headers["Store-Era"] = str(era)
             while request.path in self.silent_paths:
                 await asyncio.sleep(WATCH_POLL_S)
             return response
@@ -140,6 +158,15 @@
         for lease in list(self.leases):
             self._revoke_lease(lease)
 
+    def set_back(self, copy):
+        """Continue from a `StoreCopy`; later changes are lost and their revisions are reused."""
+        self.items = dict(copy.items)
+        self.leases = dict(copy.leases)
+        self.history = list(copy.history)
+        self.revision = copy.revision
+        self.oldest_revision = min(self.oldest_revision, copy.revision)
+        self.era += 1
+
     def compact_history(self):
         """Discard the history, so that watches from earlier revisions get 410."""
         self.history.clear()
@@ -162,9 +189,12 @@
         """Handle ``GET /kv-watch``."""
         after = int(request.query["after"])
         deadline = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000.0
-        if after < self.oldest_revision:
+        era = self.era
+        if after < self.oldest_revision or after > self.revision:
             return Response(status=410)
         while True:
+            if self.era != era:
+                return Response(status=410)
             events = [e for e in self.history if e["revision"] > after]
             if events or asyncio.get_running_loop().time() >= deadline:
                 return json_response({"events": events, "storeRevision": self.revision})
