Read the store anew when it comes back from an older copy

Cause: entries are replaced only by those of a higher revision. A store that continues from an older copy hands out revisions again, so a change was taken to be older than a lost one. A watch whose revision the store had reached again missed what was written before.

Change: the store client compares the era that every response names. In a newer era it drops its lease and its revision, interrupts the watch, registers and reads all entries; responses to calls of an earlier era are discarded. The fleet state forgets all revisions then. Versions of configurations still only rise.

--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -20,6 +20,7 @@
     "RunStalled",
     "RunStarted",
     "ServerOrderResult",
+    "StoreSetBack",
     "StoreSnapshot",
     "StoreUnavailable",
 ]
@@ -259,13 +260,30 @@
 
 
 class StoreSnapshot(Record):
-    """All store entries as of `revision` or later; entries not listed do not exist."""
+    """All store entries as of `revision` or later in `era`; entries not listed do not exist."""
 
-    __slots__ = ("entries", "revision")
+    __slots__ = ("entries", "era", "revision")
 
-    def __init__(self, entries, revision):
+    def __init__(self, entries, revision, era=0):
         self.entries = entries
         self.revision = revision
+        self.era = era
+
+
+class StoreSetBack(Record):
+    """The store continues from an older copy; a `StoreSnapshot` of its entries follows.
+
+    Parameters
+    ----------
+    era : int
+        Number of the store's era; rises with each set-back. Revisions of different eras cannot be
+        compared, since the store assigns those of lost changes again.
+    """
+
+    __slots__ = ("era",)
+
+    def __init__(self, era):
+        self.era = era
 
 
 class StoreUnavailable(Record):
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -15,6 +15,7 @@
     EntryDeleted,
     EntryUpdated,
     LeaseRenewed,
+    StoreSetBack,
     StoreSnapshot,
     StoreUnavailable,
 )
@@ -73,7 +74,12 @@
     rights : dict of str to OrderRight
         By the name of the backend server.
     revision : int
-        Revision of the store up to which all changes are known, 0 before the first snapshot.
+        Revision of the store up to which all changes are known, 0 before the first snapshot of an
+        era.
+    era : int
+        Number of the era of the store; see `StoreSetBack`.
+    is_set_back : bool
+        Whether the entries are from before the store was set back.
     store_unavailable_since : float or None
         Time (s) of the first call without a response since the last renewal of the lease.
     membership_version : int
@@ -84,6 +90,8 @@
 
     __slots__ = (
         "config",
+        "era",
+        "is_set_back",
         "keys",
         "membership_version",
         "node_missing_since",
@@ -110,6 +118,8 @@
         self.right_seen_at = {}
         self.node_missing_since = {}
         self.revision = 0
+        self.era = 0
+        self.is_set_back = False
         self.store_unavailable_at = -inf
         self.store_unavailable_since = None
         self.membership_version = 0
@@ -119,6 +129,7 @@
         return {
             EntryUpdated: self.handle_entry_updated,
             EntryDeleted: self.handle_entry_deleted,
+            StoreSetBack: self.handle_set_back,
             StoreSnapshot: self.handle_snapshot,
             StoreUnavailable: self.handle_store_unavailable,
             LeaseRenewed: self.handle_lease_renewed,
@@ -126,7 +137,7 @@
 
     def is_known(self):
         """Return whether requests can be routed."""
-        return self.config is not None and self.revision > 0
+        return self.config is not None
 
     def handle_store_unavailable(self, message, now, out):
         """Record that the store did not respond."""
@@ -143,8 +154,17 @@
             self.store_unavailable_since = None
             out.emit(LogEvent("store_heard", f"away_s={away_s:.3f}"))
 
+    def handle_set_back(self, message, now, out):
+        """Forget all revisions, so that the following snapshot replaces all entries."""
+        self.era = message.era
+        self.revision = 0
+        self.is_set_back = True
+        self.keys = {key: EntryUpdated(key, known.value, 0) for key, known in self.keys.items()}
+        out.emit(LogEvent("store_set_back", f"era={message.era}", level="warning"))
+
     def handle_snapshot(self, message, now, out):
         """Replace all entries by a snapshot."""
+        self.era = message.era
         present = set()
         for entry in message.entries:
             present.add(entry.key)
@@ -156,7 +176,13 @@
             # After a gap in the history it is unknown how long the node has been missing.
             self.node_missing_since[name] = now
         self.revision = max(self.revision, message.revision)
-        out.emit(LogEvent("store_snapshot", f"revision={message.revision} keys={len(present)}"))
+        self.is_set_back = False
+        out.emit(
+            LogEvent(
+                "store_snapshot",
+                f"revision={message.revision} era={message.era} keys={len(present)}",
+            )
+        )
 
     def find_missing_nodes(self):
         """Return the names of nodes that hold a right but are not registered."""
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -21,6 +21,7 @@
     EntryUpdated,
     LeaseExpired,
     LeaseRenewed,
+    StoreSetBack,
     StoreSnapshot,
     StoreUnavailable,
 )
@@ -57,6 +58,9 @@
 MAX_BACKOFF_S = 1.0
 RELEASE_TIMEOUT_S = 0.5  # limits how long a slow store can delay the shutdown
 
+STORE_ERA = "Store-Era"  # header of all responses; rises when the store is set back to a copy
+MAX_ERA_DIGITS = 9
+
 
 class StoreError(Exception):
     """A store call failed; `status` is the HTTP status, 0 if there was no response."""
@@ -66,6 +70,10 @@
         self.status = status
 
 
+class StoreSetBackError(StoreError):
+    """The response shows that the store was set back since the last one."""
+
+
 class StoreClient(EffectHandlerService):
     """Replicates the store's entries to the gateway and carries out effects on the store.
 
@@ -80,6 +88,9 @@
         self.settings = settings
         self.base_url = f"http://{settings.store_address}"
         self.session = None
+        self.era = None  # unknown before the first response
+        self.known_revision = 0  # revision from which to watch, 0 to read all entries
+        self.watch_timeout = None  # of the pending watch call
         self.lease = 0
         self.is_registered = False
         self.registration_revision = 0
@@ -108,48 +119,80 @@
             WithdrawQuarantine: lambda effect: self.spawn(self._withdraw_quarantine(effect)),
         }
 
-    async def _call(self, method, path, params=None, body=None, timeout_s=CALL_TIMEOUT_S):
+    async def _call(self, method, path, params=None, body=None, timeout=None):
         """Call the store and return the decoded response.
 
         Raises
         ------
         StoreError
-            If there is no response, or its status is not 200.
+            If there is no response, its status is not 200, or it is from an earlier era.
+        StoreSetBackError
+            If the store was set back before the response.
         FormatError
             If the response is not a JSON object.
         """
         data = dumps(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if body is not None else {}
+        era = self.era
         try:
             with apply_send_guard(SendGuard(allow_resend=method == "GET")):
-                async with asyncio.timeout(timeout_s):
+                async with timeout or asyncio.timeout(CALL_TIMEOUT_S):
                     async with self.session.request(
                         method, self.base_url + path, params=params, data=data, headers=headers
                     ) as response:
                         text = await response.read()
         except Exception as error:
             raise StoreError(0, describe_error(error)) from error
+        self._check_era(response.headers)
+        if era is not None and era != self.era:
+            raise StoreSetBackError(0, "the store was set back during the call")
         if response.status != 200:
             raise StoreError(response.status, f"{path}: HTTP {response.status}")
         return decode_object(text) if text else {}
 
+    def _check_era(self, headers):
+        """Raise an error if a response is not from the known era; start over in a newer one."""
+        text = headers.get(STORE_ERA, "")
+        if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+            return
+        era = int(text)
+        if self.era is None:
+            self.era = era
+        if era < self.era:
+            raise StoreError(0, f"late response of era {era}, the store is in era {self.era}")
+        if era > self.era:
+            self.era = era
+            # The store may have lost the lease, or grant its number to another node.
+            self.is_registered = False
+            self.lease = 0
+            self.known_revision = 0
+            if self.watch_timeout is not None:
+                self.watch_timeout.reschedule(asyncio.get_running_loop().time())
+            self.driver.deliver(StoreSetBack(era))
+            raise StoreSetBackError(0, f"the store was set back, era {era}")
+
     # Watching the store
 
     async def _replicate(self):
-        after = 0
         backoff_s = MIN_BACKOFF_S
         while True:
+            is_watching = self.known_revision > 0
             try:
-                if not after:
+                if not is_watching:
                     # The node registers before it reads, so that it knows its rights from the
                     # first snapshot on.
                     await self._renew_lease(RenewLease(LEASE_TTL_S))
-                after = await self._watch(after) if after else await self._read_all()
+                    await self._read_all()
+                else:
+                    await self._watch()
                 await asyncio.sleep(self.settings.watch_pause_s)
                 backoff_s = MIN_BACKOFF_S
+            except StoreSetBackError:
+                continue
             except (StoreError, FormatError) as error:
                 if getattr(error, "status", 0) == 410:
-                    after = 0  # the store no longer has the history since this revision
+                    self.known_revision = 0  # the store has no history since this revision
+                if is_watching and not self.known_revision:
                     continue
                 self.driver.deliver(StoreUnavailable(str(error)))
                 await asyncio.sleep(backoff_s)
@@ -157,6 +200,7 @@
 
     async def _read_all(self):
         revision = 0
+        era = self.era
         entries = []
         params = {"pathPrefix": ""}
         while True:
@@ -167,20 +211,25 @@
             if not page.get("truncated") or not items:
                 break
             params["after"] = items[-1]["key"]
+        if era is not None and era != self.era:
+            raise StoreSetBackError(0, "the store was set back between two pages")
         current = [entry for entry in entries if isinstance(entry, EntryUpdated)]
-        self.driver.deliver(StoreSnapshot(current, revision))
-        return revision
+        self.driver.deliver(StoreSnapshot(current, revision, self.era or 0))
+        self.known_revision = revision
 
-    async def _watch(self, after):
+    async def _watch(self):
+        after = self.known_revision
         params = {"pathPrefix": "", "after": str(after), "waitMs": str(int(WATCH_TIMEOUT_S * 1000))}
-        response = await self._call(
-            "GET", "/kv-watch", params, timeout_s=WATCH_TIMEOUT_S + CALL_TIMEOUT_S
-        )
+        self.watch_timeout = asyncio.timeout(WATCH_TIMEOUT_S + CALL_TIMEOUT_S)
+        try:
+            response = await self._call("GET", "/kv-watch", params, timeout=self.watch_timeout)
+        finally:
+            self.watch_timeout = None
         for item in response.get("events", []):
             message = self._decode_item(item)
             if message is not None:
                 self.driver.deliver(message)
-        return max(after, int(response["storeRevision"]))
+        self.known_revision = max(after, int(response["storeRevision"]))
 
     def _decode_item(self, item):
         """Convert a store item or watch event into a message, None for keys that are not used."""
