Keep backend servers out that an older copy of the store lists again

Callers could see: a backend server that had left in the time that the store lost got requests again, since the copy lists it as ready; one that had registered then got none; and the entry of an earlier start cancelled a drain.

Change: a backend server that had left stays out until it writes its entry again, or until the entry should have expired. One that is missing from the copy is used for 1.8 s, as after an outage. The entry of an earlier start is ignored.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -33,6 +33,9 @@
 # A store outage this long before an entry went missing may be the cause: an entry expires after
 # three failed heartbeats at intervals of about 1.2 s.
 OUTAGE_RELEVANCE_S = 5.0
+# An older copy of the store may list a backend server that has left since. Its entry expires after
+# three heartbeats that fail, at intervals of about 1.2 s.
+STALE_ENTRY_S = 4.5
 
 
 class KnownServer:
@@ -86,10 +89,14 @@
         Incremented whenever a backend server is added or removed.
     node_missing_since : dict of str to float
         Time (s) since which the registration of a node is missing.
+    doubtful_until : dict of str to float
+        Time (s) from which to use a backend server that had left but is listed in the copy to
+        which the store was set back, unless its entry expires.
     """
 
     __slots__ = (
         "config",
+        "doubtful_until",
         "era",
         "is_set_back",
         "keys",
@@ -120,6 +127,7 @@
         self.revision = 0
         self.era = 0
         self.is_set_back = False
+        self.doubtful_until = {}
         self.store_unavailable_at = -inf
         self.store_unavailable_since = None
         self.membership_version = 0
@@ -228,16 +236,24 @@
 
     def _apply_server(self, entry, now, out):
         known = self.servers.get(entry.name)
+        is_stale = self.is_set_back and known is not None
+        if is_stale and entry.started_at_ms < known.entry.started_at_ms:
+            return  # the copy has an earlier start of the backend server
         if known is None or known.entry.started_at_ms != entry.started_at_ms:
             known = self.servers[entry.name] = KnownServer(entry)
             self.membership_version += 1
             out.emit(LogEvent("server_known", describe_server(entry)))
+        had_left = known.missing_since <= now and known.stop_at <= now
         known.entry = entry
         known.missing_since = inf
+        self.doubtful_until.pop(entry.name, None)
         if entry.draining and not known.draining:
             known.draining = True
             known.stop_at = min(known.stop_at, now)
             out.emit(LogEvent("server_draining", describe_server(entry)))
+        elif is_stale and had_left and not known.draining:
+            self.doubtful_until[entry.name] = now + STALE_ENTRY_S
+            out.emit(LogEvent("server_doubtful", describe_server(entry)))
         elif not known.draining:
             known.stop_at = inf
 
@@ -267,6 +283,11 @@
         out.emit(LogEvent("server_gone", describe_server(entry)))
         self.membership_version += 1
         known.missing_since = now
+        self.doubtful_until.pop(entry.name, None)
+        if self.is_set_back and not known.draining:
+            # Registered in the time that the store has lost; the entry is written again.
+            known.stop_at = min(known.stop_at, now + LAPSE_GRACE_S)
+            return
         known.stop_at = min(known.stop_at, now)
         if now - self.store_unavailable_at < OUTAGE_RELEVANCE_S and not known.draining:
             settings = self.node.settings
@@ -301,11 +322,15 @@
         return service.engine if service else None
 
     def tick(self, now, out):
-        """Do nothing; entries arrive as messages."""
+        """Use doubtful backend servers whose entries have not expired."""
+        for name in [name for name, due in self.doubtful_until.items() if due <= now]:
+            del self.doubtful_until[name]
+            self.servers[name].stop_at = inf
+            out.emit(LogEvent("server_known", describe_server(self.servers[name].entry)))
 
     def next_deadline(self):
-        """Return infinity."""
-        return inf
+        """Return the time (s) from which to use the next doubtful backend server."""
+        return min(self.doubtful_until.values(), default=inf)
 
 
 def describe_server(entry):
--- a/medlarbeam/gateway/tests/test_fleet_state.py
+++ b/medlarbeam/gateway/tests/test_fleet_state.py
@@ -7,9 +7,11 @@
     EntryDeleted,
     EntryUpdated,
     LeaseRenewed,
+    StoreSetBack,
     StoreSnapshot,
     StoreUnavailable,
 )
+from medlarbeam.gateway.fleet_state import STALE_ENTRY_S
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.gateway.tests.fleet_samples import (
     ROUTES,
@@ -22,6 +24,7 @@
 READY = make_server("l1", "ledger")
 DRAINING = make_server("l1", "ledger", draining=True)
 RESTARTED = make_server("l1", "ledger", started_at_ms=9)
+DRAINING_RESTARTED = make_server("l1", "ledger", started_at_ms=9, draining=True)
 
 
 def make_update(value, revision):
@@ -87,6 +90,95 @@
     assert ("l1" in names) is is_usable
 
 
+def set_back(*entries):
+    """Return the messages of a store that is set back to a copy with `entries` of ``l1``."""
+    config = EntryUpdated("op/config", make_config(), 1)
+    return [StoreSetBack(1), StoreSnapshot([config, *entries], 15, 1)]
+
+
+SET_BACK = [
+    (
+        "removed-server-is-not-used-again",
+        [EntryDeleted("servers/l1", 20), *set_back(make_update(READY, 5))],
+        STALE_ENTRY_S - 0.1,
+        False,
+    ),
+    (
+        "removed-server-whose-entry-does-not-expire-is-used",
+        [EntryDeleted("servers/l1", 20), *set_back(make_update(READY, 5))],
+        STALE_ENTRY_S + 0.1,
+        True,
+    ),
+    (
+        "removed-server-whose-entry-expires-is-not-used",
+        [
+            EntryDeleted("servers/l1", 20),
+            *set_back(make_update(READY, 5)),
+            EntryDeleted("servers/l1", 16),
+        ],
+        STALE_ENTRY_S + 0.1,
+        False,
+    ),
+    (
+        "removed-server-that-writes-its-entry-again-is-used",
+        [
+            EntryDeleted("servers/l1", 20),
+            *set_back(make_update(READY, 5)),
+            make_update(READY, 16),
+        ],
+        0.0,
+        True,
+    ),
+    (
+        "drain-is-not-cancelled",
+        [make_update(DRAINING, 20), *set_back(make_update(READY, 5))],
+        STALE_ENTRY_S + 0.1,
+        False,
+    ),
+    (
+        "drain-with-a-reused-revision-is-applied",
+        [make_update(READY, 20), *set_back(make_update(READY, 5)), make_update(DRAINING, 16)],
+        0.0,
+        False,
+    ),
+    (
+        "server-registered-in-the-lost-time-is-used-until-it-writes-again",
+        [make_update(READY, 20), *set_back()],
+        1.5,
+        True,
+    ),
+    (
+        "server-that-does-not-write-again-is-not-used",
+        [make_update(READY, 20), *set_back()],
+        2.0,
+        False,
+    ),
+    (
+        "drain-of-a-restarted-server-is-not-cancelled-by-its-earlier-start",
+        [
+            make_update(RESTARTED, 20),
+            make_update(DRAINING_RESTARTED, 21),
+            *set_back(make_update(READY, 5)),
+            make_update(RESTARTED, 16),
+        ],
+        0.0,
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("messages", "wait_s", "is_usable"), [s[1:] for s in SET_BACK], ids=[s[0] for s in SET_BACK]
+)
+def test_server_known_to_have_left_is_not_used_after_a_set_back(messages, wait_s, is_usable):
+    harness = make_harness()
+    for message in messages:
+        harness.deliver(message)
+    harness.pass_time(wait_s)
+    names = [s.name for s in harness.gateway.fleet.usable_servers("ledger", harness.now)]
+    assert ("l1" in names) is is_usable
+
+
 def test_servers_whose_entries_lapse_together_stay_in_use():
     harness = make_harness()
     harness.deliver(StoreUnavailable("down"))
