--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -119,9 +119,11 @@
             WithdrawQuarantine: lambda effect: self.spawn(self._withdraw_quarantine(effect)),
         }
 
-    async def _call(self, method, path, params=None, body=None, timeout=None):
+    async def _call(self, method, path, params=None, body=None, watch_s=0.0):
         """Call the store and return the decoded response.
 
+        A call that waits up to `watch_s` for changes ends when another one shows a set-back.
+
         Raises
         ------
         StoreError
@@ -134,15 +136,21 @@
         data = dumps(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if body is not None else {}
         era = self.era
+        timeout = asyncio.timeout(watch_s + CALL_TIMEOUT_S)
+        if watch_s:
+            self.watch_timeout = timeout
         try:
             with apply_send_guard(SendGuard(allow_resend=method == "GET")):
-                async with timeout or asyncio.timeout(CALL_TIMEOUT_S):
+                async with timeout:
                     async with self.session.request(
                         method, self.base_url + path, params=params, data=data, headers=headers
                     ) as response:
                         text = await response.read()
         except Exception as error:
             raise StoreError(0, describe_error(error)) from error
+        finally:
+            if watch_s:
+                self.watch_timeout = None
         self._check_era(response.headers)
         if era is not None and era != self.era:
             raise StoreSetBackError(0, "the store was set back during the call")
@@ -220,11 +228,7 @@
     async def _watch(self):
         after = self.known_revision
         params = {"pathPrefix": "", "after": str(after), "waitMs": str(int(WATCH_TIMEOUT_S * 1000))}
-        self.watch_timeout = asyncio.timeout(WATCH_TIMEOUT_S + CALL_TIMEOUT_S)
-        try:
-            response = await self._call("GET", "/kv-watch", params, timeout=self.watch_timeout)
-        finally:
-            self.watch_timeout = None
+        response = await self._call("GET", "/kv-watch", params, watch_s=WATCH_TIMEOUT_S)
         for item in response.get("events", []):
             message = self._decode_item(item)
             if message is not None:
--- a/medlarbeam/platform/tests/test_store_set_back.py
+++ b/medlarbeam/platform/tests/test_store_set_back.py
@@ -57,10 +57,15 @@
 ]
 
 
+# Paths whose calls get no response, so that a call of the other kind shows the set-back.
+SILENT = [("seen-by-any-call", ""), ("seen-by-the-watch", "/kv-keep")]
+
+
+@pytest.mark.parametrize("silent_path", [s[1] for s in SILENT], ids=[s[0] for s in SILENT])
 @pytest.mark.parametrize(
     ("change", "is_applied"), [c[1:] for c in CHANGES], ids=[c[0] for c in CHANGES]
 )
-def test_change_after_a_set_back_is_applied(change, is_applied):
+def test_change_after_a_set_back_is_applied(change, is_applied, silent_path):
     async def scenario(deployment, session):
         store = deployment.store
         copy = StoreCopy(store)
@@ -68,6 +73,8 @@
             deployment.register(worker)
         write_config(store, 4, [ADDED_ROUTE])
         await wait_until(lambda: has_version(4)(deployment))
+        if silent_path:
+            store.silent_paths.add(silent_path)
         store.set_back(copy)
         change(deployment)
         await wait_until(lambda: is_applied(deployment))
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -104,6 +104,7 @@
         return self
 
     async def __aexit__(self, *error):
+        self.store.silent_paths.clear()
         await self.shell.stop()
         for worker in self.workers.values():
             worker.stop()
@@ -353,7 +354,6 @@
         await wait_until(lambda: "medlarbeam/node/n1" in store.items)
         await deployment.call(session, "chat", "id-1", {"X-Deadline-Ms": "500"})
         orders = sum(worker.order_count for worker in deployment.workers.values())
-        store.silent_paths.clear()
         return orders
 
     assert run(scenario) == 0
--- a/medlarbeam/standins/platform_store.py
+++ b/medlarbeam/standins/platform_store.py
@@ -66,7 +66,7 @@
     injected_fault : str
         "" for none; with ``busy`` every call gets 503, with ``silent`` no call gets a response.
     silent_paths : set of str
-        Paths whose calls get no response until the path is removed.
+        Beginnings of the paths whose calls get no response until they are removed.
     calls : list of str
         Path of each call.
 
@@ -127,7 +127,7 @@
             era = self.era
             response = await call(request)
             response.headers["Store-Era"] = str(era)
-            while request.path in self.silent_paths:
+            while request.path.startswith(tuple(self.silent_paths)):
                 await asyncio.sleep(WATCH_POLL_S)
             return response
 
