Read the store anew after a malformed response

A response of the store without the expected fields raised KeyError in the task that replicates the store. The task ended, and the gateway kept its entries of that moment until it was restarted.

Fields are read with read_field, which raises FormatError; after a malformed watch response all entries are read. The case malformed-responses failed before.

--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -34,6 +34,7 @@
     "decode_object",
     "encode_holder",
     "encode_node",
+    "read_field",
 ]
 
 CONFIG_KEY = "op/config"
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -43,6 +43,7 @@
     decode_object,
     encode_holder,
     encode_node,
+    read_field,
 )
 
 __all__ = ["StoreClient"]
@@ -198,8 +199,9 @@
             except StoreSetBackError:
                 continue
             except (StoreError, FormatError) as error:
-                if getattr(error, "status", 0) == 410:
-                    self.known_revision = 0  # the store has no history since this revision
+                if getattr(error, "status", 410) == 410:
+                    # The store has no history since this revision, or its events are malformed.
+                    self.known_revision = 0
                 if is_watching and not self.known_revision:
                     continue
                 self.driver.deliver(StoreUnavailable(str(error)))
@@ -213,8 +215,8 @@
         params = {"pathPrefix": ""}
         while True:
             page = await self._call("GET", "/kv-range", params)
-            revision = revision or int(page["storeRevision"])
-            items = page.get("items", [])
+            revision = revision or read_field(page, "storeRevision", int)
+            items = read_field(page, "items", list, [])
             entries += filter(None, [self._decode_item(item) for item in items])
             if not page.get("truncated") or not items:
                 break
@@ -229,16 +231,17 @@
         after = self.known_revision
         params = {"pathPrefix": "", "after": str(after), "waitMs": str(int(WATCH_TIMEOUT_S * 1000))}
         response = await self._call("GET", "/kv-watch", params, watch_s=WATCH_TIMEOUT_S)
-        for item in response.get("events", []):
+        revision = read_field(response, "storeRevision", int)
+        for item in read_field(response, "events", list, []):
             message = self._decode_item(item)
             if message is not None:
                 self.driver.deliver(message)
-        self.known_revision = max(after, int(response["storeRevision"]))
+        self.known_revision = max(after, revision)
 
     def _decode_item(self, item):
         """Convert a store item or watch event into a message, None for keys that are not used."""
-        key = item["key"]
-        revision = int(item["revision"])
+        key = read_field(item, "key", str)
+        revision = read_field(item, "revision", int)
         if item.get("deleted"):
             return EntryDeleted(key, revision)
         try:
@@ -263,7 +266,7 @@
             else:
                 await self._register(effect.ttl_s)
                 self.driver.deliver(LeaseRenewed(sent_at, True, self.registration_revision))
-        except (StoreError, FormatError, KeyError) as error:
+        except (StoreError, FormatError) as error:
             if getattr(error, "status", 0) == 404:
                 self.is_registered = False
                 self.lease = 0
@@ -276,13 +279,15 @@
     async def _register(self, ttl_s):
         if not self.lease:
             response = await self._call("POST", "/kv-lease", body={"ttlMs": int(ttl_s * 1000)})
+            if "lease" not in response:
+                raise FormatError("the response to the request for a lease names none")
             self.lease = response["lease"]
         gateway = self.settings.gateway
         node = NodeRegistration(
             gateway.name, gateway.failure_domain, gateway.address, gateway.incarnation
         )
         response = await self._write([], NODE_PREFIX + gateway.name, encode_node(node), self.lease)
-        self.registration_revision = int(response["revision"])
+        self.registration_revision = read_field(response, "revision", int)
         self.is_registered = True
 
     async def _write(self, expected, key, data, lease=0):
@@ -301,7 +306,7 @@
         fence = 0
         try:
             data = encode_holder(self.settings.gateway.name)
-            fence = int((await self._write(expected, key, data))["revision"])
+            fence = read_field(await self._write(expected, key, data), "revision", int)
         except (StoreError, FormatError, KeyError) as error:
             log.info("order right not acquired: %s", error, extra={"event": "right_refused"})
         self.driver.deliver(AcquireRightResult(effect.server, fence))
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -326,13 +326,25 @@
     store.revoke_all_leases()
 
 
-CHANGES = [("history-was-compacted", compact_history), ("lease-expired", expire_lease)]
+def send_malformed_responses(store):
+    store.injected_fault = "malformed"
+    expire_lease(store)
+
+
+CHANGES = [
+    ("history-was-compacted", compact_history),
+    ("lease-expired", expire_lease),
+    ("malformed-responses", send_malformed_responses),
+]
 
 
 @pytest.mark.parametrize("change", [c[1] for c in CHANGES], ids=[c[0] for c in CHANGES])
 def test_configuration_change_is_applied_and_rights_regained(change):
     async def scenario(deployment, session):
+        calls = len(deployment.store.calls)
         change(deployment.store)
+        await wait_until(lambda: len(deployment.store.calls) > calls + 4)
+        deployment.store.injected_fault = ""
         async with asyncio.timeout(5):
             while (await deployment.call(session, "pay", "id-1"))[0] != 404:
                 await asyncio.sleep(0.05)
--- a/medlarbeam/standins/platform_store.py
+++ b/medlarbeam/standins/platform_store.py
@@ -64,7 +64,8 @@
     era : int
         Number of times that the store was set back to a copy; sent with every response.
     injected_fault : str
-        "" for none; with ``busy`` every call gets 503, with ``silent`` no call gets a response.
+        "" for none; with ``busy`` every call gets 503, with ``silent`` no call gets a response,
+        with ``malformed`` every call gets a JSON document of another form.
     silent_paths : set of str
         Beginnings of the paths whose calls get no response until they are removed.
     calls : list of str
@@ -123,6 +124,8 @@
                 await asyncio.sleep(3600)
             if self.injected_fault == "busy":
                 return Response(status=503, headers={"Store-Era": str(self.era)})
+            if self.injected_fault == "malformed":
+                return json_response({"items": 5, "events": [{"key": 7}], "storeRevision": "?"})
             self._revoke_expired_leases()
             era = self.era
             response = await call(request)
