Order fencing tokens and rights by the era of the store

Rights that were acquired in the lost time name an earlier holder again, while the later one may still use them.

Change: a token is the era and the revision. In a new era a node uses a right only if it could use it when the store was set back, or after the time of a takeover; the same holds for acquisitions. The era in which a right was acquired is in its entry, so that a restarted node knows whether the era may have begun just now. Store entries without an era count as those of era 0.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -336,16 +336,19 @@
     Parameters
     ----------
     server, node : str
-    fence : int
-        Fencing token: the store revision at which the right was acquired.
+    revision : int
+        Store revision at which the right was acquired.
+    era : int
+        Era of the store in which it was acquired.
     """
 
-    __slots__ = ("fence", "node", "server")
+    __slots__ = ("era", "node", "revision", "server")
 
-    def __init__(self, server, node, fence):
+    def __init__(self, server, node, revision, era=0):
         self.server = server
         self.node = node
-        self.fence = fence
+        self.revision = revision
+        self.era = era
 
 
 class Quarantine(Record):
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -326,13 +326,13 @@
 
 
 class AcquireRightResult(Record):
-    """Result of `AcquireRight`; `fence` is the fencing token, 0 if the right was not acquired."""
+    """Result of `AcquireRight`; `revision` is that of the right, 0 if it was not acquired."""
 
-    __slots__ = ("fence", "server")
+    __slots__ = ("revision", "server")
 
-    def __init__(self, server, fence):
+    def __init__(self, server, revision):
         self.server = server
-        self.fence = fence
+        self.revision = revision
 
 
 class ServerOrderResult(Record):
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -164,6 +164,7 @@
 
     def handle_set_back(self, message, now, out):
         """Forget all revisions, so that the following snapshot replaces all entries."""
+        self.node.rights.begin_era(now)
         self.era = message.era
         self.revision = 0
         self.is_set_back = True
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -5,7 +5,12 @@
 from medlarbeam.algorithms.routing import rank_servers
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.gateway_effects import AcquireRight, RenewLease
-from medlarbeam.classes.gateway_messages import AcquireRightResult, LeaseExpired, LeaseRenewed
+from medlarbeam.classes.gateway_messages import (
+    AcquireRightResult,
+    LeaseExpired,
+    LeaseRenewed,
+    StoreSnapshot,
+)
 from medlarbeam.node.component import Component
 
 __all__ = ["LEASE_TTL_S", "OrderRights"]
@@ -19,6 +24,9 @@
 CHECK_INTERVAL_S = 0.25
 ACQUIRE_RETRY_S = 1.0  # delay after a refused acquisition, to spare an overloaded store
 MAX_ACQUIRING = 4  # concurrent acquisitions
+# A fencing token is the store's era and, in this many bits, the revision of the right. Revisions
+# alone fall when the store is set back. Tokens stay below 2**53, so that JSON keeps them exact.
+REVISION_BITS = 40
 
 
 class OrderRights(Component):
@@ -34,15 +42,31 @@
     `RIGHT_VALIDITY_S` plus the minimum gap between the orders of two holders; the store checks in
     the same transaction that it is still missing. A restarted node reads its own rights from the
     store and continues to use them.
+
+    When the store is set back to a copy, rights that were acquired since are lost, but their
+    holders may use them until they notice. In the new era a node therefore acquires rights, and
+    uses those of earlier eras, only after the time of a takeover. Rights that it could use in the
+    earlier era are excepted: nobody else can have acquired these. After that time the holder
+    acquires its rights of earlier eras anew, which tells a restarted node that it may use them.
+
+    Attributes
+    ----------
+    carried : set of str
+        Backend servers that this node could order when the store was set back.
+    settled_at : float or None
+        Time (s) from which no holder of an earlier era can send orders; None before the first
+        snapshot.
     """
 
     __slots__ = (
         "acquire_after",
         "acquiring",
+        "carried",
         "check_at",
         "confirmed_at",
         "registered_revision",
         "renew_at",
+        "settled_at",
     )
 
     def __init__(self, node):
@@ -51,6 +75,8 @@
         self.registered_revision = 0
         self.renew_at = 0.0
         self.check_at = 0.0
+        self.carried = set()
+        self.settled_at = None
         self.acquiring = set()
         self.acquire_after = {}
 
@@ -60,8 +86,25 @@
             LeaseRenewed: self.handle_lease_renewed,
             LeaseExpired: self.handle_lease_expired,
             AcquireRightResult: self.handle_right_result,
+            StoreSnapshot: self.handle_snapshot,
         }
 
+    def begin_era(self, now):
+        """Keep the rights that can be used, before the fleet state forgets the earlier era."""
+        self.carried = {name for name in self.node.fleet.rights if self.find_fence(name, now)}
+        self.settled_at = now + self._takeover_wait_s()
+        self.confirmed_at = -inf
+
+    def handle_snapshot(self, message, now, out):
+        """Decide after the start whether the era of the store may have begun just now."""
+        if self.settled_at is None:
+            rights = self.node.fleet.rights.values()
+            is_settled = not rights or any(right.era == message.era for right in rights)
+            self.settled_at = -inf if is_settled else now + self._takeover_wait_s()
+
+    def _takeover_wait_s(self):
+        return RIGHT_VALIDITY_S + self.node.settings.order_gap_s + ORDER_MARGIN_S
+
     def handle_lease_renewed(self, message, now, out):
         """Extend the validity of the rights from the time at which the renewal was sent."""
         if message.is_new:
@@ -85,7 +128,7 @@
         """Record the end of an acquisition; the entry itself arrives through the watch."""
         self.acquiring.discard(message.server)
         self.acquire_after[message.server] = now + ACQUIRE_RETRY_S
-        out.emit(LogEvent("right_taken", f"server={message.server} fence={message.fence}"))
+        out.emit(LogEvent("right_taken", f"server={message.server} revision={message.revision}"))
 
     def is_valid(self, now):
         """Return whether this node may use its rights."""
@@ -100,10 +143,17 @@
 
     def find_fence(self, server, now):
         """Return the fencing token of this node's right to order `server`, 0 if it has none."""
-        right = self.node.fleet.rights.get(server)
+        fleet = self.node.fleet
+        right = fleet.rights.get(server)
         if right is None or right.node != self.node.settings.name or not self.is_valid(now):
             return 0
-        return right.fence
+        if right.era != fleet.era and not self._is_settled(server, now):
+            return 0
+        return fleet.era << REVISION_BITS | right.revision
+
+    def _is_settled(self, server, now):
+        """Return whether no holder of an earlier era of the store can send orders to `server`."""
+        return server in self.carried or self.settled_at is not None and now >= self.settled_at
 
     def list_own(self):
         """Return the list of `OrderRight` of this node."""
@@ -141,14 +191,21 @@
                 continue
             if entry.name in self.acquiring or self.acquire_after.get(entry.name, 0.0) > now:
                 continue
-            if self._is_free(entry.name, now) and self._is_preferred_holder(entry):
-                self.acquiring.add(entry.name)
-                right = fleet.rights.get(entry.name)
-                out.emit(
-                    AcquireRight(entry.name, right.fence, right.node)
-                    if right
-                    else AcquireRight(entry.name, 0, "")
-                )
+            right = fleet.rights.get(entry.name)
+            if right is not None and right.node == self.node.settings.name:
+                if right.era < fleet.era and now >= self.settled_at:
+                    self._acquire(entry.name, right.revision, "", out)
+            elif (
+                self._is_settled(entry.name, now)
+                and self._is_free(entry.name, now)
+                and self._is_preferred_holder(entry)
+            ):
+                revision, holder = (right.revision, right.node) if right is not None else (0, "")
+                self._acquire(entry.name, revision, holder, out)
+
+    def _acquire(self, server, revision, missing_node, out):
+        self.acquiring.add(server)
+        out.emit(AcquireRight(server, revision, missing_node))
 
     def _is_free(self, server, now):
         fleet = self.node.fleet
@@ -159,7 +216,7 @@
         if not right.node:
             return now - fleet.right_seen_at[server] > required_gap_s
         missing_since = fleet.node_missing_since.get(right.node)
-        return missing_since is not None and now - missing_since > RIGHT_VALIDITY_S + required_gap_s
+        return missing_since is not None and now - missing_since > self._takeover_wait_s()
 
     def _is_preferred_holder(self, entry):
         """Return whether this node is first in the rendezvous order for `entry`."""
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -143,8 +143,8 @@
         return [effect for effect in self.effects if isinstance(effect, kind)]
 
 
-def make_harness(settings=None, config=None, servers=SERVERS, rights=(), nodes=()):
-    """Return a `GatewayHarness` whose gateway has read its first snapshot."""
+def make_harness(settings=None, config=None, servers=SERVERS, rights=(), nodes=(), era=0):
+    """Return a `GatewayHarness` whose gateway has read its first snapshot, in `era`."""
     harness = GatewayHarness(settings)
     own = harness.gateway.settings
     entries = [("op/config", config or make_config())]
@@ -155,7 +155,7 @@
     )
     entries += [(f"right/{r.server}", r) for r in rights]
     reads = [EntryUpdated(key, value, index + 1) for index, (key, value) in enumerate(entries)]
-    harness.deliver(StoreSnapshot(reads, 10))
+    harness.deliver(StoreSnapshot(reads, 10, era))
     harness.deliver(LeaseRenewed(harness.now, True, 0))
     return harness
 
--- a/medlarbeam/gateway/tests/test_order_rights.py
+++ b/medlarbeam/gateway/tests/test_order_rights.py
@@ -9,10 +9,16 @@
     EntryUpdated,
     LeaseExpired,
     LeaseRenewed,
+    StoreSetBack,
     StoreSnapshot,
 )
-from medlarbeam.gateway.order_rights import RIGHT_VALIDITY_S
-from medlarbeam.gateway.tests.fleet_samples import make_harness, make_server, own_rights
+from medlarbeam.gateway.order_rights import REVISION_BITS, RIGHT_VALIDITY_S
+from medlarbeam.gateway.tests.fleet_samples import (
+    make_config,
+    make_harness,
+    make_server,
+    own_rights,
+)
 
 OTHER = NodeRegistration("n2", "z2", "10.0.0.2:7000", 3)
 SERVER = [make_server("w1", "llm")]
@@ -146,6 +152,117 @@
     assert harness.gateway.rights.find_fence("w1", harness.now) == fence
 
 
+TAKEOVER_WAIT_S = RIGHT_VALIDITY_S + 3.5
+FENCE = 1 << REVISION_BITS | 3
+
+
+def set_store_back(harness, rights, nodes=()):
+    """Set the store back to a copy with `rights`, in which this node registers again."""
+    harness.deliver(StoreSetBack(1))
+    registrations = [REGISTRATION, *nodes]
+    entries = [EntryUpdated("op/config", make_config(), 1)]
+    entries += [EntryUpdated(f"servers/{s.name}", s, 2) for s in SERVER]
+    entries += [EntryUpdated(f"right/{r.server}", r, r.revision) for r in rights]
+    entries += [EntryUpdated(f"node/{n.name}", n, 8) for n in registrations]
+    harness.deliver(StoreSnapshot(entries, 8, 1))
+    harness.deliver(LeaseRenewed(harness.now, True, 8))
+
+
+def hold_right(harness):
+    pass
+
+
+def lose_right(harness):
+    harness.write_entry("right/w1", TAKEN)
+
+
+# What happens to the right before the set-back, the rights in the copy, seconds since, the token.
+SET_BACKS = [
+    ("held-right-is-used-at-once", hold_right, [OWN], 0, FENCE),
+    ("right-acquired-since-may-be-in-use", lose_right, [OWN], TAKEOVER_WAIT_S - 0.1, 0),
+    ("right-lost-since-is-used-after-a-takeover", lose_right, [OWN], TAKEOVER_WAIT_S, FENCE),
+    ("expired-right-may-be-in-use", pass_validity, [OWN], TAKEOVER_WAIT_S - 0.1, 0),
+    ("expired-right-is-used-after-a-takeover", pass_validity, [OWN], TAKEOVER_WAIT_S, FENCE),
+    ("right-that-the-copy-gives-to-another-node", hold_right, [OrderRight("w1", "n2", 2)], 0, 0),
+    ("right-that-the-copy-does-not-have", hold_right, [], 0, 0),
+]
+
+
+@pytest.mark.parametrize(
+    ("change", "rights", "wait_s", "fence"),
+    [s[1:] for s in SET_BACKS],
+    ids=[s[0] for s in SET_BACKS],
+)
+def test_right_after_a_set_back_of_the_store(change, rights, wait_s, fence):
+    """Revisions of the lost time are above those of the copy, so tokens have the era."""
+    harness = make_harness(servers=SERVER, rights=[OWN])
+    change(harness)
+    set_store_back(harness, rights)
+    harness.now += wait_s
+    harness.deliver(LeaseRenewed(harness.now, False, 8))
+    assert harness.gateway.rights.find_fence("w1", harness.now) == fence
+
+
+def test_right_is_not_used_between_a_set_back_and_the_new_registration():
+    harness = make_harness(servers=SERVER, rights=[OWN])
+    harness.deliver(StoreSetBack(1))
+    assert harness.gateway.rights.find_fence("w1", harness.now) == 0
+
+
+ACQUISITIONS = [
+    ("free-right-may-be-in-use", lose_right, [], TAKEOVER_WAIT_S - 1, 0),
+    ("free-right-is-acquired-after-a-takeover", lose_right, [], TAKEOVER_WAIT_S + 1, 1),
+    ("lost-right-is-acquired-again-at-once", hold_right, [], 1, 1),
+    ("held-right-of-an-earlier-era-is-kept", hold_right, [OWN], TAKEOVER_WAIT_S - 1, 0),
+    ("held-right-of-an-earlier-era-is-renewed", hold_right, [OWN], TAKEOVER_WAIT_S + 1, 1),
+]
+
+
+@pytest.mark.parametrize(
+    ("change", "rights", "seconds", "acquires"),
+    [a[1:] for a in ACQUISITIONS],
+    ids=[a[0] for a in ACQUISITIONS],
+)
+def test_right_is_acquired_after_a_set_back_when_no_holder_can_be_left(
+    change, rights, seconds, acquires
+):
+    harness = make_harness(servers=SERVER, rights=[OWN])
+    change(harness)
+    set_store_back(harness, rights)
+    acquired = []
+    while seconds > 0:
+        harness.deliver(LeaseRenewed(harness.now, False, 8))
+        harness.pass_time(min(1.0, seconds))
+        acquired += harness.find(AcquireRight)
+        seconds -= 1.0
+    assert bool(acquired) is bool(acquires)
+
+
+STARTS = [
+    ("rights-are-of-an-earlier-era", [OrderRight("w1", "n1", 3, 1)], 0, 0),
+    ("takeover-time-has-passed", [OrderRight("w1", "n1", 3, 1)], TAKEOVER_WAIT_S, True),
+    ("right-is-of-this-era", [OrderRight("w1", "n1", 3, 2)], 0, True),
+    (
+        "another-right-is-of-this-era",
+        [OrderRight("w1", "n1", 3, 1), OrderRight("w2", "n2", 4, 2)],
+        0,
+        True,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("rights", "wait_s", "is_used"), [s[1:] for s in STARTS], ids=[s[0] for s in STARTS]
+)
+def test_restarted_node_uses_its_right_when_the_era_cannot_have_begun_just_now(
+    rights, wait_s, is_used
+):
+    harness = make_harness(servers=SERVER, rights=rights, era=2)
+    harness.now += wait_s
+    harness.deliver(LeaseRenewed(harness.now, False, 0))
+    assert bool(harness.gateway.rights.find_fence("w1", harness.now)) is bool(is_used)
+
+
 def test_all_nodes_agree_on_the_preferred_holder():
     """Two nodes of a failure domain must not compete in the store for the same right."""
     nodes = [NodeRegistration(f"n{i}", "z1", f"10.0.0.{i}:7000", 5) for i in (1, 2, 3)]
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -32,8 +32,9 @@
     "decode_engine_state",
     "decode_entry",
     "decode_object",
-    "encode_holder",
     "encode_node",
+    "encode_quarantine",
+    "encode_right",
     "read_field",
 ]
 
@@ -233,8 +234,9 @@
 
 
 def decode_right(name, document, revision):
-    """Decode an `OrderRight`; `name` is the backend server, `revision` the fencing token."""
-    return OrderRight(name, read_field(document, "node", str), revision)
+    """Decode an `OrderRight`; `name` is the backend server."""
+    node = read_field(document, "node", str)
+    return OrderRight(name, node, revision, read_field(document, "era", int, 0))
 
 
 def decode_quarantine(name, document, revision):
@@ -263,8 +265,13 @@
     )
 
 
-def encode_holder(node):
-    """Encode the node of an order right or a quarantine; "" for a right that no node holds."""
+def encode_right(node, era):
+    """Encode the holder of an order right, "" for none, and the store's era."""
+    return dumps({"node": node, "era": era})
+
+
+def encode_quarantine(node):
+    """Encode the node that published a quarantine."""
     return dumps({"node": node})
 
 
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -41,8 +41,9 @@
     SERVER_PREFIX,
     decode_entry,
     decode_object,
-    encode_holder,
     encode_node,
+    encode_quarantine,
+    encode_right,
     read_field,
 )
 
@@ -266,6 +267,8 @@
             else:
                 await self._register(effect.ttl_s)
                 self.driver.deliver(LeaseRenewed(sent_at, True, self.registration_revision))
+        except StoreSetBackError:
+            pass  # logged by the fleet state; the node registers before it reads the store again
         except (StoreError, FormatError) as error:
             if getattr(error, "status", 0) == 404:
                 self.is_registered = False
@@ -299,17 +302,18 @@
         return await self._call("POST", "/kv-txn", body=body)
 
     async def _acquire_right(self, effect):
+        gateway = self.settings.gateway
         key = RIGHT_PREFIX + effect.server
         expected = [{"key": key, "revision": effect.revision}]
         if effect.missing_node:
             expected.append({"key": NODE_PREFIX + effect.missing_node, "revision": 0})
-        fence = 0
+        revision = 0
         try:
-            data = encode_holder(self.settings.gateway.name)
-            fence = read_field(await self._write(expected, key, data), "revision", int)
+            data = encode_right(gateway.name, self.era or 0)
+            revision = read_field(await self._write(expected, key, data), "revision", int)
         except (StoreError, FormatError, KeyError) as error:
             log.info("order right not acquired: %s", error, extra={"event": "right_refused"})
-        self.driver.deliver(AcquireRightResult(effect.server, fence))
+        self.driver.deliver(AcquireRightResult(effect.server, revision))
 
     def _start_release(self, effect):
         self.release_task = self.spawn(self._release_rights(effect))
@@ -318,8 +322,8 @@
         try:
             for right in effect.rights:
                 key = RIGHT_PREFIX + right.server
-                expected = [{"key": key, "revision": right.fence}]
-                await self._write(expected, key, encode_holder(""))
+                expected = [{"key": key, "revision": right.revision}]
+                await self._write(expected, key, encode_right("", self.era or 0))
             if self.lease:
                 await self._call("DELETE", f"/kv-lease-end/{self.lease}")
         except (StoreError, FormatError) as error:
@@ -333,7 +337,7 @@
         try:
             lease = await self._call("POST", "/kv-lease", body={"ttlMs": int(effect.ttl_s * 1000)})
             expected = [{"key": key, "revision": 0}]
-            data = encode_holder(self.settings.gateway.name)
+            data = encode_quarantine(self.settings.gateway.name)
             await self._write(expected, key, data, lease["lease"])
         except (StoreError, FormatError, KeyError) as error:
             log.warning("quarantine not published: %s", error, extra={"event": "publish_failed"})
--- a/medlarbeam/platform/tests/test_documents.py
+++ b/medlarbeam/platform/tests/test_documents.py
@@ -14,8 +14,8 @@
 from medlarbeam.platform.documents import (
     decode_engine_state,
     decode_entry,
-    encode_holder,
     encode_node,
+    encode_right,
 )
 
 SERVER = {
@@ -114,9 +114,13 @@
         decode_document(key, document)
 
 
-def test_revision_of_right_is_its_fencing_token():
-    right = decode_document("medlarbeam/right/i-1", encode_holder("n2"))
-    assert (right.server, right.node, right.fence) == ("i-1", "n2", 41)
+def test_right_has_the_revision_and_era_in_which_it_was_acquired():
+    right = decode_document("medlarbeam/right/i-1", encode_right("n2", 4))
+    assert (right.server, right.node, right.revision, right.era) == ("i-1", "n2", 41, 4)
+
+
+def test_right_without_an_era_is_of_the_first_one():
+    assert decode_document("medlarbeam/right/i-1", b'{"node": "n2"}').era == 0
 
 
 def test_encoded_registration_decodes_to_same_node():
--- a/medlarbeam/platform/tests/test_store_set_back.py
+++ b/medlarbeam/platform/tests/test_store_set_back.py
@@ -82,6 +82,39 @@
     run(scenario)
 
 
+def test_fencing_tokens_rise_although_revisions_fall():
+    async def scenario(deployment, session):
+        store, shell = deployment.store, deployment.shell
+        engines = [deployment.workers[name] for name in ("w1", "w2")]
+
+        async def load_adapter(number):
+            """Ask for an adapter that no engine has, until it was ordered by a holder."""
+            orders = sum(engine.order_count for engine in engines)
+            async with asyncio.timeout(5):
+                while sum(engine.order_count for engine in engines) == orders:
+                    headers = {"X-Model": f"m0/a{number}"}
+                    await deployment.call(session, "chat", f"id-{number}", headers)
+
+        await load_adapter(1)
+        copy = StoreCopy(store)
+        for worker in list(deployment.workers.values()) * LOST_WRITES:
+            deployment.register(worker)
+        for engine in engines:
+            store.put(f"medlarbeam/right/{engine.name}", dumps({"node": "n1", "era": 0}))
+        await wait_until(lambda: shell.node.rights.find_fence("w1", shell.read_clock()) > 60)
+        for number in (2, 3):
+            await load_adapter(number)
+        leases = store.calls.count("/kv-lease")
+        store.set_back(copy)
+        await wait_until(lambda: store.calls.count("/kv-lease") > leases)
+        for number in (4, 5):
+            await load_adapter(number)
+        return [engine.fences for engine in engines]
+
+    for fences in run(scenario):
+        assert fences == sorted(fences)
+
+
 async def _call_added_route(deployment, session, seconds):
     statuses = []
     deadline = asyncio.get_running_loop().time() + seconds
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -136,7 +136,7 @@
         method = "GET" if route_name == "read" else "POST"
         fields = {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": "2000", **dict(headers)}
         if route_name in ("chat", "draft"):
-            fields["X-Model"] = "m0/a1"
+            fields.setdefault("X-Model", "m0/a1")
         try:
             async with session.request(
                 method, f"http://{self.front}/{route_name}/1", headers=fields, data=body
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -26,6 +26,8 @@
         ``refuse``, to reject requests before they run, or a key of `RESPONDERS`.
     executed_attempts : list of str
         Attempt ids of the requests that ran, in order.
+    fences : list of int
+        Fencing tokens of the orders, in order of arrival.
     order_count : int
         Number of orders carried out.
     adapters : set of str
@@ -42,6 +44,7 @@
         "connections",
         "events",
         "executed_attempts",
+        "fences",
         "harmful_part",
         "name",
         "order_count",
@@ -56,6 +59,7 @@
         self.response_mode = "good"
         self.executed_attempts = []
         self.order_count = 0
+        self.fences = []
         self.adapters = set()
         self.harmful_part = ""
         self.rate_limit = None
@@ -131,6 +135,7 @@
 
     def handle_order(self, order):
         """Carry out a load or unload order and return the HTTP status."""
+        self.fences.append(order["fence"])
         if order["expected"] != self.order_count:
             return 409
         self.order_count += 1
