Register again when the node's registration is gone from the store

Other nodes saw nothing of a gateway whose registration was deleted, or was overwritten by a late write of its earlier process, while its lease was renewed: it had no rights, got no reports, and nothing ended this state.

The node registers under a new lease when its copy, which is as new as its registration, has no entry of this process. An acquisition that the store carries out late no longer succeeds for a node that has lost its registration.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -195,12 +195,21 @@
 
 
 class RenewLease(Record):
-    """Renew the node's lease in the store, or acquire one with a TTL of `ttl_s` seconds."""
+    """Renew the node's lease in the store, or register under a new one.
 
-    __slots__ = ("ttl_s",)
+    Parameters
+    ----------
+    ttl_s : float
+        Time to live of a new lease (s).
+    must_register : bool
+        Whether to register again although the lease may be valid.
+    """
+
+    __slots__ = ("must_register", "ttl_s")
 
-    def __init__(self, ttl_s):
+    def __init__(self, ttl_s, must_register=False):
         self.ttl_s = ttl_s
+        self.must_register = must_register
 
 
 class AcquireRight(Record):
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -141,6 +141,17 @@
             and registration.incarnation == self.node.settings.incarnation
         )
 
+    def _is_registration_lost(self):
+        """Return whether the entry was deleted or overwritten while the lease was renewed.
+
+        A write of an earlier process of this node may be carried out late, under a lease that ends.
+        """
+        fleet = self.node.fleet
+        if not self.registered_revision or fleet.revision < self.registered_revision:
+            return False
+        registration = fleet.nodes.get(self.node.settings.name)
+        return registration is None or registration.incarnation != self.node.settings.incarnation
+
     def find_fence(self, server, now):
         """Return the fencing token of this node's right to order `server`, 0 if it has none."""
         fleet = self.node.fleet
@@ -175,7 +186,7 @@
         """Renew the lease and acquire free rights."""
         if self.renew_at <= now:
             self.renew_at = now + RENEW_INTERVAL_S
-            out.emit(RenewLease(LEASE_TTL_S))
+            out.emit(RenewLease(LEASE_TTL_S, self._is_registration_lost()))
         if self.check_at <= now:
             self.check_at = now + CHECK_INTERVAL_S
             if self.is_valid(now) and not self.node.lifecycle.is_leaving():
--- a/medlarbeam/gateway/tests/test_order_rights.py
+++ b/medlarbeam/gateway/tests/test_order_rights.py
@@ -3,7 +3,7 @@
 import pytest
 
 from medlarbeam.classes.fleet import NodeRegistration, OrderRight
-from medlarbeam.classes.gateway_effects import AcquireRight
+from medlarbeam.classes.gateway_effects import AcquireRight, RenewLease
 from medlarbeam.classes.gateway_messages import (
     EntryDeleted,
     EntryUpdated,
@@ -152,6 +152,32 @@
     assert harness.gateway.rights.find_fence("w1", harness.now) == fence
 
 
+EARLIER = NodeRegistration("n1", "z1", "10.0.0.1:7000", 4)
+REGISTRATIONS = [
+    ("present", [], False),
+    ("deleted", [EntryDeleted("node/n1", 70)], True),
+    ("written-late-by-an-earlier-process", [EntryUpdated("node/n1", EARLIER, 70)], True),
+    (
+        "deleted-before-the-last-registration",
+        [LeaseRenewed(0.0, True, 80), EntryDeleted("node/n1", 70)],
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("messages", "must_register"), [r[1:] for r in REGISTRATIONS], ids=[r[0] for r in REGISTRATIONS]
+)
+def test_node_whose_registration_is_gone_registers_again(messages, must_register):
+    """Without its registration a node has no rights and is unknown to the others."""
+    harness = make_harness(servers=SERVER)
+    harness.deliver(LeaseRenewed(harness.now, True, 9))
+    for message in messages:
+        harness.deliver(message)
+    harness.pass_time(1.0)
+    assert {effect.must_register for effect in harness.find(RenewLease)} == {must_register}
+
+
 TAKEOVER_WAIT_S = RIGHT_VALIDITY_S + 3.5
 FENCE = 1 << REVISION_BITS | 3
 
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -258,6 +258,9 @@
     async def _renew_lease(self, effect):
         if self.is_renewing or self.release_task is not None:
             return
+        if effect.must_register:
+            self.is_registered = False
+            self.lease = 0
         self.is_renewing = True
         sent_at = self.driver.read_clock()
         try:
@@ -304,7 +307,11 @@
     async def _acquire_right(self, effect):
         gateway = self.settings.gateway
         key = RIGHT_PREFIX + effect.server
-        expected = [{"key": key, "revision": effect.revision}]
+        # The write may be carried out late, when this node has lost its registration.
+        expected = [
+            {"key": key, "revision": effect.revision},
+            {"key": NODE_PREFIX + gateway.name, "revision": self.registration_revision},
+        ]
         if effect.missing_node:
             expected.append({"key": NODE_PREFIX + effect.missing_node, "revision": 0})
         revision = 0
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -326,6 +326,11 @@
     store.revoke_all_leases()
 
 
+def delete_registration(store):
+    store.put("op/config", dumps({**CONFIG, "version": 4, "routes": CONFIG["routes"][:1]}))
+    store.delete("medlarbeam/node/n1")
+
+
 def send_malformed_responses(store):
     store.injected_fault = "malformed"
     expire_lease(store)
@@ -334,6 +339,7 @@
 CHANGES = [
     ("history-was-compacted", compact_history),
     ("lease-expired", expire_lease),
+    ("registration-was-deleted", delete_registration),
     ("malformed-responses", send_malformed_responses),
 ]
 
