Delay orders after an acquisition that the store carried out late

Two nodes could order one backend server: the store may carry out a transaction seconds after it was sent, if its conditions still hold. An acquisition that was sent while the former holder was missing could succeed after that node had returned, ordered, and lost its registration again a moment ago.

The new holder uses the right only when the former one has been missing for the time of a takeover when the acquisition is read. After a gap in the history the wait begins anew.

--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -4,9 +4,11 @@
 
 from medlarbeam.algorithms.routing import rank_servers
 from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.fleet import OrderRight
 from medlarbeam.classes.gateway_effects import AcquireRight, RenewLease
 from medlarbeam.classes.gateway_messages import (
     AcquireRightResult,
+    EntryUpdated,
     LeaseExpired,
     LeaseRenewed,
     StoreSnapshot,
@@ -56,6 +58,10 @@
     settled_at : float or None
         Time (s) from which no holder of an earlier era can send orders; None before the first
         snapshot.
+    holders : dict of str to str
+        Last known holder of the right to order a backend server, "" for none.
+    usable_at : dict of str to float
+        Time (s) from which a right that was acquired from another node may be used.
     """
 
     __slots__ = (
@@ -64,9 +70,11 @@
         "carried",
         "check_at",
         "confirmed_at",
+        "holders",
         "registered_revision",
         "renew_at",
         "settled_at",
+        "usable_at",
     )
 
     def __init__(self, node):
@@ -75,6 +83,8 @@
         self.registered_revision = 0
         self.renew_at = 0.0
         self.check_at = 0.0
+        self.holders = {}
+        self.usable_at = {}
         self.carried = set()
         self.settled_at = None
         self.acquiring = set()
@@ -86,6 +96,7 @@
             LeaseRenewed: self.handle_lease_renewed,
             LeaseExpired: self.handle_lease_expired,
             AcquireRightResult: self.handle_right_result,
+            EntryUpdated: self.handle_entry_updated,
             StoreSnapshot: self.handle_snapshot,
         }
 
@@ -97,10 +108,31 @@
 
     def handle_snapshot(self, message, now, out):
         """Decide after the start whether the era of the store may have begun just now."""
+        rights = self.node.fleet.rights.values()
         if self.settled_at is None:
-            rights = self.node.fleet.rights.values()
             is_settled = not rights or any(right.era == message.era for right in rights)
             self.settled_at = -inf if is_settled else now + self._takeover_wait_s()
+        for right in rights:
+            # It is unknown whether the former holder was registered since the last snapshot.
+            self._record_holder(right, now)
+
+    def handle_entry_updated(self, message, now, out):
+        """Record the new holder of a right."""
+        right = message.value
+        if isinstance(right, OrderRight) and self.node.fleet.rights.get(right.server) is right:
+            former = self.holders.get(right.server)
+            missing_since = self.node.fleet.node_missing_since.get(former, now)
+            self._record_holder(right, missing_since)
+
+    def _record_holder(self, right, former_missing_since):
+        """Delay the use of a right that was acquired from another node.
+
+        The acquisition may have been carried out late, after its former holder had returned.
+        """
+        former = self.holders.get(right.server)
+        self.holders[right.server] = right.node
+        if right.node == self.node.settings.name and former not in (None, "", right.node):
+            self.usable_at[right.server] = former_missing_since + self._takeover_wait_s()
 
     def _takeover_wait_s(self):
         return RIGHT_VALIDITY_S + self.node.settings.order_gap_s + ORDER_MARGIN_S
@@ -160,6 +192,8 @@
             return 0
         if right.era != fleet.era and not self._is_settled(server, now):
             return 0
+        if now < self.usable_at.get(server, -inf):
+            return 0
         return fleet.era << REVISION_BITS | right.revision
 
     def _is_settled(self, server, now):
--- a/medlarbeam/gateway/tests/test_order_rights.py
+++ b/medlarbeam/gateway/tests/test_order_rights.py
@@ -178,6 +178,62 @@
     assert {effect.must_register for effect in harness.find(RenewLease)} == {must_register}
 
 
+ACQUIRED = OrderRight("w1", "n1", 70)
+RETURNED = EntryUpdated("node/n2", OTHER, 65)
+# Messages, each followed by a time in seconds.
+TAKEOVERS = [
+    ("holder-was-missing-long-enough", [(EntryUpdated("right/w1", ACQUIRED, 70), 0)], True),
+    (
+        "holder-was-registered-until-shortly-before",
+        [
+            (RETURNED, 3),
+            (EntryDeleted("node/n2", 69), 1),
+            (EntryUpdated("right/w1", ACQUIRED, 70), 0),
+        ],
+        False,
+    ),
+    (
+        "time-of-a-takeover-has-passed-since",
+        [
+            (RETURNED, 3),
+            (EntryDeleted("node/n2", 69), 1),
+            (EntryUpdated("right/w1", ACQUIRED, 70), RIGHT_VALIDITY_S + 3.5),
+        ],
+        True,
+    ),
+    (
+        "history-of-the-holder-is-unknown",
+        [
+            (
+                StoreSnapshot(
+                    [
+                        EntryUpdated("right/w1", ACQUIRED, 70),
+                        EntryUpdated("node/n1", REGISTRATION, 9),
+                    ],
+                    71,
+                ),
+                0,
+            )
+        ],
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("messages", "is_used"), [t[1:] for t in TAKEOVERS], ids=[t[0] for t in TAKEOVERS]
+)
+def test_acquired_right_is_used_when_its_former_holder_can_no_longer_send_orders(messages, is_used):
+    """The store may carry out an acquisition seconds after it was sent."""
+    harness = make_harness(servers=SERVER, rights=[OrderRight("w1", "n2", 3)])
+    harness.now += RIGHT_VALIDITY_S + 5
+    for message, seconds in messages:
+        harness.deliver(message)
+        harness.now += seconds
+    harness.deliver(LeaseRenewed(harness.now, False, 9))
+    assert bool(harness.gateway.rights.find_fence("w1", harness.now)) is is_used
+
+
 TAKEOVER_WAIT_S = RIGHT_VALIDITY_S + 3.5
 FENCE = 1 << REVISION_BITS | 3
 
