Keep quarantines when the store is set back to an older copy

A quarantine that was published in the time that the store lost was lifted at all gateways, so that the request crashed more backend servers until it was convicted again; one that was lifted in that time refused sound requests again.

After a set-back the gateways publish the quarantines that the copy lacks, and withdraw those that were lifted. Two cases of the new table failed before.

--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -17,6 +17,7 @@
     EntryUpdated,
     NodeDatagram,
     ProbeResult,
+    StoreSetBack,
     StoreSnapshot,
 )
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
@@ -100,6 +101,10 @@
         Quarantines in the store, by key.
     next_due : float
         Time (s) at or before the earliest deadline of a record.
+    lifted : dict of str to float
+        Times (s) at which quarantines were deleted from the store, by fingerprint.
+    is_set_back : bool
+        Whether the next snapshot is of an older copy of the store.
     served_at : float
         Time (s) at which a node known to have served a request has last done so.
     served_parts : dict of str to None
@@ -112,6 +117,8 @@
         "chart",
         "cleared",
         "deaths",
+        "is_set_back",
+        "lifted",
         "lost",
         "next_due",
         "probed_at",
@@ -131,6 +138,8 @@
         self.deaths = {}
         self.probed_at = {}
         self.published = {}
+        self.lifted = {}
+        self.is_set_back = False
         self.cleared = set()
         self.announce_at = inf
         self.review_at = inf
@@ -145,6 +154,7 @@
             NodeDatagram: self.handle_datagram,
             EntryUpdated: self.handle_entry_updated,
             EntryDeleted: self.handle_entry_deleted,
+            StoreSetBack: self.handle_set_back,
             StoreSnapshot: self.handle_snapshot,
         }
 
@@ -319,17 +329,42 @@
         """Lift a quarantine that has expired or was withdrawn."""
         quarantine = self.published.pop(message.key, None)
         if quarantine is not None:
+            self.lifted = {f: at for f, at in self.lifted.items() if at > now - QUARANTINE_S}
+            self.lifted[quarantine.fingerprint] = now
             out.emit(LogEvent("quarantine_lifted", quarantine.fingerprint))
             self._fire(quarantine.fingerprint, "lifted", now, out)
 
     def handle_snapshot(self, message, now, out):
         """Apply all quarantines of a snapshot."""
+        if self.is_set_back:
+            self.is_set_back = False
+            self._restore_quarantines(message, now, out)
+            return
         for entry in message.entries:
             self.handle_entry_updated(entry, now, out)
         present = {entry.key for entry in message.entries}
         for key in [key for key in self.published if key not in present]:
             self.handle_entry_deleted(EntryDeleted(key, message.revision), now, out)
 
+    def handle_set_back(self, message, now, out):
+        """Expect the snapshot of an older copy of the store."""
+        self.is_set_back = True
+
+    def _restore_quarantines(self, snapshot, now, out):
+        """Bring an older copy of the store up to date, in which quarantines and lifts are lost."""
+        present = set()
+        for entry in snapshot.entries:
+            if isinstance(entry.value, Quarantine):
+                present.add(entry.key)
+                if entry.value.fingerprint in self.lifted:
+                    out.emit(WithdrawQuarantine(entry.value.fingerprint))
+                else:
+                    self.handle_entry_updated(entry, now, out)
+        for key in [key for key in self.published if key not in present]:
+            record = self.records.get(self.published.pop(key).fingerprint)
+            if record is not None and self.chart.has_tag(record, "refused"):
+                self.schedule_publication(record, now, out)
+
     # Time
 
     def next_deadline(self):
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -19,10 +19,13 @@
 from medlarbeam.classes.gateway_messages import (
     CallerDisconnected,
     EntryDeleted,
+    EntryUpdated,
     NodeDatagram,
     ProbeResult,
     RunCompleted,
     RunInterrupted,
+    StoreSetBack,
+    StoreSnapshot,
 )
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
 from medlarbeam.exceptions import ErrorKind, RunState
@@ -329,3 +332,37 @@
     records = [build_record(name, deaths) for name, deaths in parts.items()]
     convicted = [r.fingerprint for r in find_convictions(records, records)]
     assert convicted == [f"part:{name}" for name in expected]
+
+
+def delete_quarantine(gateway):
+    gateway.harness.deliver(EntryDeleted("q/1", gateway.harness.revision + 1))
+
+
+PUBLISHED = Quarantine("part:bad", "n2")
+# Whether the quarantine was lifted, whether the copy has it, and what follows.
+COPIES = [
+    ("quarantine-that-the-copy-lacks-is-published-again", False, False, PublishQuarantine, True),
+    ("quarantine-that-the-copy-has-is-kept", False, True, None, True),
+    ("quarantine-that-was-lifted-is-withdrawn-again", True, True, WithdrawQuarantine, False),
+    ("quarantine-that-was-lifted-and-is-not-in-the-copy", True, False, None, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("is_lifted", "is_in_copy", "kind", "is_refused"),
+    [c[1:] for c in COPIES],
+    ids=[c[0] for c in COPIES],
+)
+def test_quarantine_survives_a_set_back_of_the_store(is_lifted, is_in_copy, kind, is_refused):
+    """Otherwise the request crashes more backend servers before it is refused again."""
+    gateway = Gateway()
+    read_published_quarantine(gateway)
+    if is_lifted:
+        delete_quarantine(gateway)
+    entries = [EntryUpdated("q/1", PUBLISHED, 5)] if is_in_copy else []
+    gateway.harness.deliver(StoreSetBack(1))
+    effects = gateway.harness.deliver(StoreSnapshot(entries, 6, 1))
+    effects = effects + gateway.harness.pass_time(2.0)
+    changes = [e for e in effects if isinstance(e, (PublishQuarantine, WithdrawQuarantine))]
+    assert [(type(e), e.fingerprint) for e in changes] == ([(kind, "part:bad")] if kind else [])
+    assert bool(gateway.harness.gateway.crashes.count_quarantined()) is is_refused
