--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -26,8 +26,9 @@
 RATE_WINDOW_S = 4.0
 RATE_OVERSHOOT = 1.5
 RATE_EXTRA = 5
-# A gateway that these kinds affect may not know of a limit.
-DISTURBING_KINDS = {"kill", "terminate", "freeze", "store", "store_link", "worker_link"}
+STORE_KINDS = {"store", "store_link", "store_loss", "store_set_back"}
+# A gateway that these kinds affect may not know of a drain or a limit.
+DISTURBING_KINDS = {"kill", "terminate", "freeze", "worker_link", *STORE_KINDS}
 
 
 class History(Record):
@@ -156,8 +157,8 @@
                 or not drain.since + DRAIN_S < run.started_at < drain.ended_at
             ):
                 continue
-            kinds = {"store", "store_link", "freeze", "worker_link", "kill", "terminate"}
-            if not history.overlaps_fault(drain.since - FAULT_FREE_S, run.started_at, kinds):
+            since = drain.since - FAULT_FREE_S
+            if not history.overlaps_fault(since, run.started_at, DISTURBING_KINDS):
                 yield (
                     f"DRAIN {run.attempt} ran at {run.worker} "
                     f"{run.started_at - drain.since:.2f} s after the start of its drain"
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -4,12 +4,14 @@
 import logging
 import signal
 from abc import ABC, abstractmethod
+from base64 import b64decode
 from random import Random
 
 from medlarbeam.soak.callers import Caller
 from medlarbeam.soak.deployment import ROUTES
 from medlarbeam.soak.records import FaultInterval
 from medlarbeam.soak.worker import HARMFUL_PART
+from medlarbeam.standins.platform_store import StoreCopy
 
 __all__ = ["FAULTS", "RATE_LIMIT", "Fault", "inject_faults"]
 
@@ -19,6 +21,8 @@
 HARMFUL_CALLERS = 2
 RATE_LIMIT = 6.0  # requests per second
 RATE_LIMIT_S = 5.0
+STORE_LOSS_S = 12.0  # the takeover of a right takes about as long
+EXPIRY_S = 3.6  # until the entry of a worker that is gone expires
 
 
 class Fault(ABC):
@@ -111,6 +115,20 @@
         await _inject_link_fault(deployment.gateways[target].store_proxy, rng, duration_s)
 
 
+class StoreLoss(GatewayFault):
+    """One gateway is without the store until others have taken its rights."""
+
+    __slots__ = ()
+    name = "store_loss"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Cut a gateway off from the store; see `Fault.apply`."""
+        proxy = deployment.gateways[target].store_proxy
+        proxy.mode = rng.choice(("cut_to_server", "silent"))
+        await asyncio.sleep(STORE_LOSS_S + duration_s)
+        proxy.mode = "good"
+
+
 class WorkerLink(Fault):
     """Network fault between the gateways and one worker."""
 
@@ -219,6 +237,32 @@
             store.injected_fault = ""
 
 
+class StoreSetBack(StoreFault):
+    """The store comes back from an older copy; the operator and the workers write again."""
+
+    __slots__ = ()
+    name = "store_set_back"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Set the store back; see `Fault.apply`."""
+        store = deployment.store
+        copy = StoreCopy(store)
+        await asyncio.sleep(3 * duration_s)
+        store.injected_fault = "busy"
+        await asyncio.sleep(duration_s)
+        before = {k: i for k, i in store.items.items() if k.startswith(("op/", "servers/"))}
+        store.set_back(copy)
+        store.injected_fault = ""
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        for key, item in before.items():
+            if item is not copy.items.get(key) and store.items.get(key) is copy.items.get(key):
+                store.put(key, b64decode(item.value))
+        await asyncio.sleep(EXPIRY_S)
+        for key in copy.items.keys() - before.keys():
+            if key.startswith("servers/") and store.items.get(key) is copy.items[key]:
+                store.delete(key)
+
+
 class ConfigChange(StoreFault):
     """An operator publishes a new version of the configuration."""
 
@@ -236,12 +280,14 @@
     Freeze(),
     Reload(),
     StoreLink(),
+    StoreLoss(),
     WorkerLink(),
     WorkerFaults(),
     WorkerDrain(),
     HarmfulPart(),
     RateLimit(),
     StoreFault(),
+    StoreSetBack(),
     ConfigChange(),
 ]
 
