End order rights when the store is not read, and bind releases to the process

Two nodes could order one backend server while one of them had renewals but no answers to its watch: a release that an earlier process of it had sent was carried out late, or its registration was overwritten, and others acquired the rights unnoticed.

--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -22,6 +22,7 @@
     "ServerOrderResult",
     "StoreSetBack",
     "StoreSnapshot",
+    "StoreSynced",
     "StoreUnavailable",
 ]
 
@@ -286,6 +287,15 @@
         self.era = era
 
 
+class StoreSynced(Record):
+    """All changes of the store up to the time `sent_at` (s) were delivered."""
+
+    __slots__ = ("sent_at",)
+
+    def __init__(self, sent_at):
+        self.sent_at = sent_at
+
+
 class StoreUnavailable(Record):
     """A call to the store failed, so the local copy of its entries may be stale."""
 
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -100,7 +100,7 @@
         return {
             "open_requests": self.relays.open_count(),
             "config_version": config.version if config is not None else 0,
-            "store_age_seconds": now - self.rights.confirmed_at,
+            "store_age_seconds": now - self.rights.find_confirmed_at(),
             "servers": sum(1 for k in fleet.servers.values() if k.stop_at > now),
             "suspect_servers": self.health.count_suspects(),
             "ordered_servers": len(self.orders.schedulers),
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -12,6 +12,7 @@
     LeaseExpired,
     LeaseRenewed,
     StoreSnapshot,
+    StoreSynced,
 )
 from medlarbeam.node.component import Component
 
@@ -37,9 +38,9 @@
     Notes
     -----
     A right is an entry of the store without a lease. It names its holder, and its revision is the
-    fencing token. A node may use its rights while its registration, which has a lease, was renewed
-    within `RIGHT_VALIDITY_S`, and the node knows all changes of the store up to that registration:
-    rights of a registered node cannot be acquired, but they may have been before it registered.
+    fencing token. A node may use its rights while, within `RIGHT_VALIDITY_S`, its registration,
+    which has a lease, was renewed, and all changes of the store were read, up to that registration
+    at least: others may have acquired rights before it, or after it was deleted or overwritten.
     Another node may acquire a right once the registration of its holder has been missing for
     `RIGHT_VALIDITY_S` plus the minimum gap between the orders of two holders; the store checks in
     the same transaction that it is still missing. A restarted node reads its own rights from the
@@ -74,12 +75,14 @@
         "registered_revision",
         "renew_at",
         "settled_at",
+        "synced_at",
         "usable_at",
     )
 
     def __init__(self, node):
         super().__init__(node)
         self.confirmed_at = -inf
+        self.synced_at = -inf
         self.registered_revision = 0
         self.renew_at = 0.0
         self.check_at = 0.0
@@ -98,6 +101,7 @@
             AcquireRightResult: self.handle_right_result,
             EntryUpdated: self.handle_entry_updated,
             StoreSnapshot: self.handle_snapshot,
+            StoreSynced: self.handle_synced,
         }
 
     def begin_era(self, now):
@@ -105,6 +109,7 @@
         self.carried = {name for name in self.node.fleet.rights if self.find_fence(name, now)}
         self.settled_at = now + self._takeover_wait_s()
         self.confirmed_at = -inf
+        self.synced_at = -inf
 
     def handle_snapshot(self, message, now, out):
         """Decide after the start whether the era of the store may have begun just now."""
@@ -150,6 +155,10 @@
         self.registered_revision = message.revision
         self.confirmed_at = max(self.confirmed_at, message.sent_at)
 
+    def handle_synced(self, message, now, out):
+        """Extend the validity of the rights from the time up to which all changes are known."""
+        self.synced_at = max(self.synced_at, message.sent_at)
+
     def handle_lease_expired(self, message, now, out):
         """Invalidate the rights until this node is registered again."""
         self.confirmed_at = -inf
@@ -162,12 +171,16 @@
         self.acquire_after[message.server] = now + ACQUIRE_RETRY_S
         out.emit(LogEvent("right_taken", f"server={message.server} revision={message.revision}"))
 
+    def find_confirmed_at(self):
+        """Return the time (s) up to which the lease and the copy of the store are confirmed."""
+        return min(self.confirmed_at, self.synced_at)
+
     def is_valid(self, now):
         """Return whether this node may use its rights."""
         name = self.node.settings.name
         registration = self.node.fleet.nodes.get(name)
         return (
-            now < self.confirmed_at + RIGHT_VALIDITY_S
+            now < self.find_confirmed_at() + RIGHT_VALIDITY_S
             and self.node.fleet.revision >= self.registered_revision
             and registration is not None
             and registration.incarnation == self.node.settings.incarnation
--- a/medlarbeam/gateway/tests/batching_fleet.py
+++ b/medlarbeam/gateway/tests/batching_fleet.py
@@ -10,6 +10,7 @@
     LeaseRenewed,
     RunCompleted,
     RunStarted,
+    StoreSynced,
 )
 from medlarbeam.classes.stream_timing import StreamTiming
 from medlarbeam.gateway.tests.crash_fleet import CrashFleet
@@ -96,6 +97,7 @@
 
     def _renew_lease(self, name, effect):
         self.call_at(self.now + 0.004, self.deliver, name, LeaseRenewed(self.now, False, 0))
+        self.call_at(self.now + 0.004, self.deliver, name, StoreSynced(self.now))
 
     def _fetch_state(self, name, effect):
         state = EngineState(0, ["m0"], {self.adapters[effect.server.name]: 1}, {}, False)
--- a/medlarbeam/gateway/tests/crash_fleet.py
+++ b/medlarbeam/gateway/tests/crash_fleet.py
@@ -28,6 +28,7 @@
     RunRefused,
     RunStarted,
     StoreSnapshot,
+    StoreSynced,
 )
 from medlarbeam.gateway.gateway import Gateway
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_config, make_server, make_settings
@@ -137,6 +138,7 @@
         entries = [EntryUpdated(key, value, 1) for key, value in self.store.items()]
         self._carry_out(name, gateway.handle(StoreSnapshot(entries, self.revision), self.now))
         self._carry_out(name, gateway.handle(LeaseRenewed(self.now, True, 0), self.now))
+        self._carry_out(name, gateway.handle(StoreSynced(self.now), self.now))
 
     # Events
 
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -20,6 +20,7 @@
     GatewayRequest,
     LeaseRenewed,
     StoreSnapshot,
+    StoreSynced,
 )
 from medlarbeam.gateway.gateway import Gateway
 from medlarbeam.gateway.settings import GatewaySettings
@@ -112,6 +113,11 @@
         self.effects = self.gateway.handle(message, self.now)
         return self.effects
 
+    def renew(self, revision=0, is_new=False):
+        """Let the store renew the lease and answer the watch."""
+        self.deliver(StoreSynced(self.now))
+        self.deliver(LeaseRenewed(self.now, is_new, revision))
+
     def write_entry(self, key, value):
         """Pass an entry of the store, with a new revision."""
         self.revision += 1
@@ -156,7 +162,7 @@
     entries += [(f"right/{r.server}", r) for r in rights]
     reads = [EntryUpdated(key, value, index + 1) for index, (key, value) in enumerate(entries)]
     harness.deliver(StoreSnapshot(reads, 10, era))
-    harness.deliver(LeaseRenewed(harness.now, True, 0))
+    harness.renew(is_new=True)
     return harness
 
 
--- a/medlarbeam/gateway/tests/test_order_rights.py
+++ b/medlarbeam/gateway/tests/test_order_rights.py
@@ -11,6 +11,7 @@
     LeaseRenewed,
     StoreSetBack,
     StoreSnapshot,
+    StoreSynced,
 )
 from medlarbeam.gateway.order_rights import REVISION_BITS, RIGHT_VALIDITY_S
 from medlarbeam.gateway.tests.fleet_samples import (
@@ -28,7 +29,7 @@
     """Advance time with a lease renewal each second; return the `AcquireRight` effects."""
     acquired = []
     for _ in range(int(seconds)):
-        harness.deliver(LeaseRenewed(harness.now, False, 0))
+        harness.renew()
         harness.pass_time(1.0)
         acquired += harness.find(AcquireRight)
     return acquired
@@ -79,6 +80,18 @@
     renew(harness, RIGHT_VALIDITY_S + 5)
 
 
+def hear_nothing_of_the_watch(harness):
+    for _ in range(7):
+        harness.deliver(LeaseRenewed(harness.now, False, 0))
+        harness.pass_time(1.0)
+
+
+def hear_only_the_watch(harness):
+    for _ in range(7):
+        harness.deliver(StoreSynced(harness.now))
+        harness.pass_time(1.0)
+
+
 def lose_registration(harness):
     harness.deliver(EntryDeleted("node/n1", harness.revision + 50))
 
@@ -88,6 +101,8 @@
     ("right-expires-without-renewals", pass_validity, False),
     ("right-ends-with-the-lease", lose_lease, False),
     ("right-ends-with-the-registration", lose_registration, False),
+    ("right-ends-when-the-store-is-not-read", hear_nothing_of_the_watch, False),
+    ("right-ends-when-the-lease-is-not-renewed", hear_only_the_watch, False),
 ]
 
 
@@ -146,7 +161,7 @@
     harness = make_harness(servers=SERVER, rights=own_rights(["w1"]))
     harness.pass_time(12.0)
     harness.deliver(LeaseExpired())
-    harness.deliver(LeaseRenewed(harness.now, True, 62))
+    harness.renew(62, is_new=True)
     for message in messages:
         harness.deliver(message)
     assert harness.gateway.rights.find_fence("w1", harness.now) == fence
@@ -171,7 +186,7 @@
 def test_node_whose_registration_is_gone_registers_again(messages, must_register):
     """Without its registration a node has no rights and is unknown to the others."""
     harness = make_harness(servers=SERVER)
-    harness.deliver(LeaseRenewed(harness.now, True, 9))
+    harness.renew(9, is_new=True)
     for message in messages:
         harness.deliver(message)
     harness.pass_time(1.0)
@@ -230,7 +245,7 @@
     for message, seconds in messages:
         harness.deliver(message)
         harness.now += seconds
-    harness.deliver(LeaseRenewed(harness.now, False, 9))
+    harness.renew(9)
     assert bool(harness.gateway.rights.find_fence("w1", harness.now)) is is_used
 
 
@@ -247,7 +262,7 @@
     entries += [EntryUpdated(f"right/{r.server}", r, r.revision) for r in rights]
     entries += [EntryUpdated(f"node/{n.name}", n, 8) for n in registrations]
     harness.deliver(StoreSnapshot(entries, 8, 1))
-    harness.deliver(LeaseRenewed(harness.now, True, 8))
+    harness.renew(8, is_new=True)
 
 
 def hold_right(harness):
@@ -281,7 +296,7 @@
     change(harness)
     set_store_back(harness, rights)
     harness.now += wait_s
-    harness.deliver(LeaseRenewed(harness.now, False, 8))
+    harness.renew(8)
     assert harness.gateway.rights.find_fence("w1", harness.now) == fence
 
 
@@ -313,7 +328,7 @@
     set_store_back(harness, rights)
     acquired = []
     while seconds > 0:
-        harness.deliver(LeaseRenewed(harness.now, False, 8))
+        harness.renew(8)
         harness.pass_time(min(1.0, seconds))
         acquired += harness.find(AcquireRight)
         seconds -= 1.0
@@ -341,7 +356,7 @@
 ):
     harness = make_harness(servers=SERVER, rights=rights, era=2)
     harness.now += wait_s
-    harness.deliver(LeaseRenewed(harness.now, False, 0))
+    harness.renew()
     assert bool(harness.gateway.rights.find_fence("w1", harness.now)) is bool(is_used)
 
 
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -23,6 +23,7 @@
     LeaseRenewed,
     StoreSetBack,
     StoreSnapshot,
+    StoreSynced,
     StoreUnavailable,
 )
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
@@ -187,14 +188,17 @@
         backoff_s = MIN_BACKOFF_S
         while True:
             is_watching = self.known_revision > 0
+            sent_at = self.driver.read_clock()
             try:
                 if not is_watching:
                     # The node registers before it reads, so that it knows its rights from the
                     # first snapshot on.
                     await self._renew_lease(RenewLease(LEASE_TTL_S))
+                    sent_at = self.driver.read_clock()
                     await self._read_all()
                 else:
                     await self._watch()
+                self.driver.deliver(StoreSynced(sent_at))
                 await asyncio.sleep(self.settings.watch_pause_s)
                 backoff_s = MIN_BACKOFF_S
             except StoreSetBackError:
@@ -326,10 +330,16 @@
         self.release_task = self.spawn(self._release_rights(effect))
 
     async def _release_rights(self, effect):
+        name = self.settings.gateway.name
         try:
             for right in effect.rights:
                 key = RIGHT_PREFIX + right.server
-                expected = [{"key": key, "revision": right.revision}]
+                # The write may be carried out late, when another process of this node has
+                # registered and uses the right.
+                expected = [
+                    {"key": key, "revision": right.revision},
+                    {"key": NODE_PREFIX + name, "revision": self.registration_revision},
+                ]
                 await self._write(expected, key, encode_right("", self.era or 0))
             if self.lease:
                 await self._call("DELETE", f"/kv-lease-end/{self.lease}")
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -6,13 +6,15 @@
 
 import asyncio
 import socket
+from base64 import b64decode
 from resource import RUSAGE_SELF, getrusage
 
 import pytest
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from aiohttp.web import AppRunner, SockSite
-from orjson import dumps
+from orjson import dumps, loads
 
+from medlarbeam.classes.messages import Shutdown
 from medlarbeam.gateway.tests.fleet_samples import make_settings
 from medlarbeam.platform import server_client
 from medlarbeam.platform.__main__ import build_gateway_shell
@@ -362,6 +364,33 @@
     assert run(scenario) == (200, b"paid")
 
 
+RELEASES = [
+    ("right-of-this-process-is-released", False, ""),
+    ("right-that-a-later-process-uses-is-kept", True, "n1"),
+]
+
+
+@pytest.mark.parametrize(
+    ("is_restarted", "holder"), [r[1:] for r in RELEASES], ids=[r[0] for r in RELEASES]
+)
+def test_release_of_rights_ends_with_the_registration_of_the_process(is_restarted, holder):
+    """The store may carry out a release late, when the next process has registered."""
+
+    async def scenario(deployment, session):
+        store, shell = deployment.store, deployment.shell
+        if is_restarted:
+            store.silent_paths.add("/kv-watch")
+            registration = {"failure_domain": "z1", "address": "127.0.0.1:1", "incarnation": 99}
+            store.put("medlarbeam/node/n1", dumps(registration))
+        shell.deliver(Shutdown())
+        async with asyncio.timeout(8):
+            await shell.exited.wait()
+        await asyncio.sleep(0.2)
+        return loads(b64decode(store.items["medlarbeam/right/w1"].value))["node"]
+
+    assert run(scenario) == holder
+
+
 def test_right_that_another_node_took_in_an_outage_is_not_used_before_the_store_is_read():
     async def scenario(deployment, session):
         store = deployment.store
