Record when no holder of an earlier era of the store can be left

A node that has waited for the time of a takeover records the era in the store; the others, and restarted processes, do not wait again. At the first start of a deployment, which the settings name, nobody waits. Rights of earlier eras are no longer acquired anew, which had changed the token of a holder with an order pending.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -19,6 +19,7 @@
     "ServerRegistration",
     "Service",
     "ServiceRoute",
+    "SettledEra",
 ]
 
 
@@ -351,6 +352,15 @@
         self.era = era
 
 
+class SettledEra(Record):
+    """The era of the store in which no holder of an order right of an earlier one is left."""
+
+    __slots__ = ("era",)
+
+    def __init__(self, era):
+        self.era = era
+
+
 class Quarantine(Record):
     """Requests with `fingerprint` crash backend servers; `node` found this out."""
 
--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -11,6 +11,7 @@
     "ProbeServer",
     "PublishQuarantine",
     "RecordRequestMetrics",
+    "RecordSettledEra",
     "RefuseRequest",
     "ReleaseRights",
     "RenewLease",
@@ -232,6 +233,15 @@
         self.missing_node = missing_node
 
 
+class RecordSettledEra(Record):
+    """Record in the store that no holder of an order right of an era before `era` is left."""
+
+    __slots__ = ("era",)
+
+    def __init__(self, era):
+        self.era = era
+
+
 class ReleaseRights(Record):
     """Release `rights` (list of OrderRight) and revoke the node's lease."""
 
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -9,6 +9,7 @@
     OrderRight,
     PublishedVersion,
     ServerRegistration,
+    SettledEra,
 )
 from medlarbeam.classes.gateway_effects import SendDatagram
 from medlarbeam.classes.gateway_messages import (
@@ -81,6 +82,8 @@
         era.
     era : int
         Number of the era of the store; see `StoreSetBack`.
+    settled_era : int
+        Newest era in which a node has waited for the end of the rights of earlier eras.
     is_set_back : bool
         Whether the entries are from before the store was set back.
     store_unavailable_since : float or None
@@ -109,6 +112,7 @@
         "rights",
         "routes",
         "servers",
+        "settled_era",
         "store_unavailable_at",
         "store_unavailable_since",
     )
@@ -126,6 +130,7 @@
         self.node_missing_since = {}
         self.revision = 0
         self.era = 0
+        self.settled_era = 0
         self.is_set_back = False
         self.doubtful_until = {}
         self.store_unavailable_at = -inf
@@ -225,6 +230,8 @@
             self.right_seen_at[value.server] = now
             if value.node not in self.nodes:
                 self.node_missing_since.setdefault(value.node, now)
+        elif isinstance(value, SettledEra):
+            self.settled_era = max(self.settled_era, value.era)
 
     def _apply_config(self, config, now, out):
         if self.config is not None and config.version <= self.config.version:
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -5,7 +5,7 @@
 from medlarbeam.algorithms.routing import rank_servers
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import OrderRight
-from medlarbeam.classes.gateway_effects import AcquireRight, RenewLease
+from medlarbeam.classes.gateway_effects import AcquireRight, RecordSettledEra, RenewLease
 from medlarbeam.classes.gateway_messages import (
     AcquireRightResult,
     EntryUpdated,
@@ -27,6 +27,7 @@
 CHECK_INTERVAL_S = 0.25
 ACQUIRE_RETRY_S = 1.0  # delay after a refused acquisition, to spare an overloaded store
 MAX_ACQUIRING = 4  # concurrent acquisitions
+ERA_RECORDER = "era"  # key in the rendezvous order of the nodes, the first of which records the era
 # A fencing token is the store's era and, in this many bits, the revision of the right. Revisions
 # alone fall when the store is set back. Tokens stay below 2**53, so that JSON keeps them exact.
 REVISION_BITS = 40
@@ -49,8 +50,8 @@
     When the store is set back to a copy, rights that were acquired since are lost, but their
     holders may use them until they notice. In the new era a node therefore acquires rights, and
     uses those of earlier eras, only after the time of a takeover. Rights that it could use in the
-    earlier era are excepted: nobody else can have acquired these. After that time the holder
-    acquires its rights of earlier eras anew, which tells a restarted node that it may use them.
+    earlier era are excepted: nobody else can have acquired these. A node records in the store that
+    this time has passed, so that restarted nodes do not wait again.
 
     Attributes
     ----------
@@ -72,6 +73,7 @@
         "check_at",
         "confirmed_at",
         "holders",
+        "record_era_at",
         "registered_revision",
         "renew_at",
         "settled_at",
@@ -88,6 +90,7 @@
         self.check_at = 0.0
         self.holders = {}
         self.usable_at = {}
+        self.record_era_at = -inf
         self.carried = set()
         self.settled_at = None
         self.acquiring = set()
@@ -112,11 +115,11 @@
         self.synced_at = -inf
 
     def handle_snapshot(self, message, now, out):
-        """Decide after the start whether the era of the store may have begun just now."""
+        """Wait after the start if the era of the store may have begun just now."""
         rights = self.node.fleet.rights.values()
         if self.settled_at is None:
-            is_settled = not rights or any(right.era == message.era for right in rights)
-            self.settled_at = -inf if is_settled else now + self._takeover_wait_s()
+            is_new_deployment = self.node.settings.is_first_start and not rights
+            self.settled_at = -inf if is_new_deployment else now + self._takeover_wait_s()
         for right in rights:
             # It is unknown whether the former holder was registered since the last snapshot.
             self._record_holder(right, now)
@@ -211,7 +214,13 @@
 
     def _is_settled(self, server, now):
         """Return whether no holder of an earlier era of the store can send orders to `server`."""
-        return server in self.carried or self.settled_at is not None and now >= self.settled_at
+        return server in self.carried or self._is_era_settled(now)
+
+    def _is_era_settled(self, now):
+        fleet = self.node.fleet
+        if fleet.settled_era >= fleet.era:
+            return True
+        return self.settled_at is not None and now >= self.settled_at
 
     def list_own(self):
         """Return the list of `OrderRight` of this node."""
@@ -237,8 +246,19 @@
         if self.check_at <= now:
             self.check_at = now + CHECK_INTERVAL_S
             if self.is_valid(now) and not self.node.lifecycle.is_leaving():
+                self._record_settled_era(now, out)
                 self._acquire_free(now, out)
 
+    def _record_settled_era(self, now, out):
+        fleet = self.node.fleet
+        if fleet.settled_era >= fleet.era or self.record_era_at > now:
+            return
+        if self._is_era_settled(now) and rank_servers(ERA_RECORDER, fleet.nodes)[0] == (
+            self.node.settings.name
+        ):
+            self.record_era_at = now + ACQUIRE_RETRY_S
+            out.emit(RecordSettledEra(fleet.era))
+
     def _acquire_free(self, now, out):
         fleet = self.node.fleet
         for known in fleet.servers.values():
@@ -250,10 +270,7 @@
             if entry.name in self.acquiring or self.acquire_after.get(entry.name, 0.0) > now:
                 continue
             right = fleet.rights.get(entry.name)
-            if right is not None and right.node == self.node.settings.name:
-                if right.era < fleet.era and now >= self.settled_at:
-                    self._acquire(entry.name, right.revision, "", out)
-            elif (
+            if (
                 self._is_settled(entry.name, now)
                 and self._is_free(entry.name, now)
                 and self._is_preferred_holder(entry)
--- a/medlarbeam/gateway/settings.py
+++ b/medlarbeam/gateway/settings.py
@@ -23,6 +23,8 @@
         Maximum time from a change in the store until this node applies it, if the store responds.
     grace_s : float
         Time from the stop signal until the process is killed.
+    is_first_start : bool
+        Whether the whole deployment starts for the first time.
     retry_ratio, retry_window_s, retry_extra : float
         Retry budget of a service in a window (s): a share of its requests plus a fixed number.
     """
@@ -33,6 +35,7 @@
         "failure_domain",
         "grace_s",
         "incarnation",
+        "is_first_start",
         "max_store_lag_s",
         "name",
         "order_gap_s",
@@ -55,11 +58,13 @@
         retry_ratio,
         retry_window_s,
         retry_extra,
+        is_first_start=False,
     ):
         self.name = name
         self.failure_domain = failure_domain
         self.address = address
         self.incarnation = incarnation
+        self.is_first_start = is_first_start
         self.order_gap_s = order_gap_s
         self.drain_s = drain_s
         self.max_store_lag_s = max_store_lag_s
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -19,11 +19,13 @@
     ServerRegistration,
     Service,
     ServiceRoute,
+    SettledEra,
 )
 from medlarbeam.exceptions import FormatError
 
 __all__ = [
     "CONFIG_KEY",
+    "ERA_KEY",
     "NODE_PREFIX",
     "PUBLISHED_VERSION_PREFIX",
     "QUARANTINE_PREFIX",
@@ -35,12 +37,14 @@
     "encode_node",
     "encode_quarantine",
     "encode_right",
+    "encode_settled_era",
     "read_field",
 ]
 
 CONFIG_KEY = "op/config"
 PUBLISHED_VERSION_PREFIX = "op/version/"
 SERVER_PREFIX = "servers/"
+ERA_KEY = "medlarbeam/era"
 NODE_PREFIX = "medlarbeam/node/"
 RIGHT_PREFIX = "medlarbeam/right/"
 QUARANTINE_PREFIX = "medlarbeam/quarantine/"
@@ -239,6 +243,11 @@
     return OrderRight(name, node, revision, read_field(document, "era", int, 0))
 
 
+def decode_settled_era(name, document, revision):
+    """Decode a `SettledEra`."""
+    return SettledEra(read_field(document, "era", int))
+
+
 def decode_quarantine(name, document, revision):
     """Decode a `Quarantine`; `name` is the fingerprint."""
     return Quarantine(name, read_field(document, "node", str))
@@ -251,6 +260,7 @@
     NODE_PREFIX: decode_node,
     RIGHT_PREFIX: decode_right,
     QUARANTINE_PREFIX: decode_quarantine,
+    ERA_KEY: decode_settled_era,
 }
 
 
@@ -270,6 +280,11 @@
     return dumps({"node": node, "era": era})
 
 
+def encode_settled_era(era):
+    """Encode a `SettledEra`."""
+    return dumps({"era": era})
+
+
 def encode_quarantine(node):
     """Encode the node that published a quarantine."""
     return dumps({"node": node})
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -11,6 +11,7 @@
 from medlarbeam.classes.gateway_effects import (
     AcquireRight,
     PublishQuarantine,
+    RecordSettledEra,
     ReleaseRights,
     RenewLease,
     WithdrawQuarantine,
@@ -36,6 +37,7 @@
 from medlarbeam.exceptions import FormatError
 from medlarbeam.gateway.order_rights import LEASE_TTL_S
 from medlarbeam.platform.documents import (
+    ERA_KEY,
     NODE_PREFIX,
     QUARANTINE_PREFIX,
     RIGHT_PREFIX,
@@ -45,6 +47,7 @@
     encode_node,
     encode_quarantine,
     encode_right,
+    encode_settled_era,
     read_field,
 )
 
@@ -117,6 +120,7 @@
         return {
             RenewLease: lambda effect: self.spawn(self._renew_lease(effect)),
             AcquireRight: lambda effect: self.spawn(self._acquire_right(effect)),
+            RecordSettledEra: lambda effect: self.spawn(self._record_settled_era(effect)),
             ReleaseRights: self._start_release,
             PublishQuarantine: lambda effect: self.spawn(self._publish_quarantine(effect)),
             WithdrawQuarantine: lambda effect: self.spawn(self._withdraw_quarantine(effect)),
@@ -326,6 +330,12 @@
             log.info("order right not acquired: %s", error, extra={"event": "right_refused"})
         self.driver.deliver(AcquireRightResult(effect.server, revision))
 
+    async def _record_settled_era(self, effect):
+        try:
+            await self._write([], ERA_KEY, encode_settled_era(effect.era))
+        except (StoreError, FormatError) as error:
+            log.info("settled era not recorded: %s", error, extra={"event": "publish_failed"})
+
     def _start_release(self, effect):
         self.release_task = self.spawn(self._release_rights(effect))
 
