Take the revision of the own registration from the copy of the store

A gateway could stay without rights for ever: if the store carries out a first, unanswered write of its registration after the second one, acquisitions name a revision that the entry no longer has and are refused, while the other nodes wait for this one.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -223,11 +223,14 @@
         Revision that the entry must still have, 0 if the entry must not exist.
     missing_node : str
         Node whose registration must not exist, "" for no condition.
+    registration_revision : int
+        Revision that this node's registration must have.
     """
 
-    __slots__ = ("missing_node", "revision", "server")
+    __slots__ = ("missing_node", "registration_revision", "revision", "server")
 
-    def __init__(self, server, revision, missing_node):
+    def __init__(self, server, revision, missing_node, registration_revision):
+        self.registration_revision = registration_revision
         self.server = server
         self.revision = revision
         self.missing_node = missing_node
@@ -243,12 +246,16 @@
 
 
 class ReleaseRights(Record):
-    """Release `rights` (list of OrderRight) and revoke the node's lease."""
+    """Release `rights` (list of OrderRight) and revoke the node's lease.
 
-    __slots__ = ("rights",)
+    The node's registration must have the revision `registration_revision`.
+    """
+
+    __slots__ = ("registration_revision", "rights")
 
-    def __init__(self, rights):
+    def __init__(self, rights, registration_revision):
         self.rights = rights
+        self.registration_revision = registration_revision
 
 
 class ServerOrder(Record):
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -82,6 +82,8 @@
         era.
     era : int
         Number of the era of the store; see `StoreSetBack`.
+    registration_revision : int
+        Revision of this node's registration, 0 before it is known.
     settled_era : int
         Newest era in which a node has waited for the end of the rights of earlier eras.
     is_set_back : bool
@@ -107,6 +109,7 @@
         "node_missing_since",
         "nodes",
         "published_versions",
+        "registration_revision",
         "revision",
         "right_seen_at",
         "rights",
@@ -131,6 +134,7 @@
         self.revision = 0
         self.era = 0
         self.settled_era = 0
+        self.registration_revision = 0
         self.is_set_back = False
         self.doubtful_until = {}
         self.store_unavailable_at = -inf
@@ -224,6 +228,8 @@
             out.emit(LogEvent("version_named", f"adapter={value.key} version={value.version}"))
         elif isinstance(value, NodeRegistration):
             self.nodes[value.name] = value
+            if value.name == self.node.settings.name:
+                self.registration_revision = message.revision
             self.node_missing_since.pop(value.name, None)
         elif isinstance(value, OrderRight):
             self.rights[value.server] = value
--- a/medlarbeam/gateway/gateway_lifecycle.py
+++ b/medlarbeam/gateway/gateway_lifecycle.py
@@ -52,7 +52,8 @@
     def exit_process(self, subject, now, out):
         """Release the rights and exit the process."""
         out.emit(LogEvent("stopped", f"open={self.node.relays.open_count()}"))
-        out.emit(ReleaseRights(self.node.rights.list_own()))
+        registration = self.node.fleet.registration_revision
+        out.emit(ReleaseRights(self.node.rights.list_own(), registration))
         out.emit(Exit())
 
     def next_deadline(self):
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -280,7 +280,8 @@
 
     def _acquire(self, server, revision, missing_node, out):
         self.acquiring.add(server)
-        out.emit(AcquireRight(server, revision, missing_node))
+        registration = self.node.fleet.registration_revision
+        out.emit(AcquireRight(server, revision, missing_node, registration))
 
     def _is_free(self, server, now):
         fleet = self.node.fleet
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -318,7 +318,7 @@
         # The write may be carried out late, when this node has lost its registration.
         expected = [
             {"key": key, "revision": effect.revision},
-            {"key": NODE_PREFIX + gateway.name, "revision": self.registration_revision},
+            {"key": NODE_PREFIX + gateway.name, "revision": effect.registration_revision},
         ]
         if effect.missing_node:
             expected.append({"key": NODE_PREFIX + effect.missing_node, "revision": 0})
@@ -348,7 +348,7 @@
                 # registered and uses the right.
                 expected = [
                     {"key": key, "revision": right.revision},
-                    {"key": NODE_PREFIX + name, "revision": self.registration_revision},
+                    {"key": NODE_PREFIX + name, "revision": effect.registration_revision},
                 ]
                 await self._write(expected, key, encode_right("", self.era or 0))
             if self.lease:
