Report a set-back before the watch is interrupted

The message that the store was set back was lost if the watch timed out in the same iteration of the event loop: asyncio refuses to reschedule such a timeout, and the error came before the delivery.

The stand-in of the store reuses lease ids and returns pages; the token test demands an order of each era at each engine.

--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -29,8 +29,9 @@
 MAX_ACQUIRING = 4  # concurrent acquisitions
 ERA_RECORDER = "era"  # key in the rendezvous order of the nodes, the first of which records the era
 # A fencing token is the store's era and, in this many bits, the revision of the right. Revisions
-# alone fall when the store is set back. Tokens stay below 2**53, so that JSON keeps them exact.
-REVISION_BITS = 40
+# alone fall when the store is set back. Readers that use floating point have 53 bits, which is
+# enough for 10**5 eras.
+REVISION_BITS = 36
 
 
 class OrderRights(Component):
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -65,7 +65,7 @@
 RELEASE_TIMEOUT_S = 0.5  # limits how long a slow store can delay the shutdown
 
 STORE_ERA = "Store-Era"  # header of all responses; rises when the store is set back to a copy
-MAX_ERA_DIGITS = 9
+MAX_ERA_DIGITS = 6
 
 
 class StoreError(Exception):
@@ -138,7 +138,7 @@
         StoreSetBackError
             If the store was set back before the response.
         FormatError
-            If the response is not a JSON object.
+            If the response is not a JSON object, or the era is malformed.
         """
         data = dumps(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if body is not None else {}
@@ -168,8 +168,10 @@
     def _check_era(self, headers):
         """Raise an error if a response is not from the known era; start over in a newer one."""
         text = headers.get(STORE_ERA, "")
-        if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+        if not text:
             return
+        if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+            raise FormatError("the era of the store is not a short decimal number")
         era = int(text)
         if self.era is None:
             self.era = era
@@ -181,9 +183,9 @@
             self.is_registered = False
             self.lease = 0
             self.known_revision = 0
-            if self.watch_timeout is not None:
-                self.watch_timeout.reschedule(asyncio.get_running_loop().time())
             self.driver.deliver(StoreSetBack(era))
+            if self.watch_timeout is not None and not self.watch_timeout.expired():
+                self.watch_timeout.reschedule(asyncio.get_running_loop().time())
             raise StoreSetBackError(0, f"the store was set back, era {era}")
 
     # Watching the store
@@ -224,6 +226,7 @@
         params = {"pathPrefix": ""}
         while True:
             page = await self._call("GET", "/kv-range", params)
+            era = self.era if era is None else era
             revision = revision or read_field(page, "storeRevision", int)
             items = read_field(page, "items", list, [])
             entries += filter(None, [self._decode_item(item) for item in items])
--- a/medlarbeam/platform/tests/test_store_set_back.py
+++ b/medlarbeam/platform/tests/test_store_set_back.py
@@ -58,7 +58,11 @@
 
 
 # Paths whose calls get no response, so that a call of the other kind shows the set-back.
-SILENT = [("seen-by-any-call", ""), ("seen-by-the-watch", "/kv-keep")]
+SILENT = [
+    ("seen-by-any-call", ""),
+    ("seen-by-the-watch", "/kv-keep"),
+    ("seen-by-a-renewal", "/kv-watch"),
+]
 
 
 @pytest.mark.parametrize("silent_path", [s[1] for s in SILENT], ids=[s[0] for s in SILENT])
@@ -73,6 +77,7 @@
             deployment.register(worker)
         write_config(store, 4, [ADDED_ROUTE])
         await wait_until(lambda: has_version(4)(deployment))
+        store.page_size = 3  # so that snapshots have several pages
         if silent_path:
             store.silent_paths.add(silent_path)
         store.set_back(copy)
@@ -87,32 +92,32 @@
         store, shell = deployment.store, deployment.shell
         engines = [deployment.workers[name] for name in ("w1", "w2")]
 
-        async def load_adapter(number):
-            """Ask for an adapter that no engine has, until it was ordered by a holder."""
-            orders = sum(engine.order_count for engine in engines)
-            async with asyncio.timeout(5):
-                while sum(engine.order_count for engine in engines) == orders:
+        async def load_adapters(number):
+            """Ask for adapters that no engine has, until each engine got another order."""
+            orders = [engine.order_count for engine in engines]
+            async with asyncio.timeout(8):
+                while any(e.order_count == n for e, n in zip(engines, orders, strict=True)):
+                    number += 10
                     headers = {"X-Model": f"m0/a{number}"}
                     await deployment.call(session, "chat", f"id-{number}", headers)
 
-        await load_adapter(1)
+        await load_adapters(1)
         copy = StoreCopy(store)
         for worker in list(deployment.workers.values()) * LOST_WRITES:
             deployment.register(worker)
         for engine in engines:
             store.put(f"medlarbeam/right/{engine.name}", dumps({"node": "n1", "era": 0}))
         await wait_until(lambda: shell.node.rights.find_fence("w1", shell.read_clock()) > 60)
-        for number in (2, 3):
-            await load_adapter(number)
+        await load_adapters(2)
         leases = store.calls.count("/kv-lease")
         store.set_back(copy)
         await wait_until(lambda: store.calls.count("/kv-lease") > leases)
-        for number in (4, 5):
-            await load_adapter(number)
+        await load_adapters(4)
         return [engine.fences for engine in engines]
 
     for fences in run(scenario):
         assert fences == sorted(fences)
+        assert len(set(fences)) == 3  # of both rights of the first era, and of the second era
 
 
 async def _call_added_route(deployment, session, seconds):
--- a/medlarbeam/standins/platform_store.py
+++ b/medlarbeam/standins/platform_store.py
@@ -47,11 +47,14 @@
 class StoreCopy:
     """Copy of a store's items, leases, history and revision, to set the store back to."""
 
-    __slots__ = ("history", "items", "leases", "revision")
+    __slots__ = ("history", "items", "last_lease_id", "leases", "revision")
 
     def __init__(self, store):
         self.items = dict(store.items)
-        self.leases = dict(store.leases)
+        self.leases = {
+            i: StoredLease(e.ttl_s, e.expires_at - e.ttl_s) for i, e in store.leases.items()
+        }
+        self.last_lease_id = store.last_lease_id
         self.history = list(store.history)
         self.revision = store.revision
 
@@ -68,6 +71,8 @@
         with ``malformed`` every call gets a JSON document of another form.
     silent_paths : set of str
         Beginnings of the paths whose calls get no response until they are removed.
+    page_size : int
+        Largest number of items in a response to ``GET /kv-range``.
     calls : list of str
         Path of each call.
 
@@ -85,6 +90,7 @@
         "last_lease_id",
         "leases",
         "oldest_revision",
+        "page_size",
         "revision",
         "silent_paths",
     )
@@ -99,6 +105,7 @@
         self.last_lease_id = 1000
         self.injected_fault = ""
         self.silent_paths = set()
+        self.page_size = 500
         self.calls = []
 
     def build_app(self):
@@ -162,9 +169,13 @@
             self._revoke_lease(lease)
 
     def set_back(self, copy):
-        """Continue from a `StoreCopy`; later changes are lost and their revisions are reused."""
+        """Continue from a `StoreCopy`; later changes are lost.
+
+        Their revisions, and the ids of later leases, are assigned again.
+        """
         self.items = dict(copy.items)
         self.leases = dict(copy.leases)
+        self.last_lease_id = copy.last_lease_id
         self.history = list(copy.history)
         self.revision = copy.revision
         self.oldest_revision = min(self.oldest_revision, copy.revision)
@@ -185,8 +196,14 @@
     async def range(self, request):
         """Handle ``GET /kv-range``."""
         prefix = request.query.get("pathPrefix", "")
-        items = [i.encode() for k, i in sorted(self.items.items()) if k.startswith(prefix)]
-        return json_response({"items": items, "truncated": False, "storeRevision": self.revision})
+        after = request.query.get("after", "")
+        found = [i for k, i in sorted(self.items.items()) if k.startswith(prefix) and k > after]
+        page = {
+            "items": [item.encode() for item in found[: self.page_size]],
+            "truncated": len(found) > self.page_size,
+            "storeRevision": self.revision,
+        }
+        return json_response(page)
 
     async def watch(self, request):
         """Handle ``GET /kv-watch``."""
