Keep a quarantine that was published again after it had been lifted

After a set-back of the store each gateway withdrew quarantines that had been lifted within 600 s, also those that had been published again since.

--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -321,6 +321,7 @@
         """Apply a quarantine that a node has published."""
         if isinstance(message.value, Quarantine):
             self.published[message.key] = message.value
+            self.lifted.pop(message.value.fingerprint, None)
             record = self._get_or_create(message.value.fingerprint, now, out)
             record.publish_at = inf
             self.chart.fire(record, "published", self, now, out)
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -345,6 +345,7 @@
     ("quarantine-that-the-copy-has-is-kept", False, True, None, True),
     ("quarantine-that-was-lifted-is-withdrawn-again", True, True, WithdrawQuarantine, False),
     ("quarantine-that-was-lifted-and-is-not-in-the-copy", True, False, None, False),
+    ("quarantine-that-was-lifted-and-published-again-is-kept", "republished", True, None, True),
 ]
 
 
@@ -359,6 +360,9 @@
     read_published_quarantine(gateway)
     if is_lifted:
         delete_quarantine(gateway)
+    if is_lifted == "republished":
+        gateway.harness.revision += 1
+        read_published_quarantine(gateway)
     entries = [EntryUpdated("q/1", PUBLISHED, 5)] if is_in_copy else []
     gateway.harness.deliver(StoreSetBack(1))
     effects = gateway.harness.deliver(StoreSnapshot(entries, 6, 1))
