Count the function calls of one gateway in a simulated deployment

Change: `gateway_cost` simulates all gateways and engines of a deployment without sockets and counts the function calls in each step of one gateway, by kind of message, for each served request, and for each second in which a request waits. A digest of all effects shows whether two versions of the code decide the same. The test guards against figures that differ between runs.

--- a/medlarbeam/bench/tests/test_benches.py
+++ b/medlarbeam/bench/tests/test_benches.py
@@ -8,7 +8,15 @@
 import pytest
 
 import medlarbeam
-from medlarbeam.bench import catalog_cost, chart_cost, control_cost, record_cost, request_cost
+from medlarbeam.bench import (
+    catalog_cost,
+    chart_cost,
+    control_cost,
+    gateway_cost,
+    record_cost,
+    request_cost,
+)
+from medlarbeam.bench.gateway_fleet import FleetSize
 from medlarbeam.bench.relay_cost import RelayRow
 
 SEED = 7
@@ -53,6 +61,15 @@
     assert all(r.frame_bytes > 500 and r.known_bytes > 0 and r.adopt_us > 0 for r in rows)
 
 
+def check_gateway():
+    size = FleetSize("tiny", 3, 4, 1, 3, 60, 3, 90.0, 1.0)
+    (row, messages), (again, _) = (gateway_cost.measure(SEED, size, 1.0) for _ in range(2))
+    assert row == again
+    assert row.served > 10 and row.calls_per_waiting_s > 0
+    assert row.calls_per_s == pytest.approx(sum(m.calls_per_s for m in messages))
+    assert {"GatewayRequest", "HoldingReport", "UseReport", "tick"} <= {m.message for m in messages}
+
+
 def check_chart():
     row = chart_cost.measure(100, 3)
     assert (row.chart, row.rounds) == ("ownership", 3) and row.fire_us > 0
@@ -73,6 +90,7 @@
         pytest.param(check_catalog, id="catalog-figure-missing"),
         pytest.param(check_request, id="role-does-not-run-its-requests"),
         pytest.param(check_records, id="vm-list-does-not-grow-with-the-cells"),
+        pytest.param(check_gateway, id="calls-or-decisions-of-a-gateway-not-repeatable"),
         pytest.param(check_chart, id="chart-event-cycle-not-declared"),
         pytest.param(check_ratios, id="ratio-inverted"),
     ],
