Rate only servers that may be the best for a request

Cause: each selection rated the eight preferred servers and all holders of an adapter with all figures, also the waits for prompts of servers that need a load and the order rights of servers that need none. A request that waits is selected for again every 0.1 s.

Change: servers that hold the adapter are rated first, and those that need a load only while their least possible cost does not exceed that of the best. Only figures that count are determined.

--- a/medlarbeam/algorithms/direct_routing.py
+++ b/medlarbeam/algorithms/direct_routing.py
@@ -32,13 +32,14 @@
     ready_in_s : float or None
         Time until the adapter is resident; None if it is neither resident nor being loaded.
     has_right_holder : bool
-        Whether a responsive node holds the order right of the server.
+        Whether a responsive node holds the order right of the server; counts for a load only.
     free_slots : int
-        Free adapter slots, less the requests that wait for one.
+        Free adapter slots, less the requests that wait for one; counts for a load only.
     hash_position : int
         Position in the rendezvous hash order of the adapter, from 0.
     prompt_wait_s : float
-        Time until the server can read the prompt without pausing its streams.
+        Time until the server can read the prompt without pausing its streams; counts only where
+        no load is needed.
     """
 
     __slots__ = (
@@ -82,6 +83,18 @@
     def choose(self, candidates):
         """Return the best of a list of `Candidate`, or None if the list is empty."""
 
+    def may_be_better(self, best, hash_position):
+        """Return whether a server may be better than `best` that has to load the adapter.
+
+        Parameters
+        ----------
+        best : Candidate
+        hash_position : int
+            Least position of the server in the hash order. False for a position has to mean False
+            for all later ones.
+        """
+        return True
+
 
 class AdapterAffinityRouting(DirectRoutingPolicy):
     """Prefers the first server in hash order, and diverts where that reduces the waiting time."""
@@ -94,11 +107,17 @@
             candidates, key=lambda c: (self._cost(c), c.occupancy, c.entry.name), default=None
         )
 
+    def may_be_better(self, best, hash_position):
+        """Compare `best` with an idle server; see `DirectRoutingPolicy.may_be_better`."""
+        return LOAD_PENALTY_S + HASH_POSITION_PENALTY_S * hash_position <= self._cost(best)
+
     def _cost(self, candidate):
         occupancy = candidate.occupancy
-        cost = BUSY_PENALTY_S * max(0.0, occupancy - BUSY_OCCUPANCY) + OVERLOAD_PENALTY_S * max(
-            0.0, occupancy - 1.0
-        )
+        cost = 0.0
+        if occupancy > BUSY_OCCUPANCY:
+            cost = BUSY_PENALTY_S * (occupancy - BUSY_OCCUPANCY)
+            if occupancy > 1.0:
+                cost += OVERLOAD_PENALTY_S * (occupancy - 1.0)
         if candidate.ready_in_s is not None:
             cost += max(candidate.ready_in_s, candidate.prompt_wait_s)
             return cost if candidate.is_same_domain else cost + CROSS_DOMAIN_PENALTY_S
--- a/medlarbeam/gateway/server_health.py
+++ b/medlarbeam/gateway/server_health.py
@@ -150,10 +150,13 @@
         busy = self.node.holdings.find_running(entry.name, now)
         record = self.records.get(entry.name)
         if record is not None:
-            busy = max(busy, record.open_runs)
+            if record.open_runs > busy:
+                busy = record.open_runs
             if record.load is not None and now - record.load_at < MAX_LOAD_AGE_S:
-                busy = max(busy, record.load.running + record.load.waiting)
-        return busy / max(1, entry.concurrency)
+                reported = record.load.running + record.load.waiting
+                if reported > busy:
+                    busy = reported
+        return busy / (entry.concurrency if entry.concurrency > 1 else 1)
 
     def count_suspects(self):
         """Return the number of backend servers that are suspect or on trial."""
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -77,13 +77,28 @@
         return choice.entry.name
 
     def _choose_among(self, entries, preferred, relay, now):
+        """Return the best `Candidate` among `entries`, of which `preferred` are first, in order.
+
+        Servers that need a load are rated only as long as one of them may be the best: most
+        requests find their adapter loaded.
+        """
         trusted = [e for e in entries if self.node.health.may_use(e.name, now)]
+        ready, others = [], []
+        for entry in trusted or entries:
+            ready_in_s = self._find_ready_s(entry, relay.request.key, now)
+            if ready_in_s is None:
+                others.append(entry)
+            else:
+                ready.append(self._build_ready_candidate(entry, relay, ready_in_s, now))
+        best = self.routing.choose(ready)
         positions = {entry.name: index for index, entry in enumerate(preferred)}
-        candidates = [
-            self._build_candidate(entry, relay, positions.get(entry.name, len(preferred)), now)
-            for entry in trusted or entries
-        ]
-        return self.routing.choose(candidates)
+        for entry in others:
+            position = positions.get(entry.name, len(preferred))
+            if best is not None and not self.routing.may_be_better(best, position):
+                break
+            candidate = self._build_load_candidate(entry, position, now)
+            best = candidate if best is None else self.routing.choose([best, candidate])
+        return best
 
     def _find_all(self, service, excluded, now):
         entries = self.node.fleet.usable_servers(service, now)
@@ -124,17 +139,28 @@
             )
         return preferred
 
-    def _build_candidate(self, entry, relay, hash_position, now):
+    def _build_ready_candidate(self, entry, relay, ready_in_s, now):
+        node = self.node
+        return Candidate(
+            entry,
+            node.health.occupancy(entry, now),
+            entry.failure_domain == node.settings.failure_domain,
+            ready_in_s,
+            has_right_holder=True,
+            free_slots=0,
+            prompt_wait_s=node.prompts.find_wait(entry.name, relay, now),
+        )
+
+    def _build_load_candidate(self, entry, hash_position, now):
         node = self.node
         return Candidate(
             entry,
             node.health.occupancy(entry, now),
             entry.failure_domain == node.settings.failure_domain,
-            self._find_ready_s(entry, relay.request.key, now),
+            None,
             self._has_holder(entry.name, now),
             node.holdings.find_spare(entry.name),
             hash_position,
-            node.prompts.find_wait(entry.name, relay, now),
         )
 
     def _find_ready_s(self, entry, key, now):
