Keep what order decisions derive from the state of a backend server

Cause: each demand, use report and report on a backend server asked the chart for the tags of all residencies several times, looked up all demands, computed the adapter capacity, and searched for an adapter to evict only to find that all are in use.

Change: `OrderScheduler` keeps the residencies by tag and the demands without a residency until one changes, and the capacity for each `Engine`. Only resident adapters are looked at for eviction. The adapters in use are passed as a container, so the harness of the tests passes its set in place of a function.

--- a/medlarbeam/gateway/adapter_uses.py
+++ b/medlarbeam/gateway/adapter_uses.py
@@ -34,9 +34,9 @@
         self.serial = 0
         self.report_at = inf
 
-    def is_in_use(self, server, key):
-        """Return whether a run of this node uses `key` on `server`."""
-        return key in self.in_use.get(server, ())
+    def find_keys(self, server):
+        """Return a container of each `AdapterKey` that runs of this node use on `server`."""
+        return self.in_use.get(server, ())
 
     def begin(self, server, key, now):
         """Count the start of a run with `key` on `server`."""
--- a/medlarbeam/gateway/order_scheduler.py
+++ b/medlarbeam/gateway/order_scheduler.py
@@ -2,13 +2,14 @@
 
 from math import inf
 
-from medlarbeam.algorithms.eviction import AdapterUsage, DecayedUseEviction
+from medlarbeam.algorithms.eviction import DecayedUseEviction
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.fleet import AdapterKey
 from medlarbeam.classes.gateway_effects import FetchEngineState, ServerOrder
+from medlarbeam.gateway.adapter_residency import AdapterResidency, LoadDemand
 from medlarbeam.gateway.remote_uses import RemoteUses
 
-__all__ = ["AdapterResidency", "LoadDemand", "OrderScheduler", "load_residency_chart"]
+__all__ = ["OrderScheduler", "load_residency_chart"]
 
 # A replacement loads once the runs of the older version have ended, usually within 0.5 s. Each
 # request that arrives earlier is refused and uses up retry budget.
@@ -25,87 +26,6 @@
 UNUSED_GRACE_S = 0.15  # no eviction so soon after a load; the waiting request must arrive first
 
 
-class AdapterResidency:
-    """An adapter that a backend server holds, loads or unloads.
-
-    Attributes
-    ----------
-    state : str
-        State of the chart ``fleet_residency``.
-    version : int
-        0 if unknown.
-    ready_at, load_s : float
-        Expected time (s) at which the load ends, and its duration (s).
-    is_warm : bool
-        Whether the engine held it recently, so that it loads without the weight store.
-    is_replacement : bool
-        Whether the load also has to wait for runs of an older version.
-    refusals : int
-        Number of requests that found a replacement not loaded at `ready_at`.
-    accepted_at : float
-        Time (s) at which the load order was accepted.
-    usage : AdapterUsage
-        Usage score for the eviction policy.
-    is_fresh : bool
-        Whether no request has used it yet.
-    """
-
-    __slots__ = (
-        "accepted_at",
-        "is_fresh",
-        "is_replacement",
-        "is_warm",
-        "key",
-        "load_s",
-        "ready_at",
-        "refusals",
-        "state",
-        "usage",
-        "version",
-    )
-
-    def __init__(self, key, state, version, ready_at, now):
-        self.key = key
-        self.state = state
-        self.version = version
-        self.ready_at = ready_at
-        self.load_s = 0.0
-        self.is_warm = False
-        self.is_replacement = False
-        self.refusals = 0
-        self.accepted_at = now
-        self.usage = AdapterUsage(str(key), 1.0, now)
-        self.is_fresh = True
-
-
-class LoadDemand:
-    """Requests that wait for an adapter to be loaded.
-
-    Attributes
-    ----------
-    nodes : set of str
-        Names of the nodes whose requests wait.
-    priority : int
-        Priority of the most urgent request; lower is more urgent.
-    due : float
-        Latest time (s) at which a load order still meets the latency goal of a request.
-    requested_at : float
-    """
-
-    __slots__ = ("due", "key", "nodes", "priority", "requested_at")
-
-    def __init__(self, key, priority, due, now):
-        self.nodes = set()
-        self.key = key
-        self.priority = priority
-        self.due = due
-        self.requested_at = now
-
-    def sort_key(self, now):
-        """Return the sort key: demands that can be on time first, then by priority and due time."""
-        return (self.due < now, self.priority, self.due)
-
-
 class OrderScheduler:
     """The expected state of one backend server, and its queue of demands.
 
@@ -116,14 +36,28 @@
     chart : Chart
     load_estimator : LoadTimeEstimator
 
+    Attributes
+    ----------
+    tagged : dict of str to list of AdapterResidency
+        Residencies by a tag of their states, as of the last change of a residency.
+    wanted : list of LoadDemand or None
+        Demands for adapters without a residency; None if it has to be found again.
+    capacity : int
+        Adapters that fit into `capacity_engine` beside the base models that it holds.
+
     Notes
     -----
+    Demands and use reports arrive far more often than the state changes, so `tagged`, `wanted` and
+    `capacity` are kept from one decision to the next.
+
     Each order states how many orders the backend server must have accepted before. An order is
     executed only if the state it is based on is current, even if it arrives late, so the adapter
     capacity is never exceeded. After a lost response or a refusal the state is read again.
     """
 
     __slots__ = (
+        "capacity",
+        "capacity_engine",
         "chart",
         "demands",
         "entry",
@@ -148,6 +82,8 @@
         "reported_runs",
         "residencies",
         "serial",
+        "tagged",
+        "wanted",
     )
 
     def __init__(self, entry, fence, chart, load_estimator, now):
@@ -161,6 +97,10 @@
         self.invalidated_at = -inf
         self.models = set()
         self.residencies = {}
+        self.tagged = {}
+        self.wanted = None
+        self.capacity = 0
+        self.capacity_engine = None
         self.recently_unloaded = {}
         self.demands = {}
         self.remote_uses = RemoteUses()
@@ -202,6 +142,7 @@
             return
         self.orders = state.orders
         self.models = set(state.models)
+        self.capacity_engine = None
         self.is_changing_weights = state.is_changing_weights
         residencies = {}
         for key, version in state.adapters.items():
@@ -211,10 +152,31 @@
                 key, "loading", version, now + self.load_estimator.cold_load_s, now
             )
         self.residencies = residencies
+        self._note_changed_residencies()
         self.is_changed = True
         if state.is_changing_weights or self._has_pending_unload():
             self.not_before = now + REPORT_LAG_S
 
+    def _note_changed_residencies(self):
+        """Discard what was derived from the residencies before a change."""
+        self.tagged.clear()
+        self.wanted = None
+
+    def _find_tagged(self, tag):
+        """Return the list of the residencies whose states have the tag `tag`."""
+        found = self.tagged.get(tag)
+        if found is None:
+            has_tag = self.chart.has_tag
+            found = [r for r in self.residencies.values() if has_tag(r, tag)]
+            self.tagged[tag] = found
+        return found
+
+    def _find_wanted(self):
+        """Return the demands for adapters without a residency."""
+        if self.wanted is None:
+            self.wanted = [d for key, d in self.demands.items() if key not in self.residencies]
+        return self.wanted
+
     def _merge_residency(self, key, state, version, ready_at, now):
         residency = self.residencies.get(key) or AdapterResidency(
             key, state, version, ready_at, now
@@ -233,6 +195,7 @@
         demand = self.demands.get(key)
         if demand is None:
             demand = self.demands[key] = LoadDemand(key, priority, due, now)
+            self.wanted = None
         demand.due = max(demand.due, due)
         demand.priority = min(demand.priority, priority)
         demand.requested_at = now
@@ -266,38 +229,45 @@
             self.record_use(key, now)
 
     def count_spare(self, engine, in_use, now):
-        """Return the number of free or evictable adapter slots, minus the waiting demands."""
-        waiting = sum(1 for key in self.demands if key not in self.residencies)
-        idle = sum(1 for r in self.residencies.values() if self._is_idle(r, in_use, now))
-        return self._capacity(engine) - len(self.residencies) + idle - waiting
+        """Return the number of free or evictable adapter slots, minus the waiting demands.
+
+        `in_use` has the `AdapterKey` of each adapter that runs of this node use.
+        """
+        idle = len(self._find_idle(in_use, now))
+        free = self._find_capacity(engine) - len(self.residencies)
+        return free + idle - len(self._find_wanted())
+
+    def _find_idle(self, in_use, now):
+        return [r for r in self._find_tagged("resident") if self._is_idle(r, in_use, now)]
 
     def _is_idle(self, residency, in_use, now):
+        """Return whether a resident adapter may be evicted."""
+        key = residency.key
         return (
-            self.chart.has_tag(residency, "resident")
-            and not (residency.is_fresh and now - residency.ready_at < UNUSED_GRACE_S)
-            and not in_use(residency.key)
-            and not self.remote_uses.is_used(residency.key, now)
-            and residency.key not in self.demands
+            not (residency.is_fresh and now - residency.ready_at < UNUSED_GRACE_S)
+            and key not in in_use
+            and not self.remote_uses.is_used(key, now)
+            and key not in self.demands
         )
 
     # Orders
 
     def complete_loads(self, now):
         """Mark adapters as resident whose expected load time has passed."""
-        for residency in self.residencies.values():
-            if residency.ready_at <= now and self.chart.has_tag(residency, "in_transit"):
-                self.chart.fire(residency, "ready")
+        ready = [r for r in self._find_tagged("in_transit") if r.ready_at <= now]
+        for residency in ready:
+            self.chart.fire(residency, "ready")
+        if ready:
+            self._note_changed_residencies()
 
     def count_in_transit(self):
         """Return the number of adapters in transit to the backend server."""
-        return sum(1 for r in self.residencies.values() if self.chart.has_tag(r, "in_transit"))
+        return len(self._find_tagged("in_transit"))
 
     def next_due(self):
         """Return the time (s) of the next change that no message triggers."""
         due = [self.not_before] if self.orders is None else []
-        due += [
-            r.ready_at for r in self.residencies.values() if self.chart.has_tag(r, "in_transit")
-        ]
+        due += [r.ready_at for r in self._find_tagged("in_transit")]
         return min(due, default=inf)
 
     def decide(self, engine, published_versions, in_use, may_load_weights, now):
@@ -308,8 +278,8 @@
         engine : Engine
         published_versions : dict of AdapterKey to int
             Published version of each adapter.
-        in_use : callable
-            ``(AdapterKey) -> bool``: whether a run of this node uses the adapter.
+        in_use : container of AdapterKey
+            Adapters that runs of this node use.
         may_load_weights : callable
             ``() -> bool``: acquires the load of a base model from the load budget.
         now : float
@@ -333,7 +303,7 @@
         return self._decide_adapter(engine, published_versions, in_use, now)
 
     def _has_pending_unload(self):
-        return any(self.chart.has_tag(r, "unload_pending") for r in self.residencies.values())
+        return bool(self._find_tagged("unload_pending"))
 
     def _find_missing_model(self, engine):
         if self.models:
@@ -344,32 +314,39 @@
     def _drop_expired_demands(self, now):
         for key in [k for k, d in self.demands.items() if now - d.requested_at > DEMAND_TTL_S]:
             del self.demands[key]
+            self.wanted = None
 
     def _decide_adapter(self, engine, published_versions, in_use, now):
-        for residency in self.residencies.values():
+        for residency in self._find_tagged("resident"):
             newest = published_versions.get(residency.key, 0)
-            if newest > residency.version and self.chart.has_tag(residency, "resident"):
+            if newest > residency.version:
                 if not self._is_idle(residency, in_use, now):
                     return self._replace(residency, newest, now)
                 return self._unload(residency, now)
-        in_transit = [r for r in self.residencies.values() if self.chart.has_tag(r, "in_transit")]
-        cold = sum(1 for r in in_transit if not r.is_warm)
-        demands = [
-            d
-            for d in self.demands.values()
-            if d.key not in self.residencies
-            and (cold < MAX_COLD_IN_TRANSIT or d.key in self.recently_unloaded)
-        ]
+        demands = self._find_wanted()
+        in_transit = self._find_tagged("in_transit")
+        if sum(not r.is_warm for r in in_transit) >= MAX_COLD_IN_TRANSIT:
+            demands = [d for d in demands if d.key in self.recently_unloaded]
         if not demands or len(in_transit) >= MAX_IN_TRANSIT:
             return None
+        is_full = len(self.residencies) >= self._find_capacity(engine)
+        idle = self._find_idle(in_use, now) if is_full else []
+        if is_full and not idle:
+            return None  # most demands arrive while all adapters are in use
         demand = min(demands, key=lambda d: d.sort_key(now))
         if demand.key.model not in self.models or demand.key.model not in engine.models:
             return None
-        if len(self.residencies) < self._capacity(engine):
-            return self._load(demand.key, published_versions.get(demand.key, 0), now)
-        return self._evict(in_use, now)
+        if is_full:
+            return self._evict(idle, now)
+        return self._load(demand.key, published_versions.get(demand.key, 0), now)
+
+    def _find_capacity(self, engine):
+        if engine is not self.capacity_engine:
+            self.capacity_engine = engine
+            self.capacity = self._compute_capacity(engine)
+        return self.capacity
 
-    def _capacity(self, engine):
+    def _compute_capacity(self, engine):
         held = [engine.models[m] for m in self.models if m in engine.models]
         free_mb = engine.memory_mb - sum(m.weights_mb for m in held)
         largest = max((m.adapter_mb for m in held), default=0.0)
@@ -380,12 +357,14 @@
         residency = self.residencies[key] = AdapterResidency(
             key, self.chart.initial, version, inf, now
         )
+        self._note_changed_residencies()
         residency.is_warm = self.recently_unloaded.pop(key, False)
         residency.load_s = self.load_estimator.estimate_load(residency.is_warm)
         return self._order(True, key, version)
 
     def _replace(self, residency, version, now):
         self.chart.fire(residency, "replace_sent")
+        self._note_changed_residencies()
         residency.is_warm = False
         residency.is_replacement = True
         residency.refusals = 0
@@ -393,13 +372,14 @@
         self.is_changed = True
         return self._order(True, residency.key, version)
 
-    def _evict(self, in_use, now):
-        idle = {str(r.key): r for r in self.residencies.values() if self._is_idle(r, in_use, now)}
-        order = self.eviction.sort_for_eviction([r.usage for r in idle.values()], now)
-        return self._unload(idle[order[0].model], now) if order else None
+    def _evict(self, idle, now):
+        by_name = {str(r.key): r for r in idle}
+        order = self.eviction.sort_for_eviction([r.usage for r in by_name.values()], now)
+        return self._unload(by_name[order[0].model], now)
 
     def _unload(self, residency, now):
         self.chart.fire(residency, "unload_sent")
+        self._note_changed_residencies()
         self.is_changed = True
         return self._order(False, residency.key, 0)
 
@@ -430,6 +410,7 @@
             self.not_before = max(self.not_before, now + REFUSED_PAUSE_S)
             # An order without a response may be executed late, but only until another one is
             # accepted. The next order has the same number, so its response shows which one was.
+        self._note_changed_residencies()
 
     def _apply_accepted(self, order, residency, now):
         if not order.key.adapter:
@@ -447,6 +428,7 @@
     def _apply_done(self, order, residency, now):
         if not order.key.adapter:
             self.models.add(order.key.model)
+            self.capacity_engine = None
         elif order.is_load and residency is not None:
             self.chart.fire(residency, "accepted")
             residency.version = order.version
@@ -469,7 +451,7 @@
 
     def find_usable(self):
         """Return the residencies that are loaded or in transit."""
-        return [r for r in self.residencies.values() if self.chart.has_tag(r, "usable")]
+        return self._find_tagged("usable")
 
 
 def load_residency_chart():
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -186,7 +186,7 @@
             effect = scheduler.decide(
                 engine,
                 self.node.fleet.published_versions,
-                self._own_use_check(scheduler),
+                self.node.uses.find_keys(scheduler.entry.name),
                 lambda: self._acquire_load(engine, now),
                 now,
             )
@@ -195,9 +195,6 @@
         if scheduler.is_changed:
             self._publish(scheduler, now)
 
-    def _own_use_check(self, scheduler):
-        return lambda key: self.node.uses.is_in_use(scheduler.entry.name, key)
-
     def _publish(self, scheduler, now):
         """Apply the changed holdings locally, and schedule a report to the other nodes."""
         scheduler.is_changed = False
@@ -224,7 +221,8 @@
 
     def _build_report(self, scheduler, now, holdings, removed, is_partial):
         engine = self.node.fleet.find_engine(scheduler.entry)
-        spare = scheduler.count_spare(engine, self._own_use_check(scheduler), now) if engine else 0
+        in_use = self.node.uses.find_keys(scheduler.entry.name)
+        spare = scheduler.count_spare(engine, in_use, now) if engine else 0
         name = self.node.settings.name
         return HoldingReport(
             name,
--- a/medlarbeam/gateway/tests/test_order_scheduler.py
+++ b/medlarbeam/gateway/tests/test_order_scheduler.py
@@ -37,7 +37,7 @@
         return self.scheduler.decide(
             make_engine(),
             self.published_versions,
-            lambda key: key in self.in_use,
+            self.in_use,
             lambda: True,
             self.now,
         )
