Determine the next deadline of a node without a generator

Cause: after each message and tick, the next deadline was taken from all twelve components through a generator, and that of `CrashSuspects` through another one over lost runs, of which there are usually none.

Change: a plain loop, and no generator where there are no lost runs.

--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -334,8 +334,10 @@
 
     def next_deadline(self):
         """Return the time (s) at which the next step is due."""
-        probes = min((lost.probe_at for lost in self.lost.values()), default=inf)
-        return min(self.announce_at, self.review_at, probes, self.next_due)
+        due = min(self.announce_at, self.review_at, self.next_due)
+        if self.lost:
+            due = min(due, *(lost.probe_at for lost in self.lost.values()))
+        return due
 
     def tick(self, now, out):
         """Probe, announce, review, publish and expire what is due."""
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -1,6 +1,7 @@
 """Abstract base classes of a node's components, and the outbox that collects their effects."""
 
 from abc import ABC, abstractmethod
+from math import inf
 
 from medlarbeam.classes.record import Record
 
@@ -117,7 +118,12 @@
 
     def next_deadline(self):
         """Return the time (s) at which `tick` has to be called next."""
-        return min(component.next_deadline() for component in self.components)
+        earliest = inf
+        for component in self.components:  # after each message, so without a generator
+            deadline = component.next_deadline()
+            if deadline < earliest:
+                earliest = deadline
+        return earliest
 
 
 class ServerView(Record):
