Keep the hash of an adapter key

Cause: an `AdapterKey` is the key of most look-ups, and each one built a tuple of its fields to hash it.

Change: the hash is computed once, by the constructor. It is in a slot of a base class, so that the fields of the record, which are encoded, remain `adapter` and `model`. Its value is the same as before.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -30,7 +30,22 @@
     STREAM = "stream"
 
 
-class AdapterKey(Record):
+class HashedRecord(Record):
+    """Record that keeps its hash, for keys of many look-ups.
+
+    Attributes
+    ----------
+    hash_value : int
+        Set by the constructor of the subclass; not a field, so it is neither compared nor encoded.
+    """
+
+    __slots__ = ("hash_value",)
+
+    def __hash__(self):
+        return self.hash_value
+
+
+class AdapterKey(HashedRecord):
     """Identifies an adapter of a base model; hashable.
 
     Parameters
@@ -45,6 +60,7 @@
     def __init__(self, model, adapter):
         self.model = model
         self.adapter = adapter
+        self.hash_value = hash((model, adapter))
 
     def __eq__(self, other):
         return (
@@ -53,8 +69,8 @@
             and self.model == other.model
         )
 
-    def __hash__(self):
-        return hash((self.model, self.adapter))
+    # A class that defines `__eq__` does not inherit `__hash__`.
+    __hash__ = HashedRecord.__hash__
 
     def __str__(self):
         return f"{self.model}/{self.adapter}"
