Ask only about servers whose answer is not known from an index

Cause: for each server that it may rate, a selection called functions for its health, its rate limit and its holding of the adapter, though few servers are suspect, limited or hold it; a review of orders asked for the fencing token of all servers, though a node orders one or two.

Change: `ServerHealth` keeps the names of the servers that are not trusted; selections call the functions only for servers in that set, in the limits, and in the index of holders. Reviews look at the servers of own rights and of schedulers.

--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -105,6 +105,12 @@
             return 0
         return right.fence
 
+    def find_fences(self, now):
+        """Return the fencing token of each right that this node may use, by backend server."""
+        if not self.is_valid(now):
+            return {}
+        return {right.server: right.fence for right in self.list_own()}
+
     def list_own(self):
         """Return the list of `OrderRight` of this node."""
         name = self.node.settings.name
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -281,9 +281,11 @@
         return abs(tokens - scheduler.reported_prompt_tokens) >= MIN_PROMPT_CHANGE_SHARE * limit
 
     def _sync_schedulers(self, now, out):
-        fleet = self.node.fleet
-        for name, known in fleet.servers.items():
-            fence = self.node.rights.find_fence(name, now) if known.stop_at > now else 0
+        fences = self.node.rights.find_fences(now)
+        for name, known in self.node.fleet.servers.items():
+            if name not in fences and name not in self.schedulers:
+                continue
+            fence = fences.get(name, 0) if known.stop_at > now else 0
             scheduler = self.schedulers.get(name)
             if scheduler is not None and scheduler.entry.started_at_ms != known.entry.started_at_ms:
                 scheduler = None  # the engine has restarted without adapters
--- a/medlarbeam/gateway/server_health.py
+++ b/medlarbeam/gateway/server_health.py
@@ -68,14 +68,22 @@
 
 
 class ServerHealth(Component):
-    """Drives the chart ``server_health`` of each backend server, by name."""
+    """Drives the chart ``server_health`` of each backend server, by name.
 
-    __slots__ = ("chart", "cleanup_at", "records")
+    Attributes
+    ----------
+    records : dict of str to HealthRecord
+    suspects : set of str
+        Backend servers that are suspect or on trial; each selection asks for all that it rates.
+    """
+
+    __slots__ = ("chart", "cleanup_at", "records", "suspects")
 
     def __init__(self, node):
         super().__init__(node)
         self.chart = load_chart("server_health", ServerHealth)
         self.records = {}
+        self.suspects = set()
         self.cleanup_at = 0.0
 
     def record(self, name):
@@ -128,6 +136,7 @@
         before = record.state
         self.chart.fire(record, event, self, now)
         if record.state != before:
+            self._note_state(record)
             out.emit(
                 LogEvent(
                     "server_trust",
@@ -136,11 +145,17 @@
                 )
             )
 
+    def _note_state(self, record):
+        if self.chart.has_tag(record, "preferred"):
+            self.suspects.discard(record.name)
+        else:
+            self.suspects.add(record.name)
+
     def may_use(self, name, now):
         """Return whether new work should go to a backend server."""
-        record = self.records.get(name)
-        if record is None or self.chart.has_tag(record, "preferred"):
+        if name not in self.suspects:
             return True
+        record = self.records[name]
         if record.retry_at <= now:
             self.chart.fire(record, "retried_later")
         return self.chart.has_tag(record, "trial") and now - record.trial_at > record.backoff_s
@@ -160,7 +175,7 @@
 
     def count_suspects(self):
         """Return the number of backend servers that are suspect or on trial."""
-        return sum(1 for r in self.records.values() if not self.chart.has_tag(r, "preferred"))
+        return len(self.suspects)
 
     # Guards and actions of the chart
 
@@ -198,6 +213,7 @@
         known = self.node.fleet.servers
         for name in [n for n, r in self.records.items() if n not in known and not r.open_runs]:
             del self.records[name]
+            self.suspects.discard(name)
 
     def next_deadline(self):
         """Return the time (s) of the next cleanup."""
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -82,10 +82,16 @@
         Servers that need a load are rated only as long as one of them may be the best: most
         requests find their adapter loaded.
         """
-        trusted = [e for e in entries if self.node.health.may_use(e.name, now)]
+        health, key = self.node.health, relay.request.key
+        trusted = [
+            e for e in entries if e.name not in health.suspects or health.may_use(e.name, now)
+        ]
+        is_adapter = key is not None and bool(key.adapter)
+        holders = self.node.holdings.find_servers(key) if is_adapter else ()
         ready, others = [], []
         for entry in trusted or entries:
-            ready_in_s = self._find_ready_s(entry, relay.request.key, now)
+            is_known = not is_adapter or entry.name in holders
+            ready_in_s = self._find_ready_s(entry, key, now) if is_known else None
             if ready_in_s is None:
                 others.append(entry)
             else:
@@ -102,19 +108,23 @@
 
     def _find_all(self, service, excluded, now):
         entries = self.node.fleet.usable_servers(service, now)
+        limits = self.node.limits
         return [
             entry
             for entry in entries
-            if entry.name not in excluded and self.node.limits.may_send(entry.name, now)
+            if entry.name not in excluded
+            and (entry.name not in limits.limits or limits.may_send(entry.name, now))
         ]
 
     def _find_usable(self, names, service, excluded, now):
         """Return the entries of the named servers that accept requests of `service`, in order."""
-        servers = self.node.fleet.servers
+        servers, limits = self.node.fleet.servers, self.node.limits
         known = [
             servers[name]
             for name in names
-            if name in servers and name not in excluded and self.node.limits.may_send(name, now)
+            if name in servers
+            and name not in excluded
+            and (name not in limits.limits or limits.may_send(name, now))
         ]
         return [k.entry for k in known if k.stop_at > now and k.entry.service == service]
 
