Read the state of a backend server that was doubted during an order

Callers see: nothing yet; the comparison of order decisions on random steps found it.

Cause: a request that is refused because its adapter is missing invalidates the number of orders. If an order is on its way at that moment and is accepted, the number, now None, was incremented: TypeError, "the node failed to process a message", and the state of the adapter was not updated.

Change: an order that counts raises the least number of orders in the next state report instead, and the state is read, as after any doubt.

The new cases of `test_order_scheduler` fail before and pass now; the random sequences doubt the state at any moment. They also vary the adapters that fit beside a base model, so that a kept capacity that is wrong shows.

--- a/medlarbeam/gateway/order_scheduler.py
+++ b/medlarbeam/gateway/order_scheduler.py
@@ -395,11 +395,12 @@
         self.is_changed = True
         residency = self.residencies.get(message.order.key)
         if message.status == 202:
-            self.orders += 1
+            self._count_order(message.order)
             self._apply_accepted(message.order, residency, now)
         elif message.status == 200:
             # An immediate unload counts as an order; a load of an adapter that is held does not.
-            self.orders += 0 if message.order.is_load else 1
+            if not message.order.is_load:
+                self._count_order(message.order)
             self._apply_done(message.order, residency, now)
         else:
             self._apply_refused(message.order, residency)
@@ -412,6 +413,12 @@
             # accepted. The next order has the same number, so its response shows which one was.
         self._note_changed_residencies()
 
+    def _count_order(self, order):
+        if self.orders is not None:
+            self.orders += 1
+        else:  # a request was refused while the order was on its way, see `invalidate`
+            self.min_orders = max(self.min_orders, order.orders + 1)
+
     def _apply_accepted(self, order, residency, now):
         if not order.key.adapter:
             self.is_changing_weights = True
--- a/medlarbeam/gateway/tests/test_order_decisions.py
+++ b/medlarbeam/gateway/tests/test_order_decisions.py
@@ -59,7 +59,8 @@
         ]
 
     def _make_engine(self, capacity):
-        models = {"m0": BaseModel("m0", 700.0, 2.0, 10.0)}
+        # One adapter less than the capacity fits beside the base model.
+        models = {"m0": BaseModel("m0", 700.0, 2.0, 300.0 / (capacity - 0.5))}
         return Engine(24, 1000.0, capacity, 7.0, models)
 
     def step(self):
@@ -81,12 +82,13 @@
             self._call("apply_use_report", UseReport(node, "w1", serial, keys), self.now)
         elif step == 6:
             self._call("record_early_refusal", key, self.now)
-        elif step == 7 and rng.random() < 0.1 and not self.pending:
+        elif step == 7 and rng.random() < 0.1:
             self._call("invalidate", self.now)
         elif step == 8 and rng.random() < 0.1:
             self.versions[key] = self.versions.get(key, 1) + 1
         elif step == 9 and rng.random() < 0.03:
-            self.engine = self._make_engine(self.engine.adapter_capacity + rng.choice((-1, 1)))
+            capacity = self.engine.adapter_capacity + rng.choice((-1, 1))
+            self.engine = self._make_engine(max(2, capacity))
         if self.pending and rng.random() < 0.4:
             self._respond()
         self.decide()
--- a/medlarbeam/gateway/tests/test_order_scheduler.py
+++ b/medlarbeam/gateway/tests/test_order_scheduler.py
@@ -91,6 +91,24 @@
     assert isinstance(harness.decide(), FetchEngineState if reads else ServerOrder)
 
 
+DOUBTED = [("load-accepted", KEYS[:1], 202), ("unload-done", KEYS[:3], 200)]
+
+
+@pytest.mark.parametrize(("held", "status"), [d[1:] for d in DOUBTED], ids=[d[0] for d in DOUBTED])
+def test_state_is_read_after_an_order_that_was_pending_when_it_was_doubted(held, status):
+    """Otherwise the response raised an exception, and the order stayed pending or uncounted."""
+    harness = Harness(held)
+    order = harness.demand(KEYS[5])
+    harness.scheduler.invalidate(harness.now)
+    harness.respond(order, status)
+    harness.now += 0.1
+    assert isinstance(harness.decide(), FetchEngineState)
+    for orders, expected in ((4, None), (5, 5)):
+        state = EngineState(orders, {"m0"}, dict.fromkeys(held, 1), {}, is_changing_weights=False)
+        harness.scheduler.apply_state(state, harness.now)
+        assert harness.scheduler.orders == expected
+
+
 def test_one_order_at_a_time():
     harness = Harness()
     assert harness.demand(KEYS[5]) is not None
