Encode a datagram to several nodes once, and the headers of a stream once

Cause: a report on a backend server, which goes to all nodes of a pool, was encoded for each of them; the headers of a stream were filtered for each of its events, though they are sent with the first.

Change: `DatagramEndpoint` keeps the bytes of the last message; `ServerClient` builds the headers only when it begins the stream.

--- a/medlarbeam/platform/datagrams.py
+++ b/medlarbeam/platform/datagrams.py
@@ -23,6 +23,12 @@
     driver : NodeDriver
     settings : PlatformSettings
 
+    Attributes
+    ----------
+    encoded_body : Record or None
+        The last message that was sent, and in `encoded` its bytes: a report goes to all nodes of a
+        pool, one effect after the other.
+
     Notes
     -----
     Datagrams may be lost, so senders repeat a message while it is relevant. Datagrams avoid
@@ -33,6 +39,8 @@
         super().__init__(driver)
         self.address = parse_address(settings.datagram_address)
         self.transport = None
+        self.encoded_body = None
+        self.encoded = b""
 
     async def on_start(self):
         """Open the socket."""
@@ -52,7 +60,10 @@
 
     def send(self, effect):
         """Encode and send a datagram."""
-        self.transport.sendto(encode_datagram(effect.body), parse_address(effect.address))
+        if effect.body is not self.encoded_body:
+            self.encoded = encode_datagram(effect.body)
+            self.encoded_body = effect.body
+        self.transport.sendto(self.encoded, parse_address(effect.address))
 
     def connection_made(self, transport):
         """Do nothing; the transport is kept by `on_start`."""
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -218,7 +218,8 @@
             timer.record_progress()
             now = self.driver.read_clock()
             timing.record_event(exchange.last_event, now)
-            await exchange.begin_stream(response.status, response_headers(response.headers))
+            if exchange.stream is None:  # for each event, so the headers are built once only
+                await exchange.begin_stream(response.status, response_headers(response.headers))
             await exchange.stream.write(data)
             timing.record_write(self.driver.read_clock() - now)
             exchange.last_event = splitter.last_event
