--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -223,6 +223,12 @@
             return True
         return self.settled_at is not None and now >= self.settled_at
 
+    def find_fences(self, now):
+        """Return the fencing token of each right that this node may use, by backend server."""
+        if not self.is_valid(now):
+            return {}
+        return {right.server: right.fence for right in self.list_own()}
+
     def list_own(self):
         """Return the list of `OrderRight` of this node."""
         name = self.node.settings.name
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -77,29 +77,54 @@
         return choice.entry.name
 
     def _choose_among(self, entries, preferred, relay, now):
-        trusted = [e for e in entries if self.node.health.may_use(e.name, now)]
-        positions = {entry.name: index for index, entry in enumerate(preferred)}
-        candidates = [
-            self._build_candidate(entry, relay, positions.get(entry.name, len(preferred)), now)
-            for entry in trusted or entries
+        """Return the best `Candidate` among `entries`, of which `preferred` are first, in order.
+
+        Servers that need a load are rated only as long as one of them may be the best: most
+        requests find their adapter loaded.
+        """
+        health, key = self.node.health, relay.request.key
+        trusted = [
+            e for e in entries if e.name not in health.suspects or health.may_use(e.name, now)
         ]
-        return self.routing.choose(candidates)
+        is_adapter = key is not None and bool(key.adapter)
+        holders = self.node.holdings.find_servers(key) if is_adapter else ()
+        ready, others = [], []
+        for entry in trusted or entries:
+            is_known = not is_adapter or entry.name in holders
+            ready_in_s = self._find_ready_s(entry, key, now) if is_known else None
+            if ready_in_s is None:
+                others.append(entry)
+            else:
+                ready.append(self._build_ready_candidate(entry, relay, ready_in_s, now))
+        best = self.routing.choose(ready)
+        positions = {entry.name: index for index, entry in enumerate(preferred)}
+        for entry in others:
+            position = positions.get(entry.name, len(preferred))
+            if best is not None and not self.routing.may_be_better(best, position):
+                break
+            candidate = self._build_load_candidate(entry, position, now)
+            best = candidate if best is None else self.routing.choose([best, candidate])
+        return best
 
     def _find_all(self, service, excluded, now):
         entries = self.node.fleet.usable_servers(service, now)
+        limits = self.node.limits
         return [
             entry
             for entry in entries
-            if entry.name not in excluded and self.node.limits.may_send(entry.name, now)
+            if entry.name not in excluded
+            and (entry.name not in limits.limits or limits.may_send(entry.name, now))
         ]
 
     def _find_usable(self, names, service, excluded, now):
         """Return the entries of the named servers that accept requests of `service`, in order."""
-        servers = self.node.fleet.servers
+        servers, limits = self.node.fleet.servers, self.node.limits
         known = [
             servers[name]
             for name in names
-            if name in servers and name not in excluded and self.node.limits.may_send(name, now)
+            if name in servers
+            and name not in excluded
+            and (name not in limits.limits or limits.may_send(name, now))
         ]
         return [k.entry for k in known if k.stop_at > now and k.entry.service == service]
 
@@ -124,17 +149,28 @@
             )
         return preferred
 
-    def _build_candidate(self, entry, relay, hash_position, now):
+    def _build_ready_candidate(self, entry, relay, ready_in_s, now):
+        node = self.node
+        return Candidate(
+            entry,
+            node.health.occupancy(entry, now),
+            entry.failure_domain == node.settings.failure_domain,
+            ready_in_s,
+            has_right_holder=True,
+            free_slots=0,
+            prompt_wait_s=node.prompts.find_wait(entry.name, relay, now),
+        )
+
+    def _build_load_candidate(self, entry, hash_position, now):
         node = self.node
         return Candidate(
             entry,
             node.health.occupancy(entry, now),
             entry.failure_domain == node.settings.failure_domain,
-            self._find_ready_s(entry, relay.request.key, now),
+            None,
             self._has_holder(entry.name, now),
             node.holdings.find_spare(entry.name),
             hash_position,
-            node.prompts.find_wait(entry.name, relay, now),
         )
 
     def _find_ready_s(self, entry, key, now):
