Answer every request whose bytes arrived before a stopping gateway closes

Cause: 2.6 s after SIGTERM all connections without a running handler were closed. A handler starts some turns of the event loop after its request was read, so requests that a delayed process read in the same turn were dropped. Three more faults of the same close: a connection marked to be closed drops the rest of a body, asyncio.Server resets its backlog, and the head of a stream did not announce the close, so its caller sent the next request on a connection that was about to be closed.

Change: CallerListener accepts the backlog before it closes, counts a connection as busy from the first byte of a request, asks the kernel for unread bytes before it closes an idle one, and leaves busy ones to end by themselves. The gateway repeats CloseIdleConnections until no connection is left and exits then. Streams announce the close too.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -6,6 +6,7 @@
     "AbortResponse",
     "AcquireRight",
     "CancelFleetRun",
+    "CloseIdleConnections",
     "FetchEngineState",
     "PassErrorResponse",
     "ProbeServer",
@@ -115,7 +116,7 @@
 
 
 class StopListening(Record):
-    """Stop accepting connections and close each open connection once it is idle."""
+    """Stop accepting connections; those that wait to be accepted still are."""
 
     __slots__ = ()
 
@@ -123,6 +124,21 @@
         pass
 
 
+class CloseIdleConnections(Record):
+    """Close the idle connections of callers; `CallerConnections` reports how many are left.
+
+    Parameters
+    ----------
+    quiet_s : float
+        Time (s) without a request after which a connection counts as idle.
+    """
+
+    __slots__ = ("quiet_s",)
+
+    def __init__(self, quiet_s):
+        self.quiet_s = quiet_s
+
+
 class PassErrorResponse(Record):
     """Send the buffered error response of a run to the caller."""
 
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AcquireRightResult",
+    "CallerConnections",
     "CallerDisconnected",
     "EngineStateResult",
     "EntryDeleted",
@@ -87,6 +88,15 @@
         self.shared_parts = shared_parts
 
 
+class CallerConnections(Record):
+    """Number of open connections of callers, the response to `CloseIdleConnections`."""
+
+    __slots__ = ("count",)
+
+    def __init__(self, count):
+        self.count = count
+
+
 class CallerDisconnected(Record):
     """The caller closed its connection before the response was complete."""
 
--- a/medlarbeam/gateway/gateway_lifecycle.py
+++ b/medlarbeam/gateway/gateway_lifecycle.py
@@ -2,7 +2,12 @@
 
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import Exit, LogEvent
-from medlarbeam.classes.gateway_effects import ReleaseRights, StopListening
+from medlarbeam.classes.gateway_effects import (
+    CloseIdleConnections,
+    ReleaseRights,
+    StopListening,
+)
+from medlarbeam.classes.gateway_messages import CallerConnections
 from medlarbeam.classes.messages import Shutdown
 from medlarbeam.node.component import Component
 
@@ -11,26 +16,39 @@
 CHECK_INTERVAL_S = 0.1
 # The load balancer checks readiness once a second and removes a node after two failed checks.
 LB_REMOVAL_S = 2.6
-CLOSE_GRACE_S = 0.2  # for requests that arrive while idle connections are closed
+# A caller that has not used its connection for this long after a response counts as idle. Callers
+# that send one request after the other do so within a few ms.
+IDLE_CONNECTION_S = 0.2
 FINAL_RESPONSES_S = 0.7  # end of the grace period, for the last responses to reach their callers
 
 
 class GatewayLifecycle(Component):
     """Drives the chart ``node`` of this process."""
 
-    __slots__ = ("chart", "is_listening", "leaving_at", "next_check", "state")
+    __slots__ = (
+        "chart",
+        "has_open_connections",
+        "is_listening",
+        "leaving_at",
+        "next_check",
+        "state",
+    )
 
     def __init__(self, node):
         super().__init__(node)
         self.chart = load_chart("node", GatewayLifecycle)
         self.state = self.chart.initial
         self.is_listening = True
+        self.has_open_connections = True
         self.leaving_at = 0.0
         self.next_check = 0.0
 
     def handlers(self):
         """Return the handler method of each message class."""
-        return {Shutdown: self.handle_shutdown}
+        return {
+            Shutdown: self.handle_shutdown,
+            CallerConnections: self.handle_caller_connections,
+        }
 
     def is_accepting(self):
         """Return whether the node reports itself ready for new connections."""
@@ -44,6 +62,10 @@
         """Start the graceful shutdown."""
         self.chart.fire(self, "shutdown", self, now, out)
 
+    def handle_caller_connections(self, message, now, out):
+        """Record whether callers may still send requests."""
+        self.has_open_connections = message.count > 0
+
     def start_leaving(self, subject, now, out):
         """Report not ready; requests that still arrive are served."""
         self.leaving_at = now
@@ -74,9 +96,11 @@
         if self.is_listening:
             self.is_listening = False
             out.emit(StopListening())
-        is_idle = self.node.relays.open_count() == 0
-        if is_idle and waited_s > LB_REMOVAL_S + CLOSE_GRACE_S or waited_s > self._leave_limit_s():
+        is_idle = not self.has_open_connections and self.node.relays.open_count() == 0
+        if is_idle or waited_s > self._leave_limit_s():
             self.chart.fire(self, "left", self, now, out)
+        else:
+            out.emit(CloseIdleConnections(IDLE_CONNECTION_S))
 
     def _leave_limit_s(self):
         return self.node.settings.grace_s - FINAL_RESPONSES_S
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -8,10 +8,20 @@
 from orjson import dumps
 from xxhash import xxh3_64_intdigest
 
-from medlarbeam.classes.gateway_effects import AbortResponse, RefuseRequest, StopListening
-from medlarbeam.classes.gateway_messages import CallerDisconnected, GatewayRequest
+from medlarbeam.classes.gateway_effects import (
+    AbortResponse,
+    CloseIdleConnections,
+    RefuseRequest,
+    StopListening,
+)
+from medlarbeam.classes.gateway_messages import (
+    CallerConnections,
+    CallerDisconnected,
+    GatewayRequest,
+)
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
 from medlarbeam.exceptions import ERROR_RESPONSES, RunState
+from medlarbeam.platform.caller_listener import CallerListener
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
     forwarded_headers,
@@ -27,10 +37,7 @@
 
 log = logging.getLogger(__name__)
 
-# Callers close idle connections as configured; this longer timeout leaves the closing to them.
-KEEP_ALIVE_TIMEOUT_S = 120.0
 DEFAULT_DEADLINE_S = 30.0  # for requests without a deadline
-LISTEN_BACKLOG = 1024
 FALLBACK_MAX_BODY_BYTES = 4 << 20  # until a configuration is received
 # Statuses that tell the caller that the request was not run; other failures before a run get 503.
 NOT_RUN_STATUSES = {400, 404, 413, 429, 503}
@@ -50,6 +57,7 @@
     http_request : aiohttp.web.BaseRequest
     body : bytes
     request : GatewayRequest
+    driver : NodeDriver
 
     Attributes
     ----------
@@ -69,6 +77,7 @@
 
     __slots__ = (
         "body",
+        "driver",
         "error_responses",
         "headers",
         "http_request",
@@ -79,7 +88,8 @@
         "timing",
     )
 
-    def __init__(self, http_request, body, request):
+    def __init__(self, http_request, body, request, driver):
+        self.driver = driver
         self.http_request = http_request
         self.body = body
         self.request = request
@@ -95,10 +105,20 @@
         if not self.outcome.done():
             self.outcome.set_result(response)
 
+    def announce_close(self, response):
+        """Announce the close of the connection in a head that is not sent yet, if it is due.
+
+        The connection stays open after a stream whose head did not announce it, since its caller
+        may use the connection again; it is closed later, when it is idle.
+        """
+        if not response.prepared and not self.driver.is_ready():
+            response.force_close()
+
     async def begin_stream(self, status, headers):
         """Send the response headers of a stream, unless they were already sent."""
         if self.stream is None:
             stream = StreamResponse(status=status, headers=headers)
+            self.announce_close(stream)
             stream.enable_chunked_encoding()
             self.stream = stream
             await stream.prepare(self.http_request)
@@ -117,38 +137,26 @@
         super().__init__(driver)
         self.settings = settings
         self.exchanges = {}
-        self.busy_connections = set()
         self.request_id_prefix = f"{settings.gateway.name}-{settings.gateway.incarnation:x}"
         self.request_count = 0
-        self.server = None
-        self.listeners = []
-        self.is_leaving = False
+        self.callers = None
+        self.readiness_listener = None
 
     async def on_start(self):
         """Listen for callers and for readiness checks of the load balancer."""
-        loop = asyncio.get_running_loop()
-        self.server = Server(
-            self.handle,
-            handler_cancellation=True,
-            keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
-            auto_decompress=False,
-            access_log=None,
-            max_line_size=16384,
-            max_field_size=16384,
+        self.callers = CallerListener(self.handle, self.spawn)
+        self.callers.open(*parse_address(self.settings.front_address))
+        host, port = parse_address(self.settings.ready_address)
+        self.readiness_listener = await asyncio.get_running_loop().create_server(
+            Server(self.handle_readiness, access_log=None), host, port
         )
-        readiness_server = Server(self.handle_readiness, access_log=None)
-        for handler, address in (
-            (self.server, self.settings.front_address),
-            (readiness_server, self.settings.ready_address),
-        ):
-            host, port = parse_address(address)
-            listener = await loop.create_server(handler, host, port, backlog=LISTEN_BACKLOG)
-            self.listeners.append(listener)
 
     async def on_stop(self):
         """Close the listeners and cancel the tasks."""
-        for listener in self.listeners:
-            listener.close()
+        if self.callers is not None:
+            self.callers.close()
+        if self.readiness_listener is not None:
+            self.readiness_listener.close()
         await super().on_stop()
 
     def effects(self):
@@ -156,7 +164,8 @@
         return {
             RefuseRequest: self.send_refusal,
             AbortResponse: self.abort_response,
-            StopListening: self.stop_listening,
+            StopListening: lambda effect: self.callers.close(),
+            CloseIdleConnections: self.close_idle_connections,
         }
 
     async def handle_readiness(self, http_request):
@@ -165,12 +174,10 @@
 
     async def handle(self, http_request):
         """Respond to a request from a caller."""
-        connection = http_request.protocol
-        self.busy_connections.add(connection)
         try:
             return await self._respond(http_request)
         finally:
-            self.busy_connections.discard(connection)
+            http_request.protocol.end_request(self.driver.read_clock())
 
     async def _respond(self, http_request):
         body = await self._read_body(http_request)
@@ -181,7 +188,7 @@
         request = parse_request(
             http_request, body, f"{self.request_id_prefix}-{self.request_count}", now
         )
-        exchange = Exchange(http_request, body, request)
+        exchange = Exchange(http_request, body, request, self.driver)
         self.exchanges[request.request_id] = exchange
         try:
             self.driver.deliver(request)
@@ -195,8 +202,7 @@
             if http_request.transport is not None:
                 http_request.transport.abort()
             return exchange.stream or Response(status=502)
-        if not self.driver.is_ready():
-            response.force_close()
+        exchange.announce_close(response)
         return response
 
     async def _read_body(self, http_request):
@@ -223,14 +229,10 @@
         if exchange is not None:
             exchange.finish(build_refusal(exchange, effect))
 
-    def stop_listening(self, effect):
-        """Close the callers' listener and all idle connections of callers."""
-        self.listeners[0].close()
-        for connection in self.server.connections:
-            if connection in self.busy_connections:
-                connection.close()  # closes after the current response
-            else:
-                connection.force_close()  # `close` would leave it open without reading from it
+    def close_idle_connections(self, effect):
+        """Close the idle connections of callers and report how many are left."""
+        self.callers.close_idle(self.driver.read_clock(), effect.quiet_s)
+        self.driver.deliver(CallerConnections(self.callers.count_connections()))
 
     def abort_response(self, effect):
         """Close the connection of a caller whose response cannot be completed."""
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -8,6 +8,7 @@
 
 __all__ = ["RESPONDERS", "PlatformWorker", "encode_event"]
 
+PIECE_PAUSE_S = 0.15
 STAMP_HEADER = b"X-Server-Stamp: s.1\r\n"
 
 
@@ -189,6 +190,17 @@
     return True
 
 
+async def send_paced(worker, writer, attempt, body_parts):
+    """Send a complete response with a pause before each piece."""
+    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    for piece in body_parts:
+        await asyncio.sleep(PIECE_PAUSE_S)
+        writer.write(encode_chunk(piece))
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
 async def send_server_error(worker, writer, attempt, body_parts):
     """Send an error response of the worker itself."""
     writer.write(build_head(attempt, 500, b"Content-Length: 3\r\n\r\n") + b"bad")
@@ -310,6 +322,7 @@
 
 RESPONDERS = {
     "good": send_complete,
+    "paced": send_paced,
     "error": send_server_error,
     "reset": send_reset,
     "half": send_partial,
