Refuse requests that outlast a planned stop, and answer those open at its end

Operators saw: in a planned stop of one edge machine, in calm, requests that came late in the grace were passed on and cut at its end without a response, among them requests that may not be repeated (LOST).

Cause: the same can happen here. Nothing compared the deadline of a request with the end of the grace, and at 7.3 s of 8 s the process exited with its runs open.

Change: from 2.6 s after SIGTERM, when the load balancer sends no new connections, the lifecycle refuses a request whose deadline or timeout lies beyond the end of the work (503, not run, shutting_down). Earlier ones are taken, since most end long before their deadline, and refusing them would cost service for 2.6 s on routes with long timeouts. At 7 s the open requests are ended: 503 if they have not run, 502 if they may have, a broken stream if it has begun; the process exits when these responses are written, at 7.3 s at the latest as before.

--- a/medlarbeam/gateway/gateway_lifecycle.py
+++ b/medlarbeam/gateway/gateway_lifecycle.py
@@ -19,7 +19,8 @@
 # A caller that has not used its connection for this long after a response counts as idle. Callers
 # that send one request after the other do so within a few ms.
 IDLE_CONNECTION_S = 0.2
-FINAL_RESPONSES_S = 0.7  # end of the grace period, for the last responses to reach their callers
+EXIT_S = 0.7  # end of the grace period, for the rights to be given back and the process to exit
+FINAL_RESPONSES_S = 0.3  # before that, for the last responses to reach their callers
 
 
 class GatewayLifecycle(Component):
@@ -96,11 +97,31 @@
         if self.is_listening:
             self.is_listening = False
             out.emit(StopListening())
+        if now >= self._find_work_end():
+            self.node.relays.end_all(now, out)
         is_idle = not self.has_open_connections and self.node.relays.open_count() == 0
-        if is_idle or waited_s > self._leave_limit_s():
+        if is_idle or now >= self._find_work_end() + FINAL_RESPONSES_S:
             self.chart.fire(self, "left", self, now, out)
         else:
             out.emit(CloseIdleConnections(IDLE_CONNECTION_S))
 
-    def _leave_limit_s(self):
-        return self.node.settings.grace_s - FINAL_RESPONSES_S
+    def can_finish(self, deadline_at, now):
+        """Return whether a request that arrives at `now` (s) may be taken.
+
+        A request that arrives late in a planned stop must be sure to end before the process does.
+        While the load balancer still sends new connections, every request is taken: most end long
+        before their deadline.
+
+        Parameters
+        ----------
+        deadline_at : float
+            Time (s) at which the request ends in any case.
+        now : float
+        """
+        if not self.is_leaving() or now - self.leaving_at <= LB_REMOVAL_S:
+            return True
+        return deadline_at <= self._find_work_end()
+
+    def _find_work_end(self):
+        """Return the time (s) at which the open requests of a stopping node are ended."""
+        return self.leaving_at + self.node.settings.grace_s - EXIT_S - FINAL_RESPONSES_S
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -5,7 +5,7 @@
 
 from medlarbeam.classes.gateway_effects import RecordRequestMetrics
 
-__all__ = ["Relay", "RelayTimers"]
+__all__ = ["ElapsedTimes", "Relay", "RelayTimers"]
 
 MAX_WAIT_SHARE = 0.5  # of the time to the deadline; a late request that waits longer is refused
 
@@ -125,6 +125,26 @@
         )
 
 
+class ElapsedTimes:
+    """Estimates how long callers have waited already, by the longest timeout on each route."""
+
+    __slots__ = ("longest_timeouts",)
+
+    def __init__(self):
+        self.longest_timeouts = {}
+
+    def estimate(self, relay, now):
+        """Return the time (s) that the caller has spent on earlier attempts.
+
+        Assumes equal timeouts for the callers of a route, and retries with the remaining time.
+        """
+        name = relay.route.name
+        left_s = relay.request.deadline - now
+        longest_s = max(left_s, self.longest_timeouts.get(name, 0.0))
+        self.longest_timeouts[name] = longest_s
+        return longest_s - left_s
+
+
 class _Timer:
     __slots__ = ("at", "relay")
 
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -24,7 +24,7 @@
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
 from medlarbeam.gateway.crash_evidence import list_request_fingerprints
 from medlarbeam.gateway.load_requests import LoadRequests
-from medlarbeam.gateway.relay import Relay, RelayTimers
+from medlarbeam.gateway.relay import ElapsedTimes, Relay, RelayTimers
 from medlarbeam.gateway.route_table import choose_service
 from medlarbeam.gateway.run_plan import has_attempt_left, plan_run
 from medlarbeam.gateway.server_selector import ServerSelector
@@ -48,8 +48,8 @@
 
     __slots__ = (
         "chart",
+        "elapsed_times",
         "load_requests",
-        "longest_timeouts",
         "open_relays",
         "relays_by_run",
         "retry_budget",
@@ -65,7 +65,7 @@
         self.selector = ServerSelector(node, AdapterAffinityRouting())
         self.load_requests = LoadRequests(node, self.selector)
         self.retry_budget = SharedRetryBudget(node.settings)
-        self.longest_timeouts = {}
+        self.elapsed_times = ElapsedTimes()
         self.open_relays = {}
         self.relays_by_run = {}
         self.waiting = {}
@@ -106,21 +106,15 @@
             return
         service = choose_service(route, self.node.rng)
         relay = Relay(request, route, service, self.chart.initial, now)
-        relay.goal_at = now + route.latency_goal_s - self._estimate_elapsed_s(request, route, now)
+        if not self.node.lifecycle.can_finish(relay.deadline_at + RESPONSE_SLACK_S, now):
+            failure = Failure(ErrorKind.SHUTTING_DOWN, "it might not end before this node stops")
+            self._refuse(request, failure, RETRY_AFTER_S, out)
+            return
+        relay.goal_at = now + route.latency_goal_s - self.elapsed_times.estimate(relay, now)
         self.open_relays[request.request_id] = relay
         self.retry_budget.record_first_attempt(service, len(fleet.nodes), now)
         self._dispatch(relay, now, out)
 
-    def _estimate_elapsed_s(self, request, route, now):
-        """Return the time (s) that the caller has spent on earlier attempts.
-
-        Assumes equal timeouts for the callers of a route, and retries with the remaining time.
-        """
-        left_s = request.deadline - now
-        longest_s = max(left_s, self.longest_timeouts.get(route.name, 0.0))
-        self.longest_timeouts[route.name] = longest_s
-        return longest_s - left_s
-
     def _refuse(self, request, failure, retry_after_s, out):
         detail = f"attempt={request.attempt_id} {failure!r}"
         out.emit(LogEvent("request_refused", detail, request.request_id))
@@ -374,6 +368,12 @@
             if fingerprint in list_request_fingerprints(relay.request):
                 self._fire_and_process(relay, "quarantined", now, out)
 
+    def end_all(self, now, out):
+        """End the open requests, because the process exits soon."""
+        for relay in list(self.open_relays.values()):
+            relay.reason = "this node stops"
+            self._fire_and_process(relay, "node_stopping", now, out)
+
     def _fire_and_process(self, relay, event, now, out):
         self.chart.fire(relay, event, self, now, out, None)
         self._process_state(relay, now, out)
--- a/medlarbeam/platform/tests/test_planned_stop.py
+++ b/medlarbeam/platform/tests/test_planned_stop.py
@@ -15,6 +15,7 @@
 from medlarbeam.platform.tests.raw_caller import RawCaller
 from medlarbeam.platform.tests.test_whole_path import HOST, run
 from medlarbeam.soak.deployment import HOST as SOAK_HOST
+from medlarbeam.soak.deployment import ROUTES, build_route
 from medlarbeam.soak.deployment import Deployment as ProcessDeployment
 
 
@@ -131,6 +132,17 @@
     assert run(scenario) == [True, True]
 
 
+async def wait_until_refused(address):
+    """Connect to `address` until nothing listens there."""
+    async with asyncio.timeout(10):
+        while True:
+            try:
+                RawCaller(address, SOAK_HOST).close()
+            except ConnectionRefusedError:
+                return
+            await asyncio.sleep(0.02)
+
+
 async def wait_status(session, url, expected):
     """Call `url` until its status is `expected`."""
     async with asyncio.timeout(10):
@@ -144,33 +156,74 @@
 STARVED_CALLERS = 4
 
 
-def test_requests_that_arrive_while_a_stopping_process_gets_no_processor_time_are_served(tmp_path):
-    """Soak seed 9: requests were read in the same turn in which idle connections were closed."""
+def run_processes(scenario, folder):
+    """Run a scenario with a deployment of one gateway process, which is ready, and its callers."""
 
     async def execute():
-        rng = Random(9)
-        timeout = ClientTimeout(total=2)
         async with (
-            ProcessDeployment(tmp_path, rng, gateways=1, engines=1) as deployment,
-            ClientSession(timeout=timeout) as session,
+            ProcessDeployment(folder, Random(9), gateways=1, engines=1) as deployment,
+            ClientSession(timeout=ClientTimeout(total=2)) as session,
         ):
             gateway = deployment.gateways["gw-0"]
-            ready_url = f"http://{gateway.ready_address}/readyz"
-            await wait_status(session, ready_url, 200)
-            callers = [RawCaller(gateway.front_address, SOAK_HOST) for _ in range(STARVED_CALLERS)]
-            for number, caller in enumerate(callers):
-                caller.send_request("pay", f"before-{number}")
-                assert (await caller.receive())[0] == 200
-            gateway.send_signal(signal.SIGTERM)
-            await wait_status(session, ready_url, 503)
-            gateway.send_signal(signal.SIGSTOP)
-            for number, caller in enumerate(callers):
-                caller.send_request("pay", f"during-{number}", deadline_ms=9000)
-            await asyncio.sleep(3.0)  # beyond the time at which idle connections are closed
-            gateway.send_signal(signal.SIGCONT)
-            responses = [await caller.receive() for caller in callers]
-            status = await asyncio.wait_for(gateway.process.wait(), 10)
-            return [(status, body) for status, _, body in responses], status
+            await wait_status(session, f"http://{gateway.ready_address}/readyz", 200)
+            return await scenario(deployment, gateway, session)
+
+    return asyncio.run(execute())
+
+
+def test_requests_that_arrive_while_a_stopping_process_gets_no_processor_time_are_served(tmp_path):
+    """Soak seed 9: requests were read in the same turn in which idle connections were closed."""
+
+    async def scenario(deployment, gateway, session):
+        callers = [RawCaller(gateway.front_address, SOAK_HOST) for _ in range(STARVED_CALLERS)]
+        for number, caller in enumerate(callers):
+            caller.send_request("pay", f"before-{number}")
+            assert (await caller.receive())[0] == 200
+        gateway.send_signal(signal.SIGTERM)
+        await wait_status(session, f"http://{gateway.ready_address}/readyz", 503)
+        gateway.send_signal(signal.SIGSTOP)
+        for number, caller in enumerate(callers):
+            caller.send_request("pay", f"during-{number}", deadline_ms=9000)
+        await asyncio.sleep(3.0)  # beyond the time at which idle connections are closed
+        gateway.send_signal(signal.SIGCONT)
+        responses = [await caller.receive() for caller in callers]
+        status = await asyncio.wait_for(gateway.process.wait(), 10)
+        return [(status, body) for status, _, body in responses], status
 
     expected = [(200, b"paid during-%d" % number) for number in range(STARVED_CALLERS)]
-    assert asyncio.run(execute()) == (expected, 0)
+    assert run_processes(scenario, tmp_path) == (expected, 0)
+
+
+def test_requests_that_outlast_the_grace_get_a_true_response(tmp_path):
+    """A payment that is open at the end may have run; one that comes late must not be sent."""
+
+    async def scenario(deployment, gateway, session):
+        slow = {"timeoutMs": 20000, "goalLatencyMs": 15000}
+        route = build_route("slow", "non_idempotent", "ledger", attempts=1, **slow)
+        deployment.write_config([*ROUTES, route])
+        probe = RawCaller(gateway.front_address, SOAK_HOST)
+        status = 404
+        async with asyncio.timeout(10):
+            while status == 404:  # until the route is known
+                probe.send_request("slow", "probe")
+                status, *_ = await probe.receive()
+        early, late = (RawCaller(gateway.front_address, SOAK_HOST) for _ in range(2))
+        for name in ("ledger-0", "ledger-1"):
+            deployment.proxies[name].mode = "cut_to_client"
+        early.send_request("slow", "early", 20000)
+        head, body = late.build_request("slow", "late", 20000)
+        late.send(head + body[:2])
+        gateway.send_signal(signal.SIGTERM)
+        await wait_until_refused(gateway.front_address)
+        late.send(body[2:])
+        results = []
+        for caller in (late, early):
+            status, head, _ = await caller.receive()
+            is_closed = "connection: close" in head and await caller.is_closed_cleanly()
+            results.append((status, is_closed))
+        ran = {r.attempt for r in deployment.runs}
+        exit_status = await asyncio.wait_for(gateway.process.wait(), 10)
+        return results, "early" in ran, "late" in ran, exit_status
+
+    expected = ([(503, True), (502, True)], True, False, 0)
+    assert run_processes(scenario, tmp_path) == expected
