Test that a response whose head breaks off is never taken as complete

Operators saw: a worker stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

It does not happen here: aiohttp raises for a head without its blank line at the end of the connection, in its lenient mode too. The stand-in closes at 12 places: in and after the status line, inside header lines, after complete header lines with the length, the chunked encoding and the signature seen or unseen, and inside the blank line.

--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -19,7 +19,7 @@
 from medlarbeam.platform.settings import PlatformSettings
 from medlarbeam.standins.free_ports import find_free_addresses
 from medlarbeam.standins.platform_store import PlatformStore
-from medlarbeam.standins.platform_worker import PlatformWorker, encode_event
+from medlarbeam.standins.platform_worker import HEAD_STARTS, PlatformWorker, encode_event
 
 HOST = "h.example"
 BROKEN = -1  # the connection closed before the response was complete
@@ -174,6 +174,13 @@
     ("request-refused-by-all-servers-has-not-run", "refuse", "pay", 503, None, {0}),
     ("timeout-of-a-silent-server", "never", "pay", 504, None, {1}),
     ("truncated-stream-closes-the-connection", "half", "draft", BROKEN, None, {1}),
+    *(
+        (f"head-broken-{start}-of-{name}", f"head_broken_{start}", name, 502, None, {1})
+        for start in HEAD_STARTS
+        for name in ("pay", "draft")
+    ),
+    ("head-broken-after-length-of-a-read", "head_broken_after_length", "read", 502, None, {2}),
+    ("head-broken-after-length-of-a-chat", "head_broken_after_length", "chat", 502, None, {2}),
 ]
 
 
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -6,10 +6,25 @@
 
 from orjson import dumps, loads
 
-__all__ = ["RESPONDERS", "PlatformWorker", "encode_event"]
+__all__ = ["HEAD_STARTS", "RESPONDERS", "PlatformWorker", "encode_event"]
 
 PIECE_PAUSE_S = 0.15
 STAMP_HEADER = b"X-Server-Stamp: s.1\r\n"
+OK_HEAD_START = b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n"
+HEAD_STARTS = {
+    "in_status": b"HTTP/1.1 20",
+    "after_status": b"HTTP/1.1 200 X\r\n",
+    "in_attempt_id": b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}",
+    "in_length": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 4",
+    "before_length": OK_HEAD_START + STAMP_HEADER,
+    "after_length": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 4\r\n",
+    "after_length_zero": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 0\r\n",
+    "after_chunked": OK_HEAD_START + STAMP_HEADER + b"Transfer-Encoding: chunked\r\n",
+    "after_close": OK_HEAD_START + STAMP_HEADER + b"Connection: close\r\n",
+    "before_stamp": OK_HEAD_START + b"Content-Length: 4\r\n",
+    "in_stamp": OK_HEAD_START + b"Content-Length: 4\r\nX-Server-St",
+    "in_blank_line": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 4\r\n\r",
+}
 
 
 class PlatformWorker:
@@ -190,6 +205,27 @@
     return True
 
 
+class BrokenHead:
+    """Sends the start of a response head and closes the connection.
+
+    Parameters
+    ----------
+    start : bytes
+        Bytes of the head; ``{attempt}`` stands for the attempt id.
+    """
+
+    __slots__ = ("start",)
+
+    def __init__(self, start):
+        self.start = start
+
+    async def __call__(self, worker, writer, attempt, body_parts):
+        """Respond to a request; return False, since the connection is closed."""
+        writer.write(self.start.replace(b"{attempt}", attempt.encode()))
+        await writer.drain()
+        return False
+
+
 async def send_paced(worker, writer, attempt, body_parts):
     """Send a complete response with a pause before each piece."""
     writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
@@ -340,4 +376,5 @@
     "endless_unframed_body": send_endless_unframed_body,
     "endless_refusal": send_endless_refusal,
     "never": send_nothing,
+    **{f"head_broken_{name}": BrokenHead(start) for name, start in HEAD_STARTS.items()},
 }
