Take a refusal only for the attempt and the connection that it belongs to

Operators saw: a faulty worker wrote an earlier refusal once more on a kept connection; clients were told "not run, try again" for requests that a worker had run or was running (REFUSED), or a second worker ran them.

Cause: the same happened here for idempotent requests and resumable streams, which use kept connections. A refusal was recognised before its attempt id was compared with that of the request. And an attempt that a worker had refused was sent to it again on the same connection, where an old refusal has the same id.

Change: a refusal that names another attempt is no answer to this one; the run may have run. A worker that has refused an attempt gets it on a new connection, which costs one connection for each such repeat. A refusal without an id counts as before: a worker refuses requests without one.

Open: responses to orders carry no id, so that a second copy of the answer to one order can be taken for that to the next.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -62,7 +62,7 @@
         Whether the response is an event stream.
     needs_new_connection : bool
         Whether to use a new connection, because the backend server may be closing an idle one
-        and the request must not be sent twice.
+        and the request must not be sent twice, or because it has refused the request before.
     first_event_timeout_s, event_gap_timeout_s : float
         Longest wait for the start of the response and for each further event before `RunStalled`
         is delivered; infinity disables the limit.
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -36,6 +36,8 @@
         Number of runs that were sent, and of those that may have been executed.
     excluded : set of str
         Names of backend servers that must not get the request again.
+    refused_by : set of str
+        Names of backend servers that have refused the request.
     is_response_started : bool
         Whether the caller has received a part of the response.
     error_run_id : str
@@ -63,6 +65,7 @@
         "next_check_at",
         "outcome",
         "reason",
+        "refused_by",
         "request",
         "response_started_at",
         "route",
@@ -89,6 +92,7 @@
         self.sends = 0
         self.runs = 0
         self.excluded = set()
+        self.refused_by = set()
         self.is_response_started = False
         self.error_run_id = ""
         self.reason = ""
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -286,6 +286,7 @@
         server = relay.server.name
         key = relay.request.key
         relay.reason = f"{server}: {message.reason}"
+        relay.refused_by.add(server)
         self._record_load(relay, message, now)
         holding = self.node.holdings.find(server, key) if key is not None else None
         if message.status == 0:
--- a/medlarbeam/gateway/run_plan.py
+++ b/medlarbeam/gateway/run_plan.py
@@ -42,7 +42,8 @@
         route.priority,
         version,
         route.kind is RouteKind.STREAM,
-        not route.is_retryable(),
+        # A faulty server may write its refusal of this attempt once more on the same connection.
+        not route.is_retryable() or entry.name in relay.refused_by,
         first_event_timeout_s,
         event_gap_timeout_s,
     )
--- a/medlarbeam/gateway/tests/test_relays.py
+++ b/medlarbeam/gateway/tests/test_relays.py
@@ -158,6 +158,28 @@
     assert harness.gateway.relays.open_count() == 0
 
 
+CONNECTIONS = [
+    ("first-run-of-an-idempotent-request", 0, "read", False),
+    ("refused-run-may-be-refused-again-by-an-old-response", 1, "read", True),
+    ("payment-must-not-meet-a-closing-connection", 0, "pay", True),
+]
+
+
+@pytest.mark.parametrize(
+    ("refusals", "route", "is_new"), [c[1:] for c in CONNECTIONS], ids=[c[0] for c in CONNECTIONS]
+)
+def test_connection_of_a_run(refusals, route, is_new):
+    harness = make_harness(servers=[make_server("l1", "ledger")])
+    harness.send_request(route)
+    for _ in range(refusals):
+        relay = harness.gateway.relays.open_relays["r1"]
+        harness.deliver(RunRefused(relay.run_id, 503, "full", None))
+        relay.excluded.clear()  # as for an adapter that is still being loaded
+        harness.pass_time(0.1)
+    (run,) = [e for e in harness.effects if isinstance(e, StartFleetRun)]
+    assert run.needs_new_connection is is_new
+
+
 UNROUTED = [
     ("missing-configuration-is-not-a-404", GatewayHarness, "/read/x", RunState.NOT_RUN, 503),
     ("unknown-path-is-a-404", make_harness, "/none/x", RunState.NOT_RUN, 404),
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -186,7 +186,7 @@
             ) as response:
                 protocol = response.connection.protocol if response.connection else None
                 load = parse_load(response.headers)
-                refusal = find_refusal(response)
+                refusal = find_refusal(response, exchange)
                 if refusal:
                     await discard_body(response)
                     return RunRefused(effect.run_id, response.status, refusal, load)
@@ -307,8 +307,15 @@
         response.close()
 
 
-def find_refusal(response):
-    """Return why the backend server did not run the request, "" if it did not refuse it."""
+def find_refusal(response, exchange):
+    """Return why the backend server did not run the request, "" if it did not refuse it.
+
+    A refusal that names another attempt was written once more for an earlier request of the
+    connection; the request of this exchange may run.
+    """
+    attempt_id = exchange.request.attempt_id
+    if response.headers.get(ATTEMPT_ID, attempt_id) != attempt_id:
+        return ""
     if NOT_RUN in response.headers or response.status in (421, 429):
         return f"refused with HTTP {response.status}"
     return ""
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from weakref import WeakKeyDictionary
 
 from orjson import dumps, loads
 
@@ -226,6 +227,36 @@
         return False
 
 
+class RepeatedResponse:
+    """Writes the previous response of the connection once more, before that to the request.
+
+    Parameters
+    ----------
+    refuses_first : bool
+        Whether the first request of a connection is refused, and therefore has not run.
+    """
+
+    __slots__ = ("previous", "refuses_first")
+
+    def __init__(self, refuses_first):
+        self.refuses_first = refuses_first
+        self.previous = WeakKeyDictionary()
+
+    async def __call__(self, worker, writer, attempt, body_parts):
+        """Respond to a request; return True, since the connection stays open."""
+        is_first = writer not in self.previous
+        if is_first and self.refuses_first:
+            worker.executed_attempts.remove(attempt)
+            headers = b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            response = build_head(attempt, 503, headers, stamp=b"")
+        else:
+            body = b"".join(body_parts)
+            response = build_head(attempt, headers=b"Content-Length: %d\r\n\r\n" % len(body)) + body
+        writer.write(self.previous.get(writer, b"") + response)
+        self.previous.setdefault(writer, response)
+        return True
+
+
 async def send_paced(worker, writer, attempt, body_parts):
     """Send a complete response with a pause before each piece."""
     writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
@@ -359,6 +390,8 @@
 RESPONDERS = {
     "good": send_complete,
     "paced": send_paced,
+    "repeat": RepeatedResponse(refuses_first=False),
+    "repeat_refusal": RepeatedResponse(refuses_first=True),
     "error": send_server_error,
     "reset": send_reset,
     "half": send_partial,
