Never put another response into a stream that has begun

Cause: errors, refusals and malformed answers of the next worker broke the stream off, as they should. A success other than 200 (204, 206) was passed on as a whole response, so that its head stood in the stream and the connection stayed open.

Evidence: of 13 answers of the next worker, the rows empty_success and partial_content fail before: the caller waits for the end of a stream that never comes.

Change: such an answer counts as a broken run of the stream. Independently of what was decided, Exchange.finish closes the connection when a response other than the open stream is to be sent.

--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -101,7 +101,12 @@
         self.outcome = asyncio.get_running_loop().create_future()
 
     def finish(self, response):
-        """End the exchange with `response`; None closes the connection."""
+        """End the exchange with `response`; None closes the connection.
+
+        Once the head of a stream is sent, any other response would stand in the middle of it.
+        """
+        if self.stream is not None and response is not self.stream:
+            response = None
         if not self.outcome.done():
             self.outcome.set_result(response)
 
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -198,6 +198,8 @@
                     return RunCompleted(effect.run_id, response.status, load, exchange.timing)
                 body = await read_body(response, MAX_RESPONSE_BYTES)
                 check_response_end(response, protocol)
+        if exchange.stream is not None and 200 <= response.status < 300:
+            raise BadResponseError(f"HTTP {response.status} in place of the rest of a stream")
         buffered = Response(
             status=response.status, body=body, headers=response_headers(response.headers)
         )
--- a/medlarbeam/platform/tests/test_faulty_peers.py
+++ b/medlarbeam/platform/tests/test_faulty_peers.py
@@ -4,9 +4,14 @@
 that ran, streams that never end, and malformed messages that end the process.
 """
 
+import asyncio
+
 import pytest
 
-from medlarbeam.platform.tests.test_whole_path import STREAM, run
+from medlarbeam.platform.tests.raw_caller import RawCaller
+from medlarbeam.platform.tests.test_whole_path import HOST, STREAM, run
+
+ADAPTER = "X-Model: m0/a1\r\n"
 
 REPEATS = [
     ("late-second-copy-of-a-response", "repeat", "read", b"paid"),
@@ -35,3 +40,73 @@
     assert {seen for status, seen, _ in results if status == 200} <= {body}
     assert [r for r in results if r[0] in (408, 421, 429, 503) and r[2]] == []
     assert any(runs for _, _, runs in results)
+
+
+SECOND_RESPONSES = [
+    "error",
+    "refuse",
+    "reset",
+    "half",
+    "other_id",
+    "unsigned",
+    "encoded",
+    "garbage",
+    "never",
+    "empty_success",
+    "partial_content",
+    "trickle",
+    "head_broken_after_length",
+]
+
+
+async def receive_until_closed(caller):
+    """Return all bytes that arrive until the connection ends."""
+    async with asyncio.timeout(10):
+        while data := await caller.read():
+            caller.received += data
+    return caller.received
+
+
+@pytest.mark.parametrize("second", SECOND_RESPONSES)
+def test_broken_stream_stays_incomplete_whatever_the_next_server_answers(second):
+    async def scenario(deployment, session):
+        await deployment.call(session, "chat", "id-0")
+        for worker in deployment.workers.values():
+            worker.response_mode = "half" if "id-0" in worker.executed_attempts else second
+        caller = RawCaller(deployment.front, HOST)
+        caller.send_request("chat", "id-1", headers=ADAPTER)
+        return await receive_until_closed(caller)
+
+    received = run(scenario)
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert not body.endswith(b"0\r\n\r\n")
+    events = b"".join(body.split(b"\r\n")[1::2])  # the data of the chunks
+    assert events and STREAM.startswith(events)
+
+
+UNENDING = [
+    ("trickled-response", "trickle", "pay", {504}),
+    ("trickled-response-that-may-be-retried", "trickle", "read", {502, 504}),
+    ("trickled-stream", "trickle", "draft", {504}),
+    ("trickled-stream-that-may-be-resumed", "trickle", "chat", {502, 504}),
+    ("slow-and-sound-stream", "paced", "draft", {200}),
+    ("slow-and-sound-stream-that-may-be-resumed", "paced", "chat", {200}),
+]
+
+
+@pytest.mark.parametrize(
+    ("response_mode", "name", "statuses"), [u[1:] for u in UNENDING], ids=[u[0] for u in UNENDING]
+)
+def test_only_streams_without_events_are_ended(response_mode, name, statuses):
+    async def scenario(deployment, session):
+        if name in ("chat", "draft"):
+            await deployment.call(session, name, "id-0")
+        deployment.set_response_mode(response_mode)
+        status, body = await deployment.call(session, name, "id-1")
+        return status, body, deployment.shell.node.relays.open_count()
+
+    status, body, open_count = run(scenario)
+    assert status in statuses
+    assert status != 200 or body == STREAM
+    assert open_count == 0
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -10,6 +10,7 @@
 __all__ = ["HEAD_STARTS", "RESPONDERS", "PlatformWorker", "encode_event"]
 
 PIECE_PAUSE_S = 0.15
+TRICKLE_PAUSE_S = 0.05
 STAMP_HEADER = b"X-Server-Stamp: s.1\r\n"
 OK_HEAD_START = b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n"
 HEAD_STARTS = {
@@ -257,6 +258,31 @@
         return True
 
 
+async def send_empty_success(worker, writer, attempt, body_parts):
+    """Send a signed response with a status of success and no body."""
+    writer.write(build_head(attempt, 204, b"\r\n"))
+    return True
+
+
+async def send_partial_content(worker, writer, attempt, body_parts):
+    """Send a signed response with a status of success that is not 200."""
+    writer.write(build_head(attempt, 206, b"Content-Length: 4\r\n\r\n") + b"part")
+    return True
+
+
+async def send_trickle(worker, writer, attempt, body_parts):
+    """Send a byte now and then, and never a complete event or body."""
+    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    try:
+        while not writer.is_closing():
+            writer.write(encode_chunk(b"i"))
+            await writer.drain()
+            await asyncio.sleep(TRICKLE_PAUSE_S)
+    except ConnectionError:
+        return False
+    return False
+
+
 async def send_paced(worker, writer, attempt, body_parts):
     """Send a complete response with a pause before each piece."""
     writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
@@ -390,6 +416,9 @@
 RESPONDERS = {
     "good": send_complete,
     "paced": send_paced,
+    "trickle": send_trickle,
+    "empty_success": send_empty_success,
+    "partial_content": send_partial_content,
     "repeat": RepeatedResponse(refuses_first=False),
     "repeat_refusal": RepeatedResponse(refuses_first=True),
     "error": send_server_error,
