--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -6,6 +6,7 @@
     "AbortResponse",
     "AcquireRight",
     "CancelFleetRun",
+    "CloseIdleConnections",
     "FetchEngineState",
     "PassErrorResponse",
     "ProbeServer",
@@ -62,7 +63,7 @@
         Whether the response is an event stream.
     needs_new_connection : bool
         Whether to use a new connection, because the backend server may be closing an idle one
-        and the request must not be sent twice.
+        and the request must not be sent twice, or because it has refused the request before.
     first_event_timeout_s, event_gap_timeout_s : float
         Longest wait for the start of the response and for each further event before `RunStalled`
         is delivered; infinity disables the limit.
@@ -116,7 +117,7 @@
 
 
 class StopListening(Record):
-    """Stop accepting connections and close each open connection once it is idle."""
+    """Stop accepting connections; those that wait to be accepted still are."""
 
     __slots__ = ()
 
@@ -124,6 +125,21 @@
         pass
 
 
+class CloseIdleConnections(Record):
+    """Close the idle connections of callers; `CallerConnections` reports how many are left.
+
+    Parameters
+    ----------
+    quiet_s : float
+        Time (s) without a request after which a connection counts as idle.
+    """
+
+    __slots__ = ("quiet_s",)
+
+    def __init__(self, quiet_s):
+        self.quiet_s = quiet_s
+
+
 class PassErrorResponse(Record):
     """Send the buffered error response of a run to the caller."""
 
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -3,12 +3,30 @@
 import asyncio
 import socket
 import struct
+from weakref import WeakKeyDictionary
 
 from orjson import dumps, loads
 
-__all__ = ["RESPONDERS", "PlatformWorker", "encode_event"]
+__all__ = ["HEAD_STARTS", "RESPONDERS", "PlatformWorker", "encode_event"]
 
+PIECE_PAUSE_S = 0.15
+TRICKLE_PAUSE_S = 0.05
 STAMP_HEADER = b"X-Server-Stamp: s.1\r\n"
+OK_HEAD_START = b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n"
+HEAD_STARTS = {
+    "in_status": b"HTTP/1.1 20",
+    "after_status": b"HTTP/1.1 200 X\r\n",
+    "in_attempt_id": b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}",
+    "in_length": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 4",
+    "before_length": OK_HEAD_START + STAMP_HEADER,
+    "after_length": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 4\r\n",
+    "after_length_zero": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 0\r\n",
+    "after_chunked": OK_HEAD_START + STAMP_HEADER + b"Transfer-Encoding: chunked\r\n",
+    "after_close": OK_HEAD_START + STAMP_HEADER + b"Connection: close\r\n",
+    "before_stamp": OK_HEAD_START + b"Content-Length: 4\r\n",
+    "in_stamp": OK_HEAD_START + b"Content-Length: 4\r\nX-Server-St",
+    "in_blank_line": OK_HEAD_START + STAMP_HEADER + b"Content-Length: 4\r\n\r",
+}
 
 
 class PlatformWorker:
@@ -194,6 +212,93 @@
     return True
 
 
+class BrokenHead:
+    """Sends the start of a response head and closes the connection.
+
+    Parameters
+    ----------
+    start : bytes
+        Bytes of the head; ``{attempt}`` stands for the attempt id.
+    """
+
+    __slots__ = ("start",)
+
+    def __init__(self, start):
+        self.start = start
+
+    async def __call__(self, worker, writer, attempt, body_parts):
+        """Respond to a request; return False, since the connection is closed."""
+        writer.write(self.start.replace(b"{attempt}", attempt.encode()))
+        await writer.drain()
+        return False
+
+
+class RepeatedResponse:
+    """Writes the previous response of the connection once more, before that to the request.
+
+    Parameters
+    ----------
+    refuses_first : bool
+        Whether the first request of a connection is refused, and therefore has not run.
+    """
+
+    __slots__ = ("previous", "refuses_first")
+
+    def __init__(self, refuses_first):
+        self.refuses_first = refuses_first
+        self.previous = WeakKeyDictionary()
+
+    async def __call__(self, worker, writer, attempt, body_parts):
+        """Respond to a request; return True, since the connection stays open."""
+        is_first = writer not in self.previous
+        if is_first and self.refuses_first:
+            worker.executed_attempts.remove(attempt)
+            headers = b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            response = build_head(attempt, 503, headers, stamp=b"")
+        else:
+            body = b"".join(body_parts)
+            response = build_head(attempt, headers=b"Content-Length: %d\r\n\r\n" % len(body)) + body
+        writer.write(self.previous.get(writer, b"") + response)
+        self.previous.setdefault(writer, response)
+        return True
+
+
+async def send_empty_success(worker, writer, attempt, body_parts):
+    """Send a signed response with a status of success and no body."""
+    writer.write(build_head(attempt, 204, b"\r\n"))
+    return True
+
+
+async def send_partial_content(worker, writer, attempt, body_parts):
+    """Send a signed response with a status of success that is not 200."""
+    writer.write(build_head(attempt, 206, b"Content-Length: 4\r\n\r\n") + b"part")
+    return True
+
+
+async def send_trickle(worker, writer, attempt, body_parts):
+    """Send a byte now and then, and never a complete event or body."""
+    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    try:
+        while not writer.is_closing():
+            writer.write(encode_chunk(b"i"))
+            await writer.drain()
+            await asyncio.sleep(TRICKLE_PAUSE_S)
+    except ConnectionError:
+        return False
+    return False
+
+
+async def send_paced(worker, writer, attempt, body_parts):
+    """Send a complete response with a pause before each piece."""
+    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    for piece in body_parts:
+        await asyncio.sleep(PIECE_PAUSE_S)
+        writer.write(encode_chunk(piece))
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
 async def send_server_error(worker, writer, attempt, body_parts):
     """Send an error response of the worker itself."""
     writer.write(build_head(attempt, 500, b"Content-Length: 3\r\n\r\n") + b"bad")
@@ -315,6 +420,12 @@
 
 RESPONDERS = {
     "good": send_complete,
+    "paced": send_paced,
+    "trickle": send_trickle,
+    "empty_success": send_empty_success,
+    "partial_content": send_partial_content,
+    "repeat": RepeatedResponse(refuses_first=False),
+    "repeat_refusal": RepeatedResponse(refuses_first=True),
     "error": send_server_error,
     "reset": send_reset,
     "half": send_partial,
@@ -332,4 +443,5 @@
     "endless_unframed_body": send_endless_unframed_body,
     "endless_refusal": send_endless_refusal,
     "never": send_nothing,
+    **{f"head_broken_{name}": BrokenHead(start) for name, start in HEAD_STARTS.items()},
 }
