--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -227,7 +227,8 @@
         """Return the fencing token of each right that this node may use, by backend server."""
         if not self.is_valid(now):
             return {}
-        return {right.server: right.fence for right in self.list_own()}
+        fences = {right.server: self.find_fence(right.server, now) for right in self.list_own()}
+        return {server: fence for server, fence in fences.items() if fence}
 
     def list_own(self):
         """Return the list of `OrderRight` of this node."""
