--- a/medlarbeam/bench/gateway_fleet.py
+++ b/medlarbeam/bench/gateway_fleet.py
@@ -34,6 +34,7 @@
     RunStarted,
     ServerOrderResult,
     StoreSnapshot,
+    StoreSynced,
 )
 from medlarbeam.classes.record import Record
 from medlarbeam.classes.stream_timing import StreamTiming
@@ -249,6 +250,7 @@
         entries = [EntryUpdated(key, value, 1) for key, value in self.store.items()]
         self.deliver(name, StoreSnapshot(entries, self.revision))
         self.deliver(name, LeaseRenewed(self.now, True, 0))
+        self.deliver(name, StoreSynced(self.now))
 
     # Steps of the gateways
 
@@ -301,6 +303,7 @@
 
     def _renew_lease(self, name, effect):
         self.call_at(self.now + 0.004, self.deliver, name, LeaseRenewed(self.now, False, 0))
+        self.call_at(self.now + 0.004, self.deliver, name, StoreSynced(self.now))
 
     # Callers
 
