Do not count the time in which a caller does not read as a stall

Cause: the stall timer ran on while a write waited for the caller, so a sound run was moved. The id of the event being written was recorded after the write, so the next run sent that event again. The gateway also learned of the start of the response only after the first write; a deadline before that would have sent a second head.

Change: StallTimer is paused during a write; the event id is recorded and RunStarted delivered before it.

--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -217,16 +217,19 @@
             data = splitter.feed(chunk)
             if not data:
                 continue
-            timer.record_progress()
             now = self.driver.read_clock()
             timing.record_event(exchange.last_event, now)
             await exchange.begin_stream(response.status, response_headers(response.headers))
-            await exchange.stream.write(data)
-            timing.record_write(self.driver.read_clock() - now)
+            # Recorded before the write, which waits while the caller does not read: a run that is
+            # cancelled meanwhile has passed these events on.
             exchange.last_event = splitter.last_event
             if is_first:
                 is_first = False
                 self.driver.deliver(RunStarted(effect.run_id, load))
+            timer.pause()
+            await exchange.stream.write(data)
+            timer.resume()
+            timing.record_write(self.driver.read_clock() - now)
         if splitter.remainder:
             raise IncompleteResponseError("the stream ended inside an event")
         await exchange.begin_stream(response.status, response_headers(response.headers))
--- a/medlarbeam/platform/stall_timer.py
+++ b/medlarbeam/platform/stall_timer.py
@@ -19,11 +19,20 @@
 
     Notes
     -----
-    `record_progress` only stores the time, which is checked when the timer fires. A stream of many
+    `resume` only stores the time, which is checked when the timer fires. A stream of many
     events therefore sets few timers.
     """
 
-    __slots__ = ("driver", "effect", "exchange", "limit_s", "loop", "progress_at", "timer")
+    __slots__ = (
+        "driver",
+        "effect",
+        "exchange",
+        "is_paused",
+        "limit_s",
+        "loop",
+        "progress_at",
+        "timer",
+    )
 
     def __init__(self, driver, effect, exchange):
         self.driver = driver
@@ -32,6 +41,7 @@
         self.loop = asyncio.get_running_loop()
         self.progress_at = self.loop.time()
         self.limit_s = effect.first_event_timeout_s
+        self.is_paused = False
         self.timer = None
 
     def __enter__(self):
@@ -42,8 +52,13 @@
         if self.timer is not None:
             self.timer.cancel()
 
-    def record_progress(self):
-        """Record that the run delivered data."""
+    def pause(self):
+        """Stop the measurement while the caller does not read what the run has delivered."""
+        self.is_paused = True
+
+    def resume(self):
+        """Record that the run delivered data which the caller has taken."""
+        self.is_paused = False
         self.progress_at = self.loop.time()
         if self.limit_s != self.effect.event_gap_timeout_s:
             self.limit_s = self.effect.event_gap_timeout_s
@@ -55,6 +70,9 @@
         self.timer = self.loop.call_later(wait_s, self._check) if wait_s < inf else None
 
     def _check(self):
+        if self.is_paused:
+            self._set_timer(self.limit_s)
+            return
         idle_s = self.loop.time() - self.progress_at
         if idle_s < self.limit_s:
             self._set_timer(self.limit_s - idle_s)
--- a/medlarbeam/platform/tests/raw_caller.py
+++ b/medlarbeam/platform/tests/raw_caller.py
@@ -17,13 +17,18 @@
         ``ip:port`` of the gateway.
     host : str
         Value of the ``Host`` header.
+    receive_bytes : int
+        Size of the receive buffer of the socket, 0 for that of the system.
     """
 
     __slots__ = ("host", "received", "sock")
 
-    def __init__(self, address, host):
+    def __init__(self, address, host, receive_bytes=0):
         ip, _, port = address.rpartition(":")
-        self.sock = socket.create_connection((ip, int(port)))
+        self.sock = socket.socket()
+        if receive_bytes:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        self.sock.connect((ip, int(port)))
         self.sock.setblocking(False)
         self.host = host
         self.received = b""
--- a/medlarbeam/platform/tests/test_faulty_peers.py
+++ b/medlarbeam/platform/tests/test_faulty_peers.py
@@ -7,9 +7,18 @@
 import asyncio
 
 import pytest
+from orjson import dumps
 
+from medlarbeam.gateway.server_selector import ServerSelector
 from medlarbeam.platform.tests.raw_caller import RawCaller
-from medlarbeam.platform.tests.test_whole_path import HOST, STREAM, run
+from medlarbeam.platform.tests.test_whole_path import (
+    CONFIG,
+    HOST,
+    STREAM,
+    route,
+    run,
+    wait_until,
+)
 
 ADAPTER = "X-Model: m0/a1\r\n"
 
@@ -110,3 +119,33 @@
     assert status in statuses
     assert status != 200 or body == STREAM
     assert open_count == 0
+
+
+LARGE_EVENTS = 14  # of 0.9 MB each: more than the buffers of a connection on loopback hold
+
+
+def test_caller_that_reads_late_gets_each_event_once(monkeypatch):
+    """A caller that does not read holds the gateway up, and not the backend server."""
+    # A stalled run is moved wherever it may be.
+    monkeypatch.setattr(ServerSelector, "find_better_server", lambda self, relay, now: "any")
+
+    async def scenario(deployment, session):
+        await deployment.call(session, "chat", "id-0")
+        slow = {"timeoutMs": 9000, "goalLatencyMs": 3000, "resumable": True, "gapAimMs": 250}
+        routes = [route("chat", "streaming", "llm", **slow)]
+        deployment.store.put("op/config", dumps({**CONFIG, "version": 4, "routes": routes}))
+        await wait_until(lambda: deployment.shell.node.fleet.config.version == 4)
+        for worker in deployment.workers.values():
+            worker.events, worker.padding = LARGE_EVENTS, 900_000
+        caller = RawCaller(deployment.front, HOST, receive_bytes=8192)
+        caller.send_request("chat", "id-1", deadline_ms=9000, headers=ADAPTER)
+        await wait_until(lambda: deployment.count_runs("id-1"))
+        await asyncio.sleep(1.2)  # more than the pause of events after which a run is stalled
+        received = bytearray()
+        async with asyncio.timeout(10):
+            while not received.endswith(b"\r\n0\r\n\r\n") and (data := await caller.read()):
+                received += data
+        numbers = [int(part.partition(b"\n")[0]) for part in received.split(b"id: ")[1:]]
+        return numbers, deployment.count_runs("id-1")
+
+    assert run(scenario) == (list(range(1, LARGE_EVENTS + 1)), 1)
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -50,6 +50,8 @@
         Loaded adapters.
     harmful_part : str
         Part of a prompt under which the worker crashes, "" for none.
+    padding : int
+        Bytes that are added to each event.
     rate_limit : float or None
         Requests per second that complete responses name.
     """
@@ -63,6 +65,7 @@
         "harmful_part",
         "name",
         "order_count",
+        "padding",
         "rate_limit",
         "response_mode",
         "server",
@@ -77,6 +80,7 @@
         self.adapters = set()
         self.harmful_part = ""
         self.rate_limit = None
+        self.padding = 0
         self.connections = set()
         self.server = None
         self.address = ""
@@ -133,7 +137,10 @@
         responder = RESPONDERS[self.response_mode]
         if headers.get("accept-stream") or "x-model" in headers:
             first_number = int(headers.get("last-event-id", 0)) + 1
-            body_parts = [encode_event(number) for number in range(first_number, self.events + 1)]
+            body_parts = [
+                encode_event(number, self.padding)
+                for number in range(first_number, self.events + 1)
+            ]
         else:
             body_parts = [b"paid"]
         return await responder(self, writer, attempt, body_parts)
@@ -166,9 +173,9 @@
         return True
 
 
-def encode_event(number):
-    """Encode a server-sent event."""
-    return b"id: %d\ndata: x%d\n\n" % (number, number)
+def encode_event(number, padding=0):
+    """Encode a server-sent event with `padding` more bytes."""
+    return b"id: %d\ndata: x%d%s\n\n" % (number, number, b"." * padding)
 
 
 def build_head(attempt, status=200, headers=b"", stamp=STAMP_HEADER):
