Answer requests whose Host or X-Model is not UTF-8

What callers saw: no response at all. The request stayed open in the gateway, so that a planned stop lasted until the end of its grace. Found by a test for the report "one malformed message took a whole process down"; the process goes on here.

Cause: such bytes become surrogate escapes, which can neither be hashed for the choice of a server nor be written as JSON into the refusal.

Evidence: of 21 malformed messages, bytes-in-headers, bytes-in-the-model-of-a-stream and bytes-in-the-host fail before; the log has node_failed or effect_failed with UnicodeEncodeError or TypeError.

Change: replace_invalid puts U+FFFD in the place of these bytes in what the gateway decides on; the headers are passed on as they came. The stand-in of a worker refuses a request without an attempt id, as workers do, where it raised KeyError.

--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -22,6 +22,7 @@
     "parse_prompt_tokens",
     "parse_shared_parts",
     "parse_tokens",
+    "replace_invalid",
     "response_headers",
     "run_headers",
 ]
@@ -77,6 +78,11 @@
     return [(name, value) for name, value in headers.items() if name.lower() not in excluded]
 
 
+def replace_invalid(text):
+    """Return `text` with bytes that are not UTF-8 replaced, so that it can be encoded again."""
+    return text.encode("utf-8", "surrogateescape").decode("utf-8", "replace")
+
+
 def forwarded_headers(headers):
     """Return the caller's headers that are forwarded, as a list of ``(name, value)``."""
     return _filter(headers, HOP_BY_HOP | INTERNAL_HEADERS)
@@ -121,7 +127,7 @@
 
 def parse_adapter_key(headers):
     """Return the `AdapterKey` of a request, None if it names no model."""
-    text = headers.get("X-Model", "")
+    text = replace_invalid(headers.get("X-Model", ""))
     if not text:
         return None
     model, _, adapter = text.partition("/")
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -31,6 +31,7 @@
     parse_prompt_tokens,
     parse_shared_parts,
     parse_tokens,
+    replace_invalid,
 )
 
 __all__ = ["Exchange", "HttpFrontEnd", "parse_address"]
@@ -253,8 +254,8 @@
     return GatewayRequest(
         request_id,
         http_request.headers.get(ATTEMPT_ID, ""),
-        http_request.headers.get("Host", ""),
-        path,
+        replace_invalid(http_request.headers.get("Host", "")),
+        replace_invalid(path),
         now + (timeout_s if timeout_s < inf else DEFAULT_DEADLINE_S),
         parse_adapter_key(http_request.headers),
         parse_tokens(http_request.headers),
--- a/medlarbeam/platform/tests/test_faulty_peers.py
+++ b/medlarbeam/platform/tests/test_faulty_peers.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import socket
 
 import pytest
 from orjson import dumps
 
 from medlarbeam.gateway.server_selector import ServerSelector
+from medlarbeam.platform.http_front_end import parse_address
 from medlarbeam.platform.tests.raw_caller import RawCaller
 from medlarbeam.platform.tests.test_whole_path import (
     CONFIG,
@@ -149,3 +151,59 @@
         return numbers, deployment.count_runs("id-1")
 
     assert run(scenario) == (list(range(1, LARGE_EVENTS + 1)), 1)
+
+
+REQUEST_LINE = b"POST /pay/1 HTTP/1.1\r\nHost: h.example\r\n"
+MALFORMED = [
+    ("no-http", b"\x00\xff\xfe no http\r\n\r\n"),
+    ("tls-handshake", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + bytes(64)),
+    ("negative-length", REQUEST_LINE + b"Content-Length: -5\r\n\r\n"),
+    ("two-lengths", REQUEST_LINE + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nordero"),
+    ("length-without-digits", REQUEST_LINE + b"Content-Length: five\r\n\r\n"),
+    ("malformed-chunk", REQUEST_LINE + b"Transfer-Encoding: chunked\r\n\r\nzz\r\norder\r\n"),
+    (
+        "length-and-chunks",
+        REQUEST_LINE + b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n",
+    ),
+    ("header-without-colon", REQUEST_LINE + b"nonsense\r\n\r\n"),
+    ("long-header", REQUEST_LINE + b"X-Long: " + b"x" * 40000 + b"\r\n\r\n"),
+    ("many-headers", REQUEST_LINE + b"X-A: 1\r\n" * 5000 + b"\r\n"),
+    ("long-path", b"POST /" + b"p" * 40000 + b" HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+    ("no-host", b"POST /pay/1 HTTP/1.1\r\n\r\n"),
+    ("other-version", b"POST /pay/1 HTTP/9.9\r\nHost: h.example\r\n\r\n"),
+    ("invalid-target", b"POST http://[::1 HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+    ("upgrade", REQUEST_LINE + b"Upgrade: x\r\nConnection: upgrade\r\n\r\n\x00\x01"),
+    (
+        "bytes-in-headers",
+        REQUEST_LINE + b"X-Attempt-Id: \xff\xfe\r\nX-Model: \xff/\xff\r\nX-Token-Usage: \xb2,,\r\n"
+        b"X-Prompt-Prefix: \xff:\xff,,:\r\nX-Deadline-Ms: 9e99\r\nContent-Length: 0\r\n\r\n",
+    ),
+    (
+        "bytes-in-the-model-of-a-stream",
+        b"POST /chat/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: i\r\nX-Model: m0/\xff\r\n\r\n",
+    ),
+    ("bytes-in-the-path", b"POST /none/\xff HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+    ("bytes-in-the-host", b"POST /pay/1 HTTP/1.1\r\nHost: \xff\xfe\r\n\r\n"),
+    ("bytes-in-the-attempt-id", REQUEST_LINE + b"X-Attempt-Id: \xff\r\nContent-Length: 0\r\n\r\n"),
+    ("line-break-in-the-path", b"POST /none/%0d%0aX: HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+]
+FAULT_EVENTS = {"node_failed", "effect_failed", "task_failed"}
+
+
+@pytest.mark.parametrize("data", [m[1] for m in MALFORMED], ids=[m[0] for m in MALFORMED])
+def test_malformed_message_is_answered_and_harms_no_other(data, caplog):
+    async def scenario(deployment, session):
+        caller = RawCaller(deployment.front, HOST)
+        caller.send(data)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(data[:1000], parse_address(deployment.addresses[2]))
+        result = await deployment.call(session, "pay", "id-1")
+        if b"upgrade" not in data and b"chunked" not in data:
+            await caller.receive()
+        caller.close()
+        second = await deployment.call(session, "read", "id-2")
+        await wait_until(lambda: not deployment.shell.node.relays.open_count())
+        return result, second, deployment.shell.crashed
+
+    assert run(scenario) == ((200, b"paid"), (200, b"paid"), False)
+    assert FAULT_EVENTS.isdisjoint(getattr(r, "event", "") for r in caplog.records)
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -76,6 +76,7 @@
     ("model-and-adapter", parse_adapter_key, {"X-Model": "m0/a3"}, AdapterKey("m0", "a3")),
     ("model-alone", parse_adapter_key, {"X-Model": "m0"}, AdapterKey("m0", "")),
     ("no-model", parse_adapter_key, {}, None),
+    ("model-not-utf-8", parse_adapter_key, {"X-Model": "m0/\udcff"}, AdapterKey("m0", "\ufffd")),
     ("deadline", parse_deadline_s, {"X-Deadline-Ms": "1500"}, 1.5),
     ("deadline-is-not-a-number", parse_deadline_s, {"X-Deadline-Ms": "soon"}, inf),
     ("tokens", parse_tokens, {"X-Token-Usage": "1460,80"}, 1540),
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -128,7 +128,9 @@
 
     async def respond(self, writer, path, headers, body):
         """Respond to a caller's request; return whether the connection stays open."""
-        attempt = headers["x-attempt-id"]
+        attempt = headers.get("x-attempt-id", "")
+        if not attempt:
+            return self.write_response(writer, 400, b"X-Not-Executed: 1\r\n", b"")
         if self.response_mode == "refuse":
             return self.write_response(writer, 503, b"X-Not-Executed: 1\r\n", b"")
         self.executed_attempts.append(attempt)
