Let a worker of the soak that crashes while it drains go on draining

Cause: in the soak itself. A harmful request crashed engine-2 while it drained, and its restart registered it as ready. gw-2 logged the crash, the drain and 2.1 s later the new registration, and used it, as it should.

Change: a worker that is to leave is registered as draining also after a crash, so the check stays as strict as it was.

--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -117,6 +117,7 @@
 
     __slots__ = (
         "crashed_at",
+        "draining",
         "folder",
         "gateway_count",
         "gateways",
@@ -144,6 +145,7 @@
         self.incarnations = dict.fromkeys(names, 1)
         self.proxies = {}
         self.crashed_at = []
+        self.draining = set()
         self.harmful_requests = []
         self.restarts = []
         self.gateways = {}
@@ -230,7 +232,8 @@
         worker.order_count = 0
         worker.adapters.clear()
         self.incarnations[name] += 1
-        self.register(name)
+        # A worker that crashes while it drains is still to leave.
+        self.register(name, "draining" if name in self.draining else "ready")
 
     async def keep_restarting(self, name):
         """Restart a worker some seconds after each crash; its connections are refused meanwhile."""
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -148,10 +148,12 @@
 
     async def apply(self, deployment, target, rng, duration_s):
         """Drain and restart a worker; see `Fault.apply`."""
+        deployment.draining.add(target)
         deployment.register(target, "draining")
         await asyncio.sleep(duration_s + 3.0)
         deployment.store.delete(f"servers/{target}")
         await asyncio.sleep(0.5)
+        deployment.draining.discard(target)
         deployment.restart_worker(target)
 
 
