Rank only present backend servers as preferred ones, and forget those gone

Callers of rare adapters were served less after backend servers had been replaced under new names: the eight preferred servers of an adapter were taken from all names ever seen.

Present are those with an entry, and lapsed ones while they are used. The state of a server that is gone is dropped after 60 s, which a set-back of the store does not exceed; before it was kept for ever. The case removed failed before.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -37,6 +37,9 @@
 # An older copy of the store may list a backend server that has left since. Its entry expires after
 # three heartbeats that fail, at intervals of about 1.2 s.
 STALE_ENTRY_S = 4.5
+# A backend server whose entry is missing is remembered for this long, so that a store that is set
+# back to a copy from a few seconds before does not bring it back.
+GONE_RETENTION_S = 60.0
 
 
 class KnownServer:
@@ -97,12 +100,15 @@
     doubtful_until : dict of str to float
         Time (s) from which to use a backend server that had left but is listed in the copy to
         which the store was set back, unless its entry expires.
+    forget_at : float
+        Time (s) at which the next backend server that is gone is forgotten.
     """
 
     __slots__ = (
         "config",
         "doubtful_until",
         "era",
+        "forget_at",
         "is_set_back",
         "keys",
         "membership_version",
@@ -137,6 +143,7 @@
         self.registration_revision = 0
         self.is_set_back = False
         self.doubtful_until = {}
+        self.forget_at = inf
         self.store_unavailable_at = -inf
         self.store_unavailable_since = None
         self.membership_version = 0
@@ -297,6 +304,7 @@
         out.emit(LogEvent("server_gone", describe_server(entry)))
         self.membership_version += 1
         known.missing_since = now
+        self.forget_at = min(self.forget_at, now + GONE_RETENTION_S)
         self.doubtful_until.pop(entry.name, None)
         if self.is_set_back and not known.draining:
             # Registered in the time that the store has lost; the entry is written again.
@@ -336,15 +344,36 @@
         return service.engine if service else None
 
     def tick(self, now, out):
-        """Use doubtful backend servers whose entries have not expired."""
+        """Use doubtful backend servers whose entries have not expired, and forget those gone."""
+        if self.forget_at <= now:
+            self._forget_gone(now)
         for name in [name for name, due in self.doubtful_until.items() if due <= now]:
             del self.doubtful_until[name]
             self.servers[name].stop_at = inf
             out.emit(LogEvent("server_known", describe_server(self.servers[name].entry)))
 
+    def _forget_gone(self, now):
+        for known in list(self.servers.values()):
+            if known.missing_since + GONE_RETENTION_S <= now:
+                del self.servers[known.entry.name]
+                self.membership_version += 1
+        missing = [k.missing_since for k in self.servers.values()]
+        self.forget_at = min(missing, default=inf) + GONE_RETENTION_S
+
     def next_deadline(self):
-        """Return the time (s) from which to use the next doubtful backend server."""
-        return min(self.doubtful_until.values(), default=inf)
+        """Return the time (s) at which a backend server may be used again, or is forgotten."""
+        return min(self.forget_at, min(self.doubtful_until.values(), default=inf))
+
+    def list_present(self, service, now):
+        """Return the names of the backend servers of `service` that are not gone.
+
+        One that drains is present until its entry is removed, one that lapsed while it is used.
+        """
+        return [
+            name
+            for name, known in self.servers.items()
+            if known.entry.service == service and (known.missing_since > now or known.stop_at > now)
+        ]
 
 
 def describe_server(entry):
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -48,7 +48,7 @@
         if key is None or not key.adapter:
             return self._choose_among(self._find_all(relay.service, excluded, now), [], relay, now)
         preferred = self._find_usable(
-            self._find_preferred_servers(relay.service, key), relay.service, excluded, now
+            self._find_preferred_servers(relay.service, key, now), relay.service, excluded, now
         )
         holders = self._find_usable(
             self.node.holdings.find_servers(key), relay.service, excluded, now
@@ -63,7 +63,8 @@
 
     def find_preferred_servers(self, service, key, now):
         """Return the preferred servers of an adapter that accept new work, in hash order."""
-        return self._find_usable(self._find_preferred_servers(service, key), service, (), now)
+        names = self._find_preferred_servers(service, key, now)
+        return self._find_usable(names, service, (), now)
 
     def find_better_server(self, relay, now):
         """Return the name of the backend server that should take over a stalled run, or ""."""
@@ -128,7 +129,7 @@
         ]
         return [k.entry for k in known if k.stop_at > now and k.entry.service == service]
 
-    def _find_preferred_servers(self, service, key):
+    def _find_preferred_servers(self, service, key, now):
         fleet = self.node.fleet
         limits = self.node.limits
         version = (fleet.membership_version, limits.version)
@@ -140,7 +141,7 @@
             self.preferred_servers_version = version
         preferred = self.preferred_servers.get((service, key))
         if preferred is None:
-            names = [n for n, known in fleet.servers.items() if known.entry.service == service]
+            names = fleet.list_present(service, now)
             # A server that takes few requests serves the adapters that it holds, but loads no
             # others while there are servers without a limit.
             unlimited = [name for name in names if not limits.is_limited(name)]
--- a/medlarbeam/gateway/tests/test_server_selector.py
+++ b/medlarbeam/gateway/tests/test_server_selector.py
@@ -8,8 +8,9 @@
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import AdapterKey, NodeRegistration, OrderRight, PublishedVersion
 from medlarbeam.classes.gateway_effects import ServerLoad
-from medlarbeam.classes.gateway_messages import GatewayRequest
+from medlarbeam.classes.gateway_messages import EntryDeleted, GatewayRequest
 from medlarbeam.classes.peer_messages import AdapterHolding, HoldingReport
+from medlarbeam.gateway.fleet_state import GONE_RETENTION_S
 from medlarbeam.gateway.relay import Relay
 from medlarbeam.gateway.server_selector import ServerSelector
 from medlarbeam.gateway.tests.fleet_samples import make_harness, make_server
@@ -52,6 +53,7 @@
         now = self.harness.now = self.harness.now + rng.choice((0.0, 0.001, 0.05, 0.4))
         name, key = rng.choice(self.names), rng.choice(ADAPTERS)
         gateway.rights.confirmed_at = now - rng.choice((0.0, 7.0))
+        gateway.rights.synced_at = now
         step = rng.randrange(9)
         if step <= 2:
             self._report(name, now)
@@ -130,3 +132,28 @@
         outcomes.add(expected is not None and expected[1] is None)
     assert outcomes == {False, True}  # some need a load, some do not
     assert all(isinstance(effect, LogEvent) for effect in fleet.out.effects)
+
+
+GONE = [
+    ("removed", 0.0),
+    ("forgotten", GONE_RETENTION_S + 1.0),
+]
+
+
+@pytest.mark.parametrize("wait_s", [g[1] for g in GONE], ids=[g[0] for g in GONE])
+def test_servers_that_are_gone_take_no_place_among_the_preferred_ones(wait_s):
+    """After some rounds of replacements an adapter would have no server on which it is loaded."""
+    harness = make_harness(servers=[])
+    selector = harness.gateway.relays.selector
+    for generation in range(5):
+        for number in range(10):
+            entry = make_server(f"w{generation}-{number}", "llm", adapters=())
+            harness.write_entry(f"servers/{entry.name}", entry)
+        for number in range(10 * (generation > 0)):
+            harness.revision += 1
+            key = f"servers/w{generation - 1}-{number}"
+            harness.deliver(EntryDeleted(key, harness.revision))
+        harness.pass_time(wait_s)
+        for key in ADAPTERS:
+            assert len(selector.find_preferred_servers("llm", key, harness.now)) == 8
+    assert len(harness.gateway.fleet.servers) == (10 if wait_s else 50)
