--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -19,6 +19,7 @@
     "RunRefused",
     "RunStalled",
     "RunStarted",
+    "ServerLeaving",
     "ServerOrderResult",
     "StoreSnapshot",
     "StoreUnavailable",
@@ -317,6 +318,33 @@
         self.fence = fence
 
 
+class ServerLeaving(Record):
+    """A backend server stated in an answer that it leaves.
+
+    Parameters
+    ----------
+    server : str
+    started_at_ms : int
+        Incarnation to which the request was sent, see `ServerRegistration`.
+    request_id : str
+        Id of the request that was answered, "" for an order or a state report.
+    source : str
+        Kind of the answer: ``success``, ``refusal``, ``failure``, ``stream``, ``order`` or
+        ``report``.
+    value : str
+        The statement as it was read.
+    """
+
+    __slots__ = ("request_id", "server", "source", "started_at_ms", "value")
+
+    def __init__(self, server, started_at_ms, request_id, source, value):
+        self.server = server
+        self.started_at_ms = started_at_ms
+        self.request_id = request_id
+        self.source = source
+        self.value = value
+
+
 class ServerOrderResult(Record):
     """Result of a `ServerOrder`.
 
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -19,6 +19,7 @@
     "Forward",
     "HoldingReport",
     "Leaving",
+    "LeavingServer",
     "LostRun",
     "ModelCount",
     "Ping",
@@ -538,11 +539,29 @@
         self.age_s = age_s
 
 
+class LeavingServer(Record):
+    """Incarnation of a backend server that has stated that it leaves."""
+
+    __slots__ = ("server", "started_at_ms")
+
+    def __init__(self, server, started_at_ms):
+        self.server = server
+        self.started_at_ms = started_at_ms
+
+
 class RateLimitReport(Record):
-    """Request rates that backend servers have named in responses to the sender."""
+    """What backend servers have stated in responses to the sender.
+
+    Parameters
+    ----------
+    node : str
+    limits : list of ServerRate
+    leaving : list of LeavingServer
+    """
 
-    __slots__ = ("limits", "node")
+    __slots__ = ("leaving", "limits", "node")
 
-    def __init__(self, node, limits):
+    def __init__(self, node, limits, leaving=()):
         self.node = node
         self.limits = limits
+        self.leaving = list(leaving)
--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -192,13 +192,20 @@
         if lost is None:
             probe_at = max(now, self.probed_at.get(entry.name, -inf) + PROBE_INTERVAL_S)
             lost = self.lost[entry.name] = LostRuns(entry, now, probe_at)
-            if probe_at <= now:
-                self._probe(lost, now, out)
         lost.requests.append(relay.request)
+        if lost.probe_at <= now:
+            self._probe(lost, now, out)
 
     # Crashes
 
     def _probe(self, lost, now, out):
+        entry = lost.entry
+        if self.node.fleet.is_leaving(entry.name, entry.started_at_ms):
+            # It may have exited as announced, which is no evidence against the runs that it cut.
+            detail = f"server={entry.name} lost_runs={len(lost.requests)} it leaves"
+            out.emit(LogEvent("server_not_crashed", detail))
+            self.lost.pop(entry.name, None)
+            return
         lost.probe_at = inf
         self.probed_at[lost.entry.name] = now
         out.emit(ProbeServer(lost.entry))
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -21,7 +21,7 @@
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.node.component import Component
 
-__all__ = ["FleetState", "KnownServer"]
+__all__ = ["FleetState", "KnownServer", "describe_server"]
 
 # Entries whose leases expired during a store outage are back within about 2 s of its end. A single
 # missing entry was more likely removed, so the drain time limit applies to its backend server.
@@ -32,6 +32,7 @@
 # A store outage this long before an entry went missing may be the cause: an entry expires after
 # three failed heartbeats at intervals of about 1.2 s.
 OUTAGE_RELEVANCE_S = 5.0
+MAX_LEFT = 20_000  # incarnations that have announced their leaving, about 150 bytes each
 
 
 class KnownServer:
@@ -48,7 +49,8 @@
     missing_since : float
         Time (s) at which its entry went missing, infinity while it exists.
     draining : bool
-        Whether it has announced a drain; a stale entry that is written later does not cancel it.
+        Whether it has announced that it leaves, in its entry or in an answer; an entry that is
+        read later does not cancel it.
     """
 
     __slots__ = ("draining", "entry", "missing_since", "stop_at")
@@ -59,6 +61,10 @@
         self.missing_since = inf
         self.draining = False
 
+    def is_listed_leaving(self):
+        """Return whether the store lists it, and it has announced that it leaves."""
+        return self.draining and self.missing_since == inf
+
 
 class FleetState(Component):
     """Keeps the newest entry of each key; older revisions are ignored.
@@ -76,6 +82,10 @@
         Revision of the store up to which all changes are known, 0 before the first snapshot.
     store_unavailable_since : float or None
         Time (s) of the first call without a response since the last renewal of the lease.
+    left : dict
+        Where an incarnation has announced that it leaves, as text, by name and start (ms), the
+        oldest first. A store that is set back may list it as staying, even after a later
+        incarnation was known.
     membership_version : int
         Incremented whenever a backend server is added or removed.
     node_missing_since : dict of str to float
@@ -85,6 +95,7 @@
     __slots__ = (
         "config",
         "keys",
+        "left",
         "membership_version",
         "node_missing_since",
         "nodes",
@@ -104,6 +115,7 @@
         self.routes = RouteTable()
         self.keys = {}
         self.servers = {}
+        self.left = {}
         self.published_versions = {}
         self.nodes = {}
         self.rights = {}
@@ -208,13 +220,36 @@
             out.emit(LogEvent("server_known", describe_server(entry)))
         known.entry = entry
         known.missing_since = inf
-        if entry.draining and not known.draining:
-            known.draining = True
-            known.stop_at = min(known.stop_at, now)
-            out.emit(LogEvent("server_draining", describe_server(entry)))
+        if entry.draining or (entry.name, entry.started_at_ms) in self.left:
+            if self.take_out(entry.name, entry.started_at_ms, "in its entry", now):
+                out.emit(LogEvent("server_draining", describe_server(entry)))
         elif not known.draining:
             known.stop_at = inf
 
+    def take_out(self, name, started_at_ms, source, now):
+        """Give an incarnation of a backend server no new work any more.
+
+        Both announcements of its leaving, in its entry and in an answer, end here; `source` is the
+        place of this one as text. Returns whether it was not known before.
+        """
+        self.left.setdefault((name, started_at_ms), source)
+        while len(self.left) > MAX_LEFT:
+            del self.left[next(iter(self.left))]
+        known = self.servers.get(name)
+        if known is None or known.entry.started_at_ms != started_at_ms or known.draining:
+            return False
+        known.draining = True
+        known.stop_at = min(known.stop_at, now)
+        self.node.relays.wake_service(known.entry.service, now)
+        self.node.orders.review_soon(now)
+        return True
+
+    def is_leaving(self, name, started_at_ms):
+        """Return whether an incarnation of a backend server has announced that it leaves."""
+        known = self.servers.get(name)
+        is_current = known is not None and known.entry.started_at_ms == started_at_ms
+        return known.draining if is_current else (name, started_at_ms) in self.left
+
     def handle_entry_deleted(self, message, now, out):
         """Apply the deletion of an entry unless a newer revision is known."""
         self.revision = max(self.revision, message.revision) if self.revision else 0
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -5,6 +5,7 @@
 from medlarbeam.gateway.fleet_state import FleetState
 from medlarbeam.gateway.gateway_lifecycle import GatewayLifecycle
 from medlarbeam.gateway.holdings import Holdings
+from medlarbeam.gateway.leaving_servers import LeavingServers
 from medlarbeam.gateway.node_reachability import NodeReachability
 from medlarbeam.gateway.order_rights import OrderRights
 from medlarbeam.gateway.orders import Orders
@@ -39,6 +40,7 @@
         "fleet",
         "health",
         "holdings",
+        "leaving",
         "lifecycle",
         "limits",
         "orders",
@@ -55,6 +57,7 @@
         self.settings = settings
         self.rng = rng
         self.fleet = FleetState(self)
+        self.leaving = LeavingServers(self)
         self.reachability = NodeReachability(self)
         self.health = ServerHealth(self)
         self.limits = ServerLimits(self)
@@ -70,6 +73,7 @@
         super().__init__(
             [
                 self.fleet,
+                self.leaving,
                 self.reachability,
                 self.health,
                 self.limits,
@@ -102,6 +106,7 @@
             "config_version": config.version if config is not None else 0,
             "store_age_seconds": now - self.rights.confirmed_at,
             "servers": sum(1 for k in fleet.servers.values() if k.stop_at > now),
+            "leaving_servers": sum(1 for k in fleet.servers.values() if k.is_listed_leaving()),
             "suspect_servers": self.health.count_suspects(),
             "ordered_servers": len(self.orders.schedulers),
             "limited_servers": len(self.limits.limits),
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -80,6 +80,7 @@
         """Handle a demand, a use report or an early refusal of another node."""
         body = message.body
         if isinstance(body, AdapterDemand):
+            self.node.leaving.handle_demand(body, out)
             self.handle_demand(
                 body.server, body.key, body.priority, now + body.due_in_s, body.node, now, out
             )
@@ -179,7 +180,14 @@
         """Return the number of adapters in transit to the backend servers of this holder."""
         return sum(scheduler.count_in_transit() for scheduler in self.schedulers.values())
 
+    def review_soon(self, now):
+        """Review the schedulers at the next tick."""
+        self.review_at = min(self.review_at, now)
+
     def _send_next_order(self, scheduler, now, out):
+        entry = scheduler.entry
+        if self.node.fleet.is_leaving(entry.name, entry.started_at_ms):
+            return  # neither orders nor requests for its state
         fence = self.node.rights.find_fence(scheduler.entry.name, now)
         engine = self.node.fleet.find_engine(scheduler.entry)
         if fence == scheduler.fence and engine is not None:
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -150,6 +150,12 @@
         if at < inf:
             heappush(self.heap, _Timer(at, relay))
 
+    def advance(self, relays, at):
+        """Set the timers of `relays` that would expire later to `at` (s)."""
+        for relay in relays:
+            if relay.next_check_at > at:
+                self.set(relay, at)
+
     def next_at(self):
         """Return the time (s) of the earliest timer, infinity if there is none."""
         while self.heap and self.heap[0].relay.next_check_at != self.heap[0].at:
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -142,11 +142,14 @@
             return
         if now >= relay.find_wait_limit():
             relay.reason = relay.reason or "no backend server had capacity in time"
-            self.chart.fire(relay, "deadline", self, now, out, None)
-            self._process_state(relay, now, out)
+            self._fire_and_process(relay, "deadline", now, out)
             return
         choice = self.selector.choose(relay, now)
-        if choice is None:
+        reason = self.node.leaving.find_refusal_reason(relay, choice, now)
+        if reason:
+            relay.reason = reason
+            self._fire_and_process(relay, "unroutable", now, out)
+        elif choice is None:
             self._wait_for_server(relay, now, out)
         elif choice.ready_in_s is None or choice.ready_in_s > 0.0:
             self._wait_for_adapter(relay, choice, now, out)
@@ -160,8 +163,7 @@
         limit = relay.arrived_at + relay.route.latency_goal_s * NO_SERVER_WAIT_SHARE
         if now >= limit:
             relay.reason = relay.reason or "no backend server accepts new work"
-            self.chart.fire(relay, "unroutable", self, now, out, None)
-            self._process_state(relay, now, out)
+            self._fire_and_process(relay, "unroutable", now, out)
         else:
             self._wait(relay, min(now + RECHECK_INTERVAL_S, limit))
 
@@ -186,9 +188,12 @@
     def wake(self, keys, now):
         """Schedule an immediate selection for the relays that wait for one of `keys`."""
         for key in keys:
-            for relay in self.waiting.get(key, {}).values():
-                if relay.next_check_at > now:
-                    self.timers.set(relay, now)
+            self.timers.advance(self.waiting.get(key, {}).values(), now)
+
+    def wake_service(self, service, now):
+        """Schedule an immediate selection for the relays that wait for a server of `service`."""
+        relays = [r for r in self.open_relays.values() if r.service == service]
+        self.timers.advance([r for r in relays if self.chart.has_tag(r, "waiting")], now)
 
     def _stop_waiting(self, relay):
         relays = self.waiting.get(relay.request.key)
@@ -491,5 +496,4 @@
                 self._dispatch(relay, now, out)
             elif self.chart.has_tag(relay, "running"):
                 relay.reason = relay.reason or "no complete response before the deadline"
-                self.chart.fire(relay, "deadline", self, now, out, None)
-                self._process_state(relay, now, out)
+                self._fire_and_process(relay, "deadline", now, out)
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -78,10 +78,11 @@
 
     def _choose_among(self, entries, preferred, relay, now):
         trusted = [e for e in entries if self.node.health.may_use(e.name, now)]
+        staying = self.node.leaving.exclude_reported(trusted or entries, now)
         positions = {entry.name: index for index, entry in enumerate(preferred)}
         candidates = [
             self._build_candidate(entry, relay, positions.get(entry.name, len(preferred)), now)
-            for entry in trusted or entries
+            for entry in staying
         ]
         return self.routing.choose(candidates)
 
--- /dev/null
+++ b/medlarbeam/gateway/tests/test_leaving_servers.py
@@ -0,0 +1,509 @@
+"""A backend server that says in an answer that it leaves gets nothing new from this gateway.
+
+Guards against requests, orders and probes to servers that leave, whatever the store says, against
+reports that empty a fleet, and against requests that wait for a server that will not take them.
+"""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.fleet import AdapterKey, EngineState, NodeRegistration
+from medlarbeam.classes.gateway_effects import (
+    AcquireRight,
+    CancelFleetRun,
+    FetchEngineState,
+    ProbeServer,
+    RefuseRequest,
+    SendDatagram,
+    ServerLoad,
+    ServerOrder,
+    StartFleetRun,
+)
+from medlarbeam.classes.gateway_messages import (
+    EngineStateResult,
+    EntryDeleted,
+    EntryUpdated,
+    LeaseRenewed,
+    NodeDatagram,
+    ProbeResult,
+    RunCompleted,
+    RunErrorResponse,
+    RunInterrupted,
+    RunRefused,
+    RunStalled,
+    RunStarted,
+    ServerLeaving,
+    ServerOrderResult,
+    StoreSnapshot,
+    StoreUnavailable,
+)
+from medlarbeam.classes.peer_messages import (
+    AdapterDemand,
+    LeavingServer,
+    RateLimitReport,
+)
+from medlarbeam.exceptions import RunState
+from medlarbeam.gateway.crash_suspects import CrashSuspects
+from medlarbeam.gateway.fleet_state import FleetState
+from medlarbeam.gateway.leaving_servers import HINT_S, LeavingServers
+from medlarbeam.gateway.orders import Orders
+from medlarbeam.gateway.server_selector import ServerSelector
+from medlarbeam.gateway.tests.fleet_samples import (
+    COLD,
+    HOT,
+    SERVERS,
+    make_config,
+    make_harness,
+    make_server,
+    own_rights,
+)
+
+BASE = AdapterKey("m0", "")
+PEERS = [NodeRegistration(f"n{i}", "z1", f"10.0.0.{i}:7000", 5) for i in (2, 3)]
+NAMES = [server.name for server in SERVERS]
+SERVICES = {server.name: server.service for server in SERVERS}
+TARGETED = (StartFleetRun, ServerOrder, FetchEngineState, ProbeServer)
+
+
+class LeavingSchedule:
+    """Drives a gateway with steps in any order and records what reaches servers that have left.
+
+    Attributes
+    ----------
+    left : set
+        Name and start (ms) of the incarnations of which the gateway knows that they leave.
+    listed : dict of str to int
+        Start (ms) of the incarnation that the store lists, by name.
+    violations : list of str
+        Effects on incarnations that have left.
+    """
+
+    __slots__ = ("count", "harness", "left", "listed", "open_runs", "orders", "violations")
+
+    def __init__(self):
+        self.harness = make_harness(rights=own_rights(), nodes=PEERS)
+        self.count = 0
+        self.left = set()
+        self.listed = dict.fromkeys(NAMES, 1)
+        self.open_runs = []
+        self.orders = []
+        self.violations = []
+
+    def check(self, effects):
+        """Record the effects of a step."""
+        for effect in effects:
+            if isinstance(effect, TARGETED):
+                server = effect.server
+                if (server.name, server.started_at_ms) in self.left:
+                    self.violations.append(f"{type(effect).__name__} to {server.name}")
+            if isinstance(effect, AcquireRight):
+                if (effect.server, self.listed.get(effect.server)) in self.left:
+                    self.violations.append(f"AcquireRight of {effect.server}")
+            if isinstance(effect, StartFleetRun):
+                self.open_runs.append(effect)
+            elif isinstance(effect, CancelFleetRun):
+                self.open_runs = [r for r in self.open_runs if r.run_id != effect.run_id]
+            elif isinstance(effect, ServerOrder):
+                self.orders.append(effect)
+
+    def deliver(self, message):
+        """Pass a message to the gateway."""
+        self.check(self.harness.deliver(message))
+
+    def say_leaving(self, name, started_at_ms, source="success"):
+        """Deliver an answer that says that an incarnation leaves."""
+        self.left.add((name, started_at_ms))
+        self.deliver(ServerLeaving(name, started_at_ms, "r0", source, "1"))
+
+    def write(self, name, started_at_ms, draining, age):
+        """Write an entry; one with an `age` is an older revision that arrives late."""
+        self.harness.revision += 1
+        revision = self.harness.revision - age
+        known = self.harness.gateway.fleet.keys.get(f"servers/{name}")
+        if known is None or known.revision < revision:
+            self.listed[name] = started_at_ms
+            if draining:
+                self.left.add((name, started_at_ms))
+        entry = make_server(name, SERVICES[name], draining=draining, started_at_ms=started_at_ms)
+        self.deliver(EntryUpdated(f"servers/{name}", entry, revision))
+
+    def delete(self, name):
+        """Delete an entry."""
+        self.harness.revision += 1
+        self.deliver(EntryDeleted(f"servers/{name}", self.harness.revision))
+
+    def set_back(self, started_at_ms):
+        """Read a store that lists each server as an earlier incarnation that stays."""
+        self.harness.revision += 1
+        self.listed = dict.fromkeys(NAMES, started_at_ms)
+        entries = [make_server(n, SERVICES[n], started_at_ms=started_at_ms) for n in NAMES]
+        reads = [EntryUpdated(f"servers/{e.name}", e, self.harness.revision) for e in entries]
+        for name, value in (("op/config", make_config()), *self._list_nodes()):
+            reads.append(EntryUpdated(name, value, self.harness.revision))
+        self.deliver(StoreSnapshot(reads, self.harness.revision))
+
+    def _list_nodes(self):
+        fleet = self.harness.gateway.fleet
+        yield from ((f"node/{n.name}", n) for n in fleet.nodes.values())
+        yield from ((f"right/{r.server}", r) for r in fleet.rights.values())
+
+    def report(self, name, started_at_ms, node="n2"):
+        """Deliver the report of another node, which may be wrong."""
+        items = [LeavingServer(name, started_at_ms)]
+        self.deliver(NodeDatagram(RateLimitReport(node, [], items)))
+
+    def demand(self, name, key):
+        """Deliver another node's demand for an adapter."""
+        self.deliver(NodeDatagram(AdapterDemand("n2", name, key, 0, 1.0)))
+
+    def request(self, route):
+        """Deliver a request of a caller."""
+        self.count += 1
+        key = {"chat": HOT, "draft": COLD}.get(route)
+        self.check(self.harness.send_request(route, key, request_id=f"q{self.count}"))
+
+    def end_run(self, build):
+        """Deliver a result of the oldest open run; a stream that has begun stays open."""
+        if self.open_runs:
+            run = self.open_runs[0]
+            message = build(run.run_id)
+            if not isinstance(message, RunStarted | RunStalled):
+                self.open_runs.pop(0)
+            self.deliver(message)
+
+    def answer_order(self, status):
+        """Answer the oldest order, and a state report."""
+        if self.orders:
+            self.deliver(ServerOrderResult(self.orders.pop(0), status, ""))
+
+    def read_state(self, name):
+        """Deliver the state report of an engine."""
+        self.deliver(EngineStateResult(name, EngineState(0, {"m0"}, {}, {}, False), ""))
+
+    def lose_store(self):
+        """Report that the store does not respond."""
+        self.deliver(StoreUnavailable("down"))
+
+    def probe_result(self, name, is_refused):
+        """Deliver the result of a probe."""
+        self.deliver(ProbeResult(name, is_refused, ""))
+
+    def pass_time(self, seconds):
+        """Advance the clock; the store renews the lease unless it is away for long."""
+        self.check(self.harness.pass_time(seconds))
+        self.deliver(LeaseRenewed(self.harness.now, False, 0))
+
+
+RUN_ENDS = [
+    lambda run: RunCompleted(run, 200, ServerLoad(1, 0, 6, None)),
+    lambda run: RunErrorResponse(run, 500, None),
+    lambda run: RunRefused(run, 503, "full", None),
+    lambda run: RunRefused(run, 421, "missing", None),
+    lambda run: RunRefused(run, 0, "nothing was sent", None),
+    lambda run: RunInterrupted(run, "reset", 0, False, is_connection_lost=True),
+    lambda run: RunStarted(run, None),
+    lambda run: RunStalled(run, 0, 0.6),
+]
+names = st.sampled_from(NAMES)
+starts = st.integers(1, 3)
+STEPS = st.one_of(
+    st.tuples(st.just("request"), st.sampled_from(["read", "pay", "chat", "draft"])),
+    st.tuples(st.just("request"), st.sampled_from(["read", "chat"])),
+    st.tuples(st.just("end_run"), st.sampled_from(RUN_ENDS)),
+    st.tuples(st.just("pass_time"), st.sampled_from([0.01, 0.06, 0.2, 1.0, 6.0])),
+    st.tuples(
+        st.just("say_leaving"), names, starts, st.sampled_from(["refusal", "order", "report"])
+    ),
+    st.tuples(st.just("write"), names, starts, st.booleans(), st.integers(0, 3)),
+    st.tuples(st.just("delete"), names),
+    st.tuples(st.just("set_back"), starts),
+    st.tuples(st.just("report"), names, starts),
+    st.tuples(st.just("demand"), st.sampled_from(["w1", "w2"]), st.sampled_from([HOT, COLD])),
+    st.tuples(st.just("answer_order"), st.sampled_from([0, 200, 202, 409])),
+    st.tuples(st.just("read_state"), st.sampled_from(["w1", "w2"])),
+    st.tuples(st.just("probe_result"), names, st.booleans()),
+    st.tuples(st.just("lose_store")),
+)
+
+
+def play(steps):
+    """Return the `LeavingSchedule` after a list of steps, each a method name and arguments."""
+    schedule = LeavingSchedule()
+    for name, *arguments in steps:
+        getattr(schedule, name)(*arguments)
+    return schedule
+
+
+@settings(derandomize=True, deadline=None, max_examples=150, print_blob=True)
+@given(st.lists(STEPS, max_size=40))
+def test_nothing_reaches_an_incarnation_that_has_left(steps):
+    schedule = play(steps)
+    assert schedule.violations == []
+    schedule.pass_time(6.0)
+    assert schedule.violations == []
+    assert schedule.harness.gateway.relays.open_count() == 0  # none is held beyond its deadline
+
+
+REPORTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("report"), names, starts),
+        st.tuples(st.just("pass_time"), st.sampled_from([0.01, 1.0, 6.0])),
+        st.tuples(st.just("say_leaving"), st.sampled_from(["l1", "w1"]), st.just(1)),
+    ),
+    max_size=20,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60, print_blob=True)
+@given(REPORTS)
+def test_reports_of_other_nodes_never_empty_a_service(steps):
+    schedule = play(steps)
+    for route, key in (("read", None), ("chat", BASE)):
+        schedule.harness.send_request(route, key)
+        (run,) = schedule.harness.find(StartFleetRun)
+        assert (run.server.name, 1) not in schedule.left
+
+
+def take_back(self, entry, now, out):
+    known = self.servers.get(entry.name)
+    APPLY_SERVER(self, entry, now, out)
+    if known is self.servers[entry.name] and not entry.draining:
+        known.draining, known.stop_at = False, now + 1e9
+
+
+APPLY_SERVER = FleetState._apply_server
+LEAVE = ("say_leaving", "l1", 1)
+LEAVE_ENGINE = ("say_leaving", "w1", 1)
+LOSE_RUN = ("end_run", RUN_ENDS[5])
+READ = [("request", "read")] * 2
+MUTANTS = [
+    (
+        "header-is-ignored",
+        [(LeavingServers, "handle_leaving", lambda self, message, now, out: None)],
+        [LEAVE, *READ],
+    ),
+    (
+        "entry-takes-the-answer-back",
+        [(FleetState, "_apply_server", take_back)],
+        [LEAVE, ("write", "l1", 1, False, 0), *READ],
+    ),
+    (
+        "earlier-incarnations-are-forgotten",
+        [(FleetState, "take_out", lambda *arguments: forget(TAKE_OUT, *arguments))],
+        [LEAVE, ("write", "l1", 2, False, 0), ("set_back", 1), *READ],
+    ),
+    (
+        "retry-goes-to-a-server-that-has-left",
+        [(ServerSelector, "_find_all", lambda self, service, excluded, now: list_all(self))],
+        [("request", "read"), ("say_leaving", "l2", 1), LEAVE, ("end_run", RUN_ENDS[2])],
+    ),
+    (
+        "order-is-sent-before-the-next-review",
+        [(Orders, "review_soon", lambda self, now: None), (FleetState, "is_leaving", lambda *a: 0)],
+        [
+            ("pass_time", 1.0),
+            ("read_state", "w1"),
+            LEAVE_ENGINE,
+            ("demand", "w1", COLD),
+        ],
+    ),
+    (
+        "probe-of-a-server-that-has-left",
+        [(CrashSuspects, "_probe", lambda self, lost, now, out: probe(lost, now, out))],
+        [*READ, LEAVE, ("say_leaving", "l2", 1), LOSE_RUN],
+    ),
+]
+TAKE_OUT = FleetState.take_out
+
+
+def forget(original, self, *arguments):
+    result = original(self, *arguments)
+    self.left.clear()
+    return result
+
+
+def list_all(selector):
+    servers = selector.node.fleet.servers.values()
+    return [k.entry for k in servers if k.entry.service == "ledger"]
+
+
+def probe(lost, now, out):
+    lost.probe_at = now + 1e9
+    out.emit(ProbeServer(lost.entry))
+
+
+@pytest.mark.parametrize("patches", [False, True], ids=["as-built", "mutant"])
+@pytest.mark.parametrize(
+    ("mutations", "steps"), [m[1:] for m in MUTANTS], ids=[m[0] for m in MUTANTS]
+)
+def test_mutant_is_caught(monkeypatch, mutations, steps, patches):
+    for owner, name, replacement in mutations if patches else ():
+        monkeypatch.setattr(owner, name, replacement)
+    assert bool(play(steps).violations) is patches
+
+
+USABLE = [
+    ("answer-alone", [LEAVE], False),
+    ("entry-written-later", [LEAVE, ("write", "l1", 1, False, 0)], False),
+    ("answer-after-the-entry", [("write", "l1", 1, True, 0), LEAVE], False),
+    (
+        "entry-removed-and-written-again",
+        [LEAVE, ("delete", "l1"), ("write", "l1", 1, False, 0)],
+        False,
+    ),
+    ("entry-lapses-in-an-outage", [LEAVE, ("lose_store",), ("delete", "l1")], False),
+    ("store-is-set-back", [LEAVE, ("set_back", 1)], False),
+    ("new-incarnation-starts-clean", [LEAVE, ("write", "l1", 2, False, 0)], True),
+    ("late-answer-of-the-old-incarnation", [("write", "l1", 2, False, 0), LEAVE], True),
+    ("other-server-says-so", [("say_leaving", "l2", 1)], True),
+    ("report-of-another-node-is-a-hint", [("report", "l1", 1)], True),
+]
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 2.0, 60.0])
+@pytest.mark.parametrize(("steps", "expected"), [u[1:] for u in USABLE], ids=[u[0] for u in USABLE])
+def test_answer_decides_whether_a_server_gets_new_work(steps, expected, wait_s):
+    harness = play(steps).harness
+    usable = harness.gateway.fleet.usable_servers("ledger", harness.now + wait_s)
+    assert ("l1" in [entry.name for entry in usable]) is expected
+
+
+HINTS = [
+    ("reported-server-is-avoided", [("report", "l1", 1)], False),
+    ("report-expires", [("report", "l1", 1), ("pass_time", HINT_S + 0.1)], True),
+    ("report-of-an-old-incarnation", [("write", "l1", 2, False, 0), ("report", "l1", 1)], True),
+    ("report-of-an-unknown-node", [("report", "l1", 1, "n9")], True),
+    ("only-server-that-stays", [("say_leaving", "l2", 1), ("report", "l1", 1)], True),
+    ("more-than-half-of-the-servers", [("report", "l2", 1), ("report", "l1", 1)], True),
+]
+
+
+@pytest.mark.parametrize(("steps", "expected"), [h[1:] for h in HINTS], ids=[h[0] for h in HINTS])
+def test_report_of_another_node_is_a_hint(steps, expected):
+    schedule = play(steps)
+    for number in range(6):
+        schedule.harness.send_request("read", request_id=f"q{number}")
+        schedule.check(schedule.harness.effects)
+    assert ("l1" in [run.server.name for run in schedule.open_runs]) is expected
+
+
+def test_own_answer_without_the_statement_refutes_a_report():
+    schedule = play([("request", "read")] * 2 + [("report", "l1", 1)])
+    schedule.harness.now += 0.1
+    schedule.open_runs.sort(key=lambda run: run.server.name)
+    schedule.end_run(RUN_ENDS[0])  # of l1
+    (entry,) = [e for e in SERVERS if e.name == "l1"]
+    assert schedule.harness.gateway.leaving.exclude_reported([entry, SERVERS[3]], 100.2) == [
+        entry,
+        SERVERS[3],
+    ]
+
+
+def reported_servers(effects):
+    reports = [e.body for e in effects if isinstance(e, SendDatagram)]
+    return [
+        item.server
+        for body in reports
+        if isinstance(body, RateLimitReport)
+        for item in body.leaving
+    ]
+
+
+TOLD = [
+    ("first-to-know", [LEAVE], ["l1", "l1"]),
+    ("known-from-the-entry", [("write", "l1", 1, True, 0), LEAVE], []),
+    ("another-node-has-told-all", [("report", "l1", 1), LEAVE], []),
+    ("another-node-is-faster", [LEAVE, ("report", "l1", 1)], []),
+    ("said-again", [LEAVE, LEAVE], ["l1", "l1"]),
+]
+
+
+@pytest.mark.parametrize(("steps", "expected"), [t[1:] for t in TOLD], ids=[t[0] for t in TOLD])
+def test_other_nodes_are_told_once(steps, expected):
+    assert reported_servers(play(steps).harness.pass_time(0.5)) == expected
+
+
+def test_node_that_demands_an_adapter_of_a_leaving_server_is_told():
+    """Without a datagram in return it would take this node to be unresponsive."""
+    schedule = play([LEAVE_ENGINE, ("demand", "w1", COLD)])
+    (effect,) = schedule.harness.find(SendDatagram)
+    assert effect.address == PEERS[0].address
+    assert reported_servers([effect]) == ["w1"]
+
+
+ENGINES = [
+    make_server("w1", "llm", domain="z1"),
+    make_server("w2", "llm", domain="z1"),
+    make_server("w3", "llm", domain="z2"),
+]
+OTHER_MODEL = make_server("w4", "llm", adapters=())
+OTHER_MODEL.models = ["m1"]
+GROUPS = [
+    ("only-server", [make_server("l1", "ledger")], ["l1"], "read", None, 0),
+    ("all-servers-of-a-service", SERVERS, ["l1", "l2"], "pay", None, 0),
+    ("only-server-of-a-model", [ENGINES[0], OTHER_MODEL], ["w1"], "chat", HOT, 0),
+    ("cold-adapter-of-that-model", [ENGINES[0], OTHER_MODEL], ["w1"], "draft", COLD, 0),
+    ("all-of-a-failure-domain", ENGINES, ["w1", "w2"], "chat", HOT, 1),
+]
+
+
+@pytest.mark.parametrize(
+    ("servers", "leaving", "route", "key", "sends"),
+    [g[1:] for g in GROUPS],
+    ids=[g[0] for g in GROUPS],
+)
+@pytest.mark.parametrize("waits", [False, True], ids=["arrives-later", "waits-already"])
+def test_request_is_served_elsewhere_or_refused_at_once(servers, leaving, route, key, sends, waits):
+    harness = make_harness(servers=servers)
+    if waits:
+        # The request waits because the servers have no token of their rate limit left.
+        for name in leaving:
+            harness.gateway.limits.observe(name, 0.0, harness.now)
+        held_back = [s.name for s in servers if s.name not in leaving and sends]
+        for name in held_back:
+            harness.gateway.limits.observe(name, 0.0, harness.now)
+        harness.send_request(route, key)
+        assert harness.find(StartFleetRun) == []
+        for name in held_back:
+            harness.gateway.limits.observe(name, None, harness.now)
+    effects = []
+    for name in leaving:
+        effects += harness.deliver(ServerLeaving(name, 1, "r7", "refusal", "1"))
+    if not waits:
+        effects += harness.send_request(route, key)
+    effects += harness.pass_time(0.002)
+    runs = [e for e in effects if isinstance(e, StartFleetRun)]
+    assert [run.server.name in leaving for run in runs] == [False] * sends
+    refusals = [e for e in effects if isinstance(e, RefuseRequest)]
+    assert len(refusals) == 1 - sends
+    for refusal in refusals:
+        assert refusal.failure.run_state is RunState.NOT_RUN
+        assert refusal.retry_after_s > 0.0
+        assert f"server={leaving[0]} said so in the answer to r7" in refusal.failure.reason
+
+
+def test_stream_of_a_server_that_leaves_goes_on():
+    harness = make_harness(rights=own_rights())
+    harness.send_request("chat", HOT)
+    (run,) = harness.find(StartFleetRun)
+    effects = harness.deliver(ServerLeaving(run.server.name, 1, "r1", "stream", "1"))
+    effects += harness.deliver(RunStarted(run.run_id, None))
+    effects += harness.pass_time(1.0)
+    assert not any(isinstance(e, CancelFleetRun | RefuseRequest) for e in effects)
+    harness.deliver(RunCompleted(run.run_id, 200, None))
+    assert harness.gateway.relays.open_count() == 0
+
+
+def test_server_taken_out_by_an_answer_is_logged_once():
+    harness = make_harness()
+    effects = []
+    for number in range(3):
+        effects += harness.deliver(ServerLeaving("l1", 1, f"r{number}", "refusal", "1"))
+    (line,) = [e for e in effects if isinstance(e, LogEvent)]
+    assert (line.name, line.request_id) == ("server_leaving", "r0")
+    assert "server=l1" in line.detail
+    assert "source=refusal" in line.detail
+    assert "value='1'" in line.detail
+    assert harness.gateway.measure(harness.now)["leaving_servers"] == 1
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -12,12 +12,14 @@
     "ATTEMPT_ID",
     "INSTANCE_ID",
     "LAST_EVENT_ID",
+    "LEAVING",
     "NOT_RUN",
     "SIGNATURE",
     "forwarded_headers",
     "parse_adapter_key",
     "parse_deadline_s",
     "parse_last_event",
+    "parse_leaving",
     "parse_load",
     "parse_prompt_tokens",
     "parse_shared_parts",
@@ -29,6 +31,7 @@
 ATTEMPT_ID = "X-Attempt-Id"
 INSTANCE_ID = "X-Instance-Id"
 LAST_EVENT_ID = "Last-Event-Id"
+LEAVING = "Server-Leaving"  # "1" in all responses of a server that takes no new requests
 NOT_RUN = "X-Not-Executed"
 RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
@@ -84,8 +87,8 @@
 
 def response_headers(headers):
     """Return the backend server's headers for the caller, as a list of ``(name, value)``."""
-    internal = {"date", "server", "x-server-load", INSTANCE_ID.lower(), RATE_LIMIT.lower()}
-    return _filter(headers, HOP_BY_HOP | internal)
+    internal = {name.lower() for name in (INSTANCE_ID, LEAVING, RATE_LIMIT)}
+    return _filter(headers, HOP_BY_HOP | internal | {"date", "server", "x-server-load"})
 
 
 def run_headers(forwarded, effect, last_event, now):
@@ -182,6 +185,15 @@
     return rate if 0.0 <= rate < inf else None
 
 
+def parse_leaving(headers):
+    """Return the statement that the backend server leaves, "" if there is none.
+
+    Only the value 1 is defined; any other one, such as 0, states nothing.
+    """
+    text = ",".join(headers.getall(LEAVING, ()))
+    return text if "1" in (part.strip() for part in text.split(",")) else ""
+
+
 def parse_last_event(headers):
     """Return the id of the last event that a caller received, 0 if it names none."""
     return _parse_number(headers.get(LAST_EVENT_ID, ""))
--- a/medlarbeam/platform/metrics.py
+++ b/medlarbeam/platform/metrics.py
@@ -75,6 +75,7 @@
                 ("config_version", "Version of the configuration in force."),
                 ("store_age_seconds", "Time since the store last renewed the registration."),
                 ("servers", "Backend servers that accept new requests."),
+                ("leaving_servers", "Listed backend servers that have announced their leaving."),
                 ("suspect_servers", "Backend servers that are suspected of being faulty."),
                 ("ordered_servers", "Backend servers for which this node holds the order right."),
                 ("loads_in_transit", "Adapters that are being loaded on those servers."),
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -30,6 +30,7 @@
     RunInterrupted,
     RunRefused,
     RunStarted,
+    ServerLeaving,
     ServerOrderResult,
 )
 from medlarbeam.classes.stream_timing import StreamTiming
@@ -46,8 +47,10 @@
 from medlarbeam.platform.event_splitter import EventSplitter
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
+    INSTANCE_ID,
     NOT_RUN,
     SIGNATURE,
+    parse_leaving,
     parse_load,
     response_headers,
     run_headers,
@@ -187,6 +190,8 @@
                 protocol = response.connection.protocol if response.connection else None
                 load = parse_load(response.headers)
                 refusal = find_refusal(response)
+                source = find_answer_source(response, refusal, effect.is_stream)
+                self._report_leaving(effect.server, response, effect.request_id, source)
                 if refusal:
                     await discard_body(response)
                     return RunRefused(effect.run_id, response.status, refusal, load)
@@ -229,6 +234,25 @@
             raise IncompleteResponseError("the stream ended inside an event")
         await exchange.begin_stream(response.status, response_headers(response.headers))
 
+    def _report_leaving(self, server, response, request_id, source):
+        """Deliver the statement that `server` leaves as soon as the head of a response is read."""
+        value = parse_leaving(response.headers)
+        if not value:
+            return
+        name = response.headers.get(INSTANCE_ID, server.name)
+        if name != server.name:
+            log.info(
+                "a response from %s at %s is of %s, which leaves",
+                server.name,
+                server.address,
+                name,
+                extra={"event": "leaving_unattributed"},
+            )
+            return
+        self.driver.deliver(
+            ServerLeaving(server.name, server.started_at_ms, request_id, source, value)
+        )
+
     # Probes, orders and state reports
 
     async def _probe(self, effect):
@@ -272,6 +296,7 @@
                         headers=headers,
                         allow_redirects=False,
                     ) as response:
+                        self._report_leaving(effect.server, response, "", "order")
                         await discard_body(response)
             message = ServerOrderResult(effect, response.status, "")
         except Exception as error:  # every order must result in exactly one message
@@ -288,6 +313,7 @@
                         headers={"X-Expect-Instance": name},
                         allow_redirects=False,
                     ) as response:
+                        self._report_leaving(effect.server, response, "", "report")
                         text = await read_body(response, MAX_RESPONSE_BYTES)
             if response.status != 200:
                 raise FormatError(f"HTTP {response.status}")
@@ -314,6 +340,15 @@
     return ""
 
 
+def find_answer_source(response, refusal, is_stream):
+    """Return the kind of an answer to a run, see `ServerLeaving`."""
+    if refusal:
+        return "refusal"
+    if not 200 <= response.status < 300:
+        return "failure"
+    return "stream" if is_stream else "success"
+
+
 def check_response(response, exchange):
     """Raise BadResponseError unless the headers show a signed response to this request."""
     if response.headers.get(ATTEMPT_ID, "") != exchange.request.attempt_id:
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -17,6 +17,7 @@
     parse_adapter_key,
     parse_deadline_s,
     parse_last_event,
+    parse_leaving,
     parse_load,
     parse_prompt_tokens,
     parse_shared_parts,
@@ -104,6 +105,13 @@
         ServerLoad(1, 2, 8, 0.5),
     ),
     ("rate-limit-is-not-a-number", parse_load, {"Server-Limit": "nan"}, None),
+    ("leaving", parse_leaving, {"server-leaving": " 1 "}, " 1 "),
+    ("not-leaving", parse_leaving, {}, ""),
+    ("leaving-of-another-value", parse_leaving, {"Server-Leaving": "0"}, ""),
+    ("leaving-that-is-empty", parse_leaving, {"Server-Leaving": ""}, ""),
+    ("leaving-that-only-contains-the-digit", parse_leaving, {"Server-Leaving": "10"}, ""),
+    ("leaving-twice", parse_leaving, [("Server-Leaving", "1"), ("Server-Leaving", "1")], "1,1"),
+    ("leaving-listed-with-another-value", parse_leaving, {"Server-Leaving": "0, 1"}, "0, 1"),
 ]
 
 
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -19,7 +19,7 @@
 from medlarbeam.platform.settings import PlatformSettings
 from medlarbeam.standins.free_ports import find_free_addresses
 from medlarbeam.standins.platform_store import PlatformStore
-from medlarbeam.standins.platform_worker import PlatformWorker, encode_event
+from medlarbeam.standins.platform_worker import LEAVING_HEADER, PlatformWorker, encode_event
 
 HOST = "h.example"
 BROKEN = -1  # the connection closed before the response was complete
@@ -249,6 +249,94 @@
     assert run(scenario)[0] == 200
 
 
+LEAVING_RESPONSES = [
+    ("in-a-success", "good", "read", "source=success"),
+    ("in-a-payment", "good", "pay", "source=success"),
+    ("in-a-refusal", "refuse", "pay", "source=refusal"),
+    ("in-a-failure", "error", "pay", "source=failure"),
+    ("in-a-response-that-ends-too-soon", "half", "read", "source=success"),
+    ("in-the-head-of-a-stream", "good", "chat", "source=stream"),
+]
+
+
+@pytest.mark.parametrize("store_fault", ["", "busy"], ids=["store-up", "store-down"])
+@pytest.mark.parametrize(
+    ("response_mode", "name", "source"),
+    [r[1:] for r in LEAVING_RESPONSES],
+    ids=[r[0] for r in LEAVING_RESPONSES],
+)
+def test_server_that_says_in_a_response_that_it_leaves_gets_no_further_request(
+    response_mode, name, source, store_fault, caplog
+):
+    async def scenario(deployment, session):
+        pair = ("w1", "w2") if name == "chat" else ("l1", "l2")
+        if name == "chat":
+            await deployment.call(session, name, "id-0")  # loads the adapter
+        deployment.store.injected_fault = store_fault
+        for worker in (deployment.workers[n] for n in pair):
+            worker.leaving_header = LEAVING_HEADER
+            worker.response_mode = response_mode
+        caplog.set_level("INFO")
+        await deployment.call(session, name, "id-1")
+        fleet = deployment.shell.node.fleet
+        left = [n for n in pair if fleet.is_leaving(n, 1)]
+        for worker in deployment.workers.values():
+            worker.response_mode = "good"
+            worker.executed_attempts.clear()
+            if worker.name not in left:
+                worker.leaving_header = b""
+        for number in range(6):
+            await deployment.call(session, name, f"id-{number + 2}")
+        lines = [r.getMessage() for r in caplog.records if r.event == "server_leaving"]
+        return left, [deployment.workers[n].executed_attempts for n in left], lines
+
+    left, executed, lines = run(scenario)
+    assert left
+    assert executed == [[]] * len(left)
+    assert len(lines) == len(left)
+    assert all(source in line and "value='1'" in line for line in lines)
+
+
+FOREIGN = [
+    ("other-server-at-the-address", b"X-Instance-Id: l9\r\nServer-Leaving: 1\r\n", False),
+    ("the-server-itself", b"X-Instance-Id: %s\r\nServer-Leaving: 1\r\n", True),
+    ("server-that-stays", b"Server-Leaving: 0\r\n", False),
+]
+
+
+@pytest.mark.parametrize(
+    ("header", "is_out"), [f[1:] for f in FOREIGN], ids=[f[0] for f in FOREIGN]
+)
+def test_statement_counts_only_for_the_server_that_makes_it(header, is_out):
+    async def scenario(deployment, session):
+        for worker in deployment.workers.values():
+            name = worker.name.encode()
+            worker.leaving_header = header % name if b"%s" in header else header
+        result = await deployment.call(session, "pay", "id-1")
+        fleet = deployment.shell.node.fleet
+        return result, [fleet.is_leaving(name, 1) for name in ("l1", "l2")]
+
+    result, seen = run(scenario)
+    assert result == (200, b"paid")
+    assert any(seen) is is_out
+
+
+def test_statement_in_the_response_to_an_order_ends_the_orders():
+    async def scenario(deployment, session):
+        for name in ("w1", "w2"):
+            deployment.workers[name].leaving_header = LEAVING_HEADER
+        results = [
+            await deployment.call(session, "chat", f"id-{number}", {"X-Deadline-Ms": "900"})
+            for number in range(4)
+        ]
+        await asyncio.sleep(0.3)
+        return results, [deployment.workers[name].order_count for name in ("w1", "w2")]
+
+    results, orders = run(scenario)
+    assert max(orders) <= 1
+    assert [status for status, _ in results] == [503] * 4
+
+
 async def wait_until(condition):
     """Wait until `condition` returns true; fail after 5 s."""
     async with asyncio.timeout(5):
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -288,7 +288,13 @@
   ageS @2 :Float64;
 }
 
+struct LeavingServer {
+  server @0 :Text;
+  startedAtMs @1 :Int64;
+}
+
 struct RateLimitReport {
   node @0 :Text;
   limits @1 :List(ServerRate);
+  leaving @2 :List(LeavingServer);
 }
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -28,6 +28,7 @@
     Forward,
     HoldingReport,
     Leaving,
+    LeavingServer,
     LostRun,
     ModelCount,
     Ping,
@@ -107,6 +108,7 @@
     LostRun, "fingerprint", TextListField("shared_parts"), TextListField("served_parts")
 )
 _RATE = StructLayout(ServerRate, "server", FloatField("rate"), FloatField("age_s"))
+_LEAVING_SERVER = StructLayout(LeavingServer, "server started_at_ms")
 _SHARD = StructLayout(CatalogShard, "key", ListField("items", _ADAPTER))
 
 _LAYOUTS = {
@@ -165,7 +167,12 @@
         FloatField("served_age_s"),
         ListField("runs", _LOST_RUN),
     ),
-    "rateLimitReport": StructLayout(RateLimitReport, "node", ListField("limits", _RATE)),
+    "rateLimitReport": StructLayout(
+        RateLimitReport,
+        "node",
+        ListField("limits", _RATE),
+        ListField("leaving", _LEAVING_SERVER),
+    ),
     "clearanceReport": StructLayout(ClearanceReport, "node", TextListField("fingerprints")),
 }
 _MEMBERS = {layout.record_class: member for member, layout in _LAYOUTS.items()}
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -31,6 +31,7 @@
     Forward,
     HoldingReport,
     Leaving,
+    LeavingServer,
     LostRun,
     ModelCount,
     Ping,
@@ -115,6 +116,7 @@
     EarlyRefusal("n2", "i-1", AdapterKey("m0", "a7")),
     DeathReport("n1", "i-1/5", 0.25, 0.5, [LostRun("f00d", ["5e5e", "1a"], ["5e5e"])]),
     RateLimitReport("n1", [ServerRate("i-1", 4.5, 0.25), ServerRate("i-2", -1.0, 0.0)]),
+    RateLimitReport("n1", [], [LeavingServer("i-1", 1_790_000_000_123), LeavingServer("i-2", 0)]),
     ClearanceReport("n1", ["request:f00d", "part:5e5e"]),
 ]
 
--- a/medlarbeam/readwrite/tests/test_peer_frames.py
+++ b/medlarbeam/readwrite/tests/test_peer_frames.py
@@ -16,7 +16,14 @@
 from medlarbeam.readwrite.tests.samples import FUZZ, PEER_MESSAGES, PONG, SHARD
 
 FRAMES = [encode_peer_message(message) for message in PEER_MESSAGES]
-NESTED_CLASSES = {"AdapterHolding", "LostRun", "ModelCount", "ServerRate", "ServerSummary"}
+NESTED_CLASSES = {
+    "AdapterHolding",
+    "LeavingServer",
+    "LostRun",
+    "ModelCount",
+    "ServerRate",
+    "ServerSummary",
+}
 
 
 def add_length(payload):
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -6,8 +6,9 @@
 
 from orjson import dumps, loads
 
-__all__ = ["RESPONDERS", "PlatformWorker", "encode_event"]
+__all__ = ["LEAVING_HEADER", "RESPONDERS", "PlatformWorker", "encode_event"]
 
+LEAVING_HEADER = b"Server-Leaving: 1\r\n"
 STAMP_HEADER = b"X-Server-Stamp: s.1\r\n"
 
 
@@ -32,6 +33,8 @@
         Loaded adapters.
     harmful_part : str
         Part of a prompt under which the worker crashes, "" for none.
+    leaving_header : bytes
+        Header lines of all responses; `LEAVING_HEADER` for a worker that leaves.
     rate_limit : float or None
         Requests per second that complete responses name.
     """
@@ -43,6 +46,7 @@
         "events",
         "executed_attempts",
         "harmful_part",
+        "leaving_header",
         "name",
         "order_count",
         "rate_limit",
@@ -58,6 +62,7 @@
         self.order_count = 0
         self.adapters = set()
         self.harmful_part = ""
+        self.leaving_header = b""
         self.rate_limit = None
         self.connections = set()
         self.server = None
@@ -143,7 +148,8 @@
     def write_response(self, writer, status, headers, body):
         """Write a response with a length; return True, since the connection stays open."""
         writer.write(
-            b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s" % (status, headers, len(body), body)
+            b"HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n%s"
+            % (status, self.leaving_header, headers, len(body), body)
         )
         return True
 
@@ -153,12 +159,13 @@
     return b"id: %d\ndata: x%d\n\n" % (number, number)
 
 
-def build_head(attempt, status=200, headers=b"", stamp=STAMP_HEADER):
+def build_head(worker, attempt, status=200, headers=b"", stamp=STAMP_HEADER):
     """Return the status line and the headers of a response."""
-    return b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n%s%s" % (
+    return b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n%s%s%s" % (
         status,
         attempt.encode(),
         stamp,
+        worker.leaving_header,
         headers,
     )
 
@@ -181,7 +188,7 @@
     headers = b"Transfer-Encoding: chunked\r\n\r\n"
     if worker.rate_limit is not None:
         headers = b"Server-Limit: %.1f\r\n" % worker.rate_limit + headers
-    writer.write(build_head(attempt, headers=headers))
+    writer.write(build_head(worker, attempt, headers=headers))
     for piece in body_parts:
         writer.write(encode_chunk(piece))
         await writer.drain()
@@ -191,7 +198,7 @@
 
 async def send_server_error(worker, writer, attempt, body_parts):
     """Send an error response of the worker itself."""
-    writer.write(build_head(attempt, 500, b"Content-Length: 3\r\n\r\n") + b"bad")
+    writer.write(build_head(worker, attempt, 500, b"Content-Length: 3\r\n\r\n") + b"bad")
     return True
 
 
@@ -202,7 +209,7 @@
 
 async def send_partial(worker, writer, attempt, body_parts):
     """Reset the connection in the middle of an event or body."""
-    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    writer.write(build_head(worker, attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
     writer.write(encode_chunk(body_parts[0]) + encode_chunk(body_parts[-1][:4]))
     await writer.drain()
     await asyncio.sleep(0.05)
@@ -211,14 +218,16 @@
 
 async def send_unframed(worker, writer, attempt, body_parts):
     """Send a response without a length, whose body ends when the connection is closed."""
-    writer.write(build_head(attempt, headers=b"Connection: close\r\n\r\n") + b"".join(body_parts))
+    writer.write(
+        build_head(worker, attempt, headers=b"Connection: close\r\n\r\n") + b"".join(body_parts)
+    )
     await writer.drain()
     return False
 
 
 async def send_unframed_reset(worker, writer, attempt, body_parts):
     """Send part of a response without a length, then reset the connection."""
-    writer.write(build_head(attempt, headers=b"Connection: close\r\n\r\n") + body_parts[0])
+    writer.write(build_head(worker, attempt, headers=b"Connection: close\r\n\r\n") + body_parts[0])
     await writer.drain()
     await asyncio.sleep(0.05)
     return reset_connection(writer)
@@ -226,27 +235,29 @@
 
 async def send_other_attempt_id(worker, writer, attempt, body_parts):
     """Send the response to another request, with its attempt id."""
-    writer.write(build_head("other", headers=b"Content-Length: 5\r\n\r\n") + b"wrong")
+    writer.write(build_head(worker, "other", headers=b"Content-Length: 5\r\n\r\n") + b"wrong")
     return True
 
 
 async def send_unsigned(worker, writer, attempt, body_parts):
     """Send a response without the stamp that signs it."""
-    writer.write(build_head(attempt, headers=b"Content-Length: 4\r\n\r\n", stamp=b"") + b"paid")
+    writer.write(
+        build_head(worker, attempt, headers=b"Content-Length: 4\r\n\r\n", stamp=b"") + b"paid"
+    )
     return True
 
 
 async def send_encoded(worker, writer, attempt, body_parts):
     """Send a response in a content encoding that the request did not accept."""
     headers = b"Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\n"
-    writer.write(build_head(attempt, headers=headers) + b"paid")
+    writer.write(build_head(worker, attempt, headers=headers) + b"paid")
     return True
 
 
 async def send_extra_response(worker, writer, attempt, body_parts):
     """Send a complete response, followed by the response to another request."""
     await send_complete(worker, writer, attempt, body_parts)
-    writer.write(build_head("other", headers=b"Content-Length: 5\r\n\r\n") + b"wrong")
+    writer.write(build_head(worker, "other", headers=b"Content-Length: 5\r\n\r\n") + b"wrong")
     return True
 
 
@@ -274,7 +285,7 @@
 
 async def send_endless_head(worker, writer, attempt, body_parts):
     """Send header lines without end."""
-    writer.write(build_head(attempt))
+    writer.write(build_head(worker, attempt))
     return await send_without_end(writer, b"X-More: 1\r\n" * 512)
 
 
@@ -285,13 +296,13 @@
 
 async def send_endless_body(worker, writer, attempt, body_parts):
     """Send a body in chunks without end."""
-    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    writer.write(build_head(worker, attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
     return await send_without_end(writer, encode_chunk(b"x" * 8192))
 
 
 async def send_endless_unframed_body(worker, writer, attempt, body_parts):
     """Send a body without a length and without end."""
-    writer.write(build_head(attempt, headers=b"Connection: close\r\n\r\n"))
+    writer.write(build_head(worker, attempt, headers=b"Connection: close\r\n\r\n"))
     return await send_without_end(writer, b"x" * 8192)
 
 
@@ -299,7 +310,7 @@
     """Refuse a request with a body without end."""
     worker.executed_attempts.remove(attempt)
     refusal = b"X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-    writer.write(build_head(attempt, 503, refusal))
+    writer.write(build_head(worker, attempt, 503, refusal))
     return await send_without_end(writer, encode_chunk(b"x" * 8192))
 
 
