Let workers of the soak leave by header, and check what reaches them then

What was missing: workers of the soak announced their leaving in their entry only, so that the soak could not show a gateway that ignores Server-Leaving.

Workers record each request that reaches them. The checker has the second DRAIN rule: a request sent later than 2 s after a gateway has passed on an answer with the header reaches that incarnation from that gateway. Faults of the store do not excuse it; a restart or a freeze of the gateway does. The rule for entries is unchanged and applies where the entry says so.

--- a/medlarbeam/soak/__main__.py
+++ b/medlarbeam/soak/__main__.py
@@ -70,10 +70,11 @@
             requests,
             deployment.runs,
             deployment.orders,
-            fault_intervals,
+            fault_intervals + deployment.drains,
             recovery_deadline,
             deployment.harmful_requests,
             deployment.crashed_at,
+            deployment.arrivals,
         )
 
 
--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -1,6 +1,7 @@
 """Checks the guarantees of the gateway against the records of callers and workers."""
 
 from collections import Counter, defaultdict
+from math import inf
 
 from medlarbeam.classes.record import Record
 from medlarbeam.soak.deployment import ADAPTER_CAPACITY, DRAIN_S, ORDER_GAP_S
@@ -12,6 +13,7 @@
 
 AT_MOST_ONCE_ROUTES = ("pay", "draft")  # routes whose requests run at most once
 STREAM_ROUTES = ("chat", "draft")
+PASSED_STATUSES = (200, 500)  # responses of workers, as gateways pass them on
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 FAULT_FREE_S = 3.0  # time bounds are checked only after this long without a relevant fault
 RESUME_GRACE_S = 0.3  # orders of a gateway are ignored for this long after SIGCONT
@@ -45,9 +47,11 @@
         Requests that crash each worker that runs them.
     crashed_at : list of float
         Times (s) of the crashes.
+    arrivals : list of ArrivalRecord
     """
 
     __slots__ = (
+        "arrivals",
         "crashed_at",
         "fault_intervals",
         "harmful_requests",
@@ -66,7 +70,9 @@
         recovery_deadline,
         harmful_requests=(),
         crashed_at=(),
+        arrivals=(),
     ):
+        self.arrivals = arrivals
         self.harmful_requests = harmful_requests
         self.crashed_at = crashed_at
         self.requests = requests
@@ -164,6 +170,34 @@
                 )
 
 
+def check_leaving_answers(history):
+    """Yield requests to a worker from a gateway that has passed on its answer that it leaves.
+
+    Requests that a caller sent within `DRAIN_S` of that answer are allowed, and those after a
+    restart or a freeze of the gateway. Faults of the store are no excuse.
+    """
+    requests = {r.attempt: r for r in [*history.requests, *history.harmful_requests]}
+    arrivals = [a for a in history.arrivals if a.attempt in requests]
+    sends = Counter(a.attempt for a in arrivals)
+    passed_on = {}
+    for arrival in arrivals:
+        request = requests[arrival.attempt]
+        # With several sends, the answer may be that of another worker.
+        if arrival.is_leaving and request.status in PASSED_STATUSES and sends[arrival.attempt] == 1:
+            key = (request.gateway, arrival.worker, arrival.incarnation)
+            passed_on[key] = min(request.ended_at, passed_on.get(key, request.ended_at))
+    for arrival in arrivals:
+        request = requests[arrival.attempt]
+        since = passed_on.get((request.gateway, arrival.worker, arrival.incarnation), inf)
+        if request.sent_at > since + DRAIN_S and not history.overlaps_fault(
+            since, arrival.at, {"kill", "terminate", "freeze"}, {request.gateway}
+        ):
+            yield (
+                f"DRAIN {arrival.attempt} reached {arrival.worker} from {request.gateway}, sent "
+                f"{request.sent_at - since:.2f} s after its answer that it leaves"
+            )
+
+
 def check_planned_stops(history):
     """Yield requests that a gateway accepted but did not respond to during a graceful shutdown."""
     ran = {run.attempt for run in history.runs}
@@ -250,6 +284,7 @@
     check_runs,
     check_orders,
     check_drains,
+    check_leaving_answers,
     check_planned_stops,
     check_harmful_requests,
     check_rate_limits,
--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -113,15 +113,21 @@
     rng : random.Random
     gateways, engines : int
         Number of gateway processes and of LLM workers.
+
+    Attributes
+    ----------
+    drains : list of FaultInterval
+        Periods in which the entry of a worker says that it drains.
     """
 
     __slots__ = (
+        "arrivals",
         "crashed_at",
+        "drains",
         "folder",
         "gateway_count",
         "gateways",
         "harmful_requests",
-        "incarnations",
         "orders",
         "proxies",
         "restarts",
@@ -138,10 +144,11 @@
         self.rng = rng
         self.runs = []
         self.orders = []
+        self.arrivals = []
+        self.drains = []
         self.store = PlatformStore()
         names = [f"engine-{i}" for i in range(engines)] + ["ledger-0", "ledger-1"]
-        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders) for n in names}
-        self.incarnations = dict.fromkeys(names, 1)
+        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders, self.arrivals) for n in names}
         self.proxies = {}
         self.crashed_at = []
         self.harmful_requests = []
@@ -219,7 +226,7 @@
             "zone": f"fd-{int(name[-1]) % 2}",
             "slots": 4,
             "state": state,
-            "born": self.incarnations[name],
+            "born": self.workers[name].incarnation,
             "models": [{"name": "m0", "version": 1, "adapters": []}] if is_engine else [],
         }
         self.store.put(f"servers/{name}", dumps(document))
@@ -229,7 +236,8 @@
         worker = self.workers[name]
         worker.order_count = 0
         worker.adapters.clear()
-        self.incarnations[name] += 1
+        worker.leaving_header = b""
+        worker.incarnation += 1
         self.register(name)
 
     async def keep_restarting(self, name):
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -10,6 +10,7 @@
 from medlarbeam.soak.deployment import ROUTES
 from medlarbeam.soak.records import FaultInterval
 from medlarbeam.soak.worker import HARMFUL_PART
+from medlarbeam.standins.platform_worker import LEAVING_HEADER
 
 __all__ = ["FAULTS", "RATE_LIMIT", "Fault", "inject_faults"]
 
@@ -17,6 +18,9 @@
 
 HARMFUL_S = 6.0
 HARMFUL_CALLERS = 2
+DEREGISTERED_S = 0.5  # from the removal of the entry of a worker to its restart
+LEAVE_STEP_S = 1.0
+LEAVE_STEPS = (("entry",), ("header",), ("header", "entry"), ("entry", "header"))
 RATE_LIMIT = 6.0  # requests per second
 RATE_LIMIT_S = 5.0
 
@@ -140,18 +144,36 @@
         worker.fault_probability = 0.0
 
 
-class WorkerDrain(WorkerLink):
-    """A worker announces that it is draining, deregisters and is restarted."""
+class WorkerLeave(WorkerLink):
+    """A worker announces that it leaves, deregisters and is restarted.
+
+    It says so in its entry, in all its answers, or in both, one after the other.
+    """
 
     __slots__ = ()
-    name = "worker_drain"
+    name = "worker_leave"
 
     async def apply(self, deployment, target, rng, duration_s):
         """Drain and restart a worker; see `Fault.apply`."""
-        deployment.register(target, "draining")
-        await asyncio.sleep(duration_s + 3.0)
+        # Not drawn from `rng`, so that the faults of earlier seeds stay the same.
+        steps = LEAVE_STEPS[int(duration_s * 1000) % len(LEAVE_STEPS)]
+        log.info("%s leaves: %s", target, " ".join(steps))
+        drains = []
+        for step in steps:
+            if step == "entry":
+                drains.append(
+                    FaultInterval("worker_drain", target, asyncio.get_running_loop().time())
+                )
+                deployment.register(target, "draining")
+            else:
+                deployment.workers[target].leaving_header = LEAVING_HEADER
+            await asyncio.sleep(LEAVE_STEP_S)
+        deployment.drains += drains
+        await asyncio.sleep(duration_s + 3.0 - LEAVE_STEP_S)
+        for drain in drains:
+            drain.ended_at = asyncio.get_running_loop().time() + DEREGISTERED_S
         deployment.store.delete(f"servers/{target}")
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(DEREGISTERED_S)
         deployment.restart_worker(target)
 
 
@@ -238,7 +260,7 @@
     StoreLink(),
     WorkerLink(),
     WorkerFaults(),
-    WorkerDrain(),
+    WorkerLeave(),
     HarmfulPart(),
     RateLimit(),
     StoreFault(),
--- a/medlarbeam/soak/tests/test_checker.py
+++ b/medlarbeam/soak/tests/test_checker.py
@@ -5,7 +5,7 @@
 from medlarbeam.soak.checker import History, find_violations
 from medlarbeam.soak.deployment import ADAPTER_CAPACITY
 from medlarbeam.soak.records import INCOMPLETE, FaultInterval, RequestRecord
-from medlarbeam.soak.worker import OrderRecord, RunRecord, expected_body
+from medlarbeam.soak.worker import ArrivalRecord, OrderRecord, RunRecord, expected_body
 
 RECOVERY_DEADLINE = 100.0
 
@@ -20,12 +20,22 @@
     return RunRecord(attempt, worker, at)
 
 
+def arrival(attempt, at, is_leaving=True, *, incarnation=1):
+    return ArrivalRecord(attempt, "ledger-0", incarnation, at, is_leaving)
+
+
 def order(holder, fence, at, held=1):
     return OrderRecord("engine-0", holder, fence, held, at)
 
 
 def history(
-    requests=(), runs=(), orders=(), fault_intervals=(), harmful_requests=(), crashed_at=()
+    requests=(),
+    runs=(),
+    orders=(),
+    fault_intervals=(),
+    harmful_requests=(),
+    crashed_at=(),
+    arrivals=(),
 ):
     """Return the history of a run that recovered, with additional records."""
     final = request("final", at=RECOVERY_DEADLINE + 1.0)
@@ -37,6 +47,7 @@
         RECOVERY_DEADLINE,
         list(harmful_requests),
         list(crashed_at),
+        list(arrivals),
     )
 
 
@@ -46,7 +57,35 @@
 CRASHES = [40.0, 40.1, 40.2, 40.3, 40.4]
 HARMFUL = [request(f"h{number}", "chat", 502) for number in range(4)]
 LIMITED = FaultInterval("rate_limit", "engine-0", 40.0, 48.0)
+TOLD = request("told", at=40.0)  # its answer said that the worker leaves
+TOLD_LATE = [TOLD, request("late", "read", at=43.0)]
+LATE_RUNS = [run("told", at=40.0), run("late", at=43.0)]
+LATE = [arrival("told", 40.0), arrival("late", 43.0)]
 VIOLATIONS = [
+    (
+        "request-after-an-answer-that-the-worker-leaves",
+        "DRAIN",
+        {"requests": TOLD_LATE, "runs": LATE_RUNS, "arrivals": LATE},
+    ),
+    (
+        "refused-request-after-an-answer-that-the-worker-leaves",
+        "DRAIN",
+        {
+            "requests": [TOLD, request("late", status=503, at=43.0)],
+            "runs": LATE_RUNS[:1],
+            "arrivals": LATE,
+        },
+    ),
+    (
+        "fault-of-the-store-is-no-excuse",
+        "DRAIN",
+        {
+            "requests": TOLD_LATE,
+            "runs": LATE_RUNS,
+            "arrivals": LATE,
+            "fault_intervals": [FaultInterval("store", "store", 39.0, 44.0)],
+        },
+    ),
     (
         "harmful-requests-go-on-to-run",
         "BUDGET",
@@ -138,6 +177,42 @@
 
 FREEZE = FaultInterval("freeze", "gw-0", 49.0, 53.0)
 ALLOWED_HISTORIES = [
+    (
+        "request-soon-after-an-answer-that-the-worker-leaves",
+        {
+            "requests": [TOLD, request("late", "read", at=41.9)],
+            "runs": [run("told", at=40.0), run("late", at=42.5)],
+            "arrivals": [arrival("told", 40.0), arrival("late", 42.5)],
+        },
+    ),
+    (
+        "new-incarnation-after-an-answer-that-the-worker-leaves",
+        {
+            "requests": TOLD_LATE,
+            "runs": LATE_RUNS,
+            "arrivals": [LATE[0], arrival("late", 43.0, False, incarnation=2)],
+        },
+    ),
+    (
+        "answer-that-the-worker-leaves-was-lost",
+        {
+            "requests": [request("told", status=502, at=40.0), TOLD_LATE[1]],
+            "runs": LATE_RUNS,
+            "arrivals": LATE,
+        },
+    ),
+    *(
+        (
+            f"{kind}-since-the-answer-that-the-worker-leaves",
+            {
+                "requests": TOLD_LATE,
+                "runs": LATE_RUNS,
+                "arrivals": LATE,
+                "fault_intervals": [FaultInterval(kind, "gw-0", 41.0, 41.5)],
+            },
+        )
+        for kind in ("kill", "terminate", "freeze")
+    ),
     (
         "harmful-requests-run-before-all-gateways-know",
         {
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -5,7 +5,14 @@
 from medlarbeam.classes.record import Record
 from medlarbeam.standins.platform_worker import RESPONDERS, PlatformWorker, encode_event
 
-__all__ = ["HARMFUL_PART", "OrderRecord", "RunRecord", "SoakWorker", "expected_body"]
+__all__ = [
+    "HARMFUL_PART",
+    "ArrivalRecord",
+    "OrderRecord",
+    "RunRecord",
+    "SoakWorker",
+    "expected_body",
+]
 
 EVENT_COUNT = 6
 EVENT_PAUSE_S = 0.02
@@ -25,6 +32,29 @@
         self.started_at = started_at
 
 
+class ArrivalRecord(Record):
+    """A request that reached a worker, whether or not it ran.
+
+    Parameters
+    ----------
+    attempt, worker : str
+    incarnation : int
+    at : float
+        Time (s).
+    is_leaving : bool
+        Whether the answer states that the worker leaves.
+    """
+
+    __slots__ = ("at", "attempt", "incarnation", "is_leaving", "worker")
+
+    def __init__(self, attempt, worker, incarnation, at, is_leaving):
+        self.attempt = attempt
+        self.worker = worker
+        self.incarnation = incarnation
+        self.at = at
+        self.is_leaving = is_leaving
+
+
 class OrderRecord(Record):
     """An order received by a worker, accepted or not, and the adapters held after it."""
 
@@ -61,20 +91,32 @@
     ----------
     name : str
     rng : random.Random
-    runs, order_records : list
-        Lists to which a `RunRecord` for each execution and an `OrderRecord` for each order are
-        appended.
+    runs, order_records, arrivals : list
+        Lists to which a `RunRecord` for each execution, an `OrderRecord` for each order and an
+        `ArrivalRecord` for each request are appended.
 
     Attributes
     ----------
+    incarnation : int
+        Number of the start of the worker.
     crashed : asyncio.Event
         Set when the worker has to be taken down and restarted.
     """
 
-    __slots__ = ("crashed", "fault_probability", "order_records", "rng", "runs")
-
-    def __init__(self, name, rng, runs, order_records):
+    __slots__ = (
+        "arrivals",
+        "crashed",
+        "fault_probability",
+        "incarnation",
+        "order_records",
+        "rng",
+        "runs",
+    )
+
+    def __init__(self, name, rng, runs, order_records, arrivals):
         super().__init__(name, EVENT_COUNT)
+        self.arrivals = arrivals
+        self.incarnation = 1
         self.rng = rng
         self.runs = runs
         self.order_records = order_records
@@ -90,10 +132,13 @@
         adapter = headers.get("x-model", "").partition("/")[2]
         if adapter and adapter not in self.adapters:
             return self.write_response(writer, 421, b"", b"")
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(
+            ArrivalRecord(attempt, self.name, self.incarnation, now, bool(self.leaving_header))
+        )
         fault = self.rng.choice(FAULTS) if self.rng.random() < self.fault_probability else "good"
         if fault == "refuse":
             return self.write_response(writer, 503, b"X-Not-Executed: 1\r\n", b"")
-        now = asyncio.get_running_loop().time()
         self.runs.append(RunRecord(attempt, self.name, now))
         await asyncio.sleep(SERVICE_TIME_S)
         if self.is_harmful(headers):
