--- a/medlarbeam/cli/explain.py
+++ b/medlarbeam/cli/explain.py
@@ -11,6 +11,7 @@
 # Log lines without a request id that may explain the outcome of a request.
 LOOKBACK_S = 3.0  # a backend server stays suspect for several seconds
 SERVER_NAME = re.compile(r"\b(?:server|better)=(\S+)|\bon (\S+), ordered by (\S+)")
+LEAVING = re.compile(r"\ball \d+ backend servers of .* leave: ")
 ADAPTER = re.compile(r"\badapter=(\S+)|\bwaited for (\S+) on ")
 CONTEXT_EVENTS = {
     "config_adopted",
@@ -24,6 +25,9 @@
     "store_lost",
     "store_snapshot",
 }
+# Lines that explain refusals at any later time, also with the request id of another request.
+LEAVING_EVENTS = {"server_draining", "server_leaving"}
+LEAVING_CAUSE = "every backend server that could have taken it had said that it leaves"
 OUTCOMES = {
     "request_served": "The caller received the complete response.",
     "request_refused": "The caller received an error of the gateway; the log line names its kind.",
@@ -42,15 +46,18 @@
     request_id : str
     outcome : str
         One sentence.
+    cause : str
+        Why the gateway refused the request, as far as it is known, "" otherwise.
     lines : list of dict
         Fields of the lines with its request id, in order.
     context : list of dict
         Fields of the lines about its backend servers, adapter and node from the same period.
     """
 
-    __slots__ = ("context", "lines", "outcome", "request_id")
+    __slots__ = ("cause", "context", "lines", "outcome", "request_id")
 
-    def __init__(self, request_id, outcome, lines, context):
+    def __init__(self, request_id, outcome, cause, lines, context):
+        self.cause = cause
         self.request_id = request_id
         self.outcome = outcome
         self.lines = lines
@@ -61,6 +68,7 @@
         return {
             "request": self.request_id,
             "outcome": self.outcome,
+            "cause": self.cause or "-",
             "lines": [_select_fields(line) for line in self.lines],
             "around": [_select_fields(line) for line in self.context],
         }
@@ -102,9 +110,23 @@
     request_id = _find_request(requested_id, lines)
     own_lines = [line for line in lines if line.get("request_id") == request_id]
     ends = [OUTCOMES[line["event"]] for line in own_lines if line["event"] in OUTCOMES]
-    return Explanation(
-        request_id, ends[-1] if ends else NO_OUTCOME, own_lines, _find_context(own_lines, lines)
-    )
+    outcome = ends[-1] if ends else NO_OUTCOME
+    context = _find_context(own_lines, lines)
+    return Explanation(request_id, outcome, _find_cause(own_lines, context), own_lines, context)
+
+
+def _find_cause(own_lines, context):
+    """Return which backend servers had announced their leaving, if that caused the refusal."""
+    refusals = [line for line in own_lines if LEAVING.search(line["message"])]
+    if not refusals or refusals[-1] is not own_lines[-1]:
+        return ""
+    names = _find_names(SERVER_NAME, refusals)
+    texts = [
+        f"{line['event']} {line.get('request_id', '')} {line['message']}".replace("  ", " ")
+        for line in context
+        if line["event"] in LEAVING_EVENTS and _find_names(SERVER_NAME, [line]) & names
+    ]
+    return "; ".join([LEAVING_CAUSE, *texts])
 
 
 def _find_request(requested_id, lines):
@@ -127,7 +149,10 @@
     first, last = own_lines[0]["time_s"] - LOOKBACK_S, own_lines[-1]["time_s"]
     context_lines = []
     for line in lines:
-        if line.get("request_id") or not first <= line.get("time_s", 0.0) <= last:
+        if line["event"] in LEAVING_EVENTS:
+            if line.get("time_s", 0.0) > last or line in own_lines:
+                continue
+        elif line.get("request_id") or not first <= line.get("time_s", 0.0) <= last:
             continue
         mentioned_servers = _find_names(SERVER_NAME, [line]) | set(
             re.findall(r"\bnode=(\S+)", line["message"])
--- a/medlarbeam/cli/tests/test_explain.py
+++ b/medlarbeam/cli/tests/test_explain.py
@@ -14,6 +14,7 @@
     RunErrorResponse,
     RunInterrupted,
     RunStarted,
+    ServerLeaving,
     ServerOrderResult,
 )
 from medlarbeam.cli.explain import NO_OUTCOME, OUTCOMES, explain_request, read_lines
@@ -92,6 +93,16 @@
     return log
 
 
+def log_refusal_after_servers_left():
+    """Let the servers say in answers to other requests, a while before, that they leave."""
+    log = LogRecorder()
+    for number, name in enumerate(("l1", "l2")):
+        log.deliver(ServerLeaving(name, 1, f"other{number}", "refusal", "1"))
+    log.pass_time(20.0)
+    log.send_request("pay")
+    return log
+
+
 def log_served_request():
     log = LogRecorder()
     log.send_request("pay")
@@ -109,6 +120,13 @@
     ("refused-stream", log_refused_stream, "request_refused", "waited for m0/a9 on w1", ""),
     ("payment-without-response", log_payment_without_response, "request_refused", "reset", ""),
     ("stream-broken-midway", log_broken_stream, "answer_cut", "events=3", "server_trust"),
+    (
+        "servers-that-left",
+        log_refusal_after_servers_left,
+        "request_refused",
+        "server=l1 said so in the answer to other0",
+        "server_leaving",
+    ),
     ("served-request", log_served_request, "request_served", "status=200", ""),
     ("outcome-not-in-the-log", log_without_outcome, "", "server=l", ""),
 ]
@@ -128,6 +146,22 @@
     assert all(line["request_id"] == explanation.request_id for line in explanation.lines)
 
 
+CAUSES = [
+    ("leaving-servers-are-named", log_refusal_after_servers_left, ["other0", "l1", "other1", "l2"]),
+    ("refusal-with-another-cause", log_refused_stream, []),
+    ("no-refusal", log_served_request, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("record_log", "names"), [c[1:] for c in CAUSES], ids=[c[0] for c in CAUSES]
+)
+def test_leaving_servers_are_named_as_the_cause_of_a_refusal(record_log, names):
+    cause = explain_request("r1", record_log().lines).cause
+    assert all(name in cause for name in names)
+    assert bool(cause) is bool(names)
+
+
 def test_load_orders_of_the_adapter_are_shown_for_a_refused_stream():
     explanation = explain_request("r1", log_refused_stream().lines)
     (text,) = {line["message"] for line in explanation.context if line["event"] == "order_answered"}
