Take a lost connection to a server that announced its exit as no evidence

What operators would see: a server that announces that it leaves while a probe of it is under way, and then exits, counted as crashed under the runs that it cut, and their prompt parts got strikes.

Change: the result of a probe is judged like its start: if the server has announced that it leaves, its lost runs are no evidence (server_not_crashed names this).

Evidence: announced-during-the-probe fails without the change.

--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -40,6 +40,7 @@
 PUBLISH_STEP_S = 1.5  # between nodes that publish a quarantine; a written one is seen sooner
 PROBE_INTERVAL_S = 0.2  # between probes of a backend server that loses connections
 CANCELLED_S = 0.5  # in which a backend server may still crash under a cancelled run
+LEAVES = "it had announced that it leaves"
 MAX_RECORDS = 4096
 MAX_DEATHS = 256
 MAX_SERVED_PARTS = 20_000  # about 150 bytes each
@@ -202,22 +203,25 @@
         entry = lost.entry
         if self.node.fleet.is_leaving(entry.name, entry.started_at_ms):
             # It may have exited as announced, which is no evidence against the runs that it cut.
-            detail = f"server={entry.name} lost_runs={len(lost.requests)} it leaves"
-            out.emit(LogEvent("server_not_crashed", detail))
             self.lost.pop(entry.name, None)
+            self._log_not_crashed(lost, LEAVES, out)
             return
         lost.probe_at = inf
         self.probed_at[lost.entry.name] = now
         out.emit(ProbeServer(lost.entry))
 
+    def _log_not_crashed(self, lost, reason, out):
+        detail = f"server={lost.entry.name} lost_runs={len(lost.requests)} {reason}"
+        out.emit(LogEvent("server_not_crashed", detail))
+
     def handle_probe_result(self, message, now, out):
         """Give strikes to the lost runs of a backend server that refuses connections."""
         lost = self.lost.pop(message.server, None)
         if lost is None:
             return
-        if not message.is_refused:
-            detail = f"server={message.server} lost_runs={len(lost.requests)} {message.reason}"
-            out.emit(LogEvent("server_not_crashed", detail))
+        is_leaving = self.node.fleet.is_leaving(lost.entry.name, lost.entry.started_at_ms)
+        if is_leaving or not message.is_refused:
+            self._log_not_crashed(lost, LEAVES if is_leaving else message.reason, out)
             return
         self.node.health.record_outcome(message.server, "unreachable", now, out)
         death_id = f"{lost.entry.name}/{lost.entry.started_at_ms}"
