End a drain of the soak with the next start of its worker

Cause: the interval of a drain ended with the fault, not with the incarnation.

Change: restarting a worker ends the intervals of its drains.

--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -117,7 +117,7 @@
     Attributes
     ----------
     drains : list of FaultInterval
-        Periods in which the entry of a worker says that it drains.
+        Periods in which the entry of a worker says that it drains, until its next incarnation.
     """
 
     __slots__ = (
@@ -238,6 +238,9 @@
         worker.adapters.clear()
         worker.leaving_header = b""
         worker.incarnation += 1
+        for drain in self.drains:
+            if drain.target == name:
+                drain.ended_at = min(drain.ended_at, asyncio.get_running_loop().time())
         self.register(name)
 
     async def keep_restarting(self, name):
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -158,20 +158,15 @@
         # Not drawn from `rng`, so that the faults of earlier seeds stay the same.
         steps = LEAVE_STEPS[int(duration_s * 1000) % len(LEAVE_STEPS)]
         log.info("%s leaves: %s", target, " ".join(steps))
-        drains = []
         for step in steps:
             if step == "entry":
-                drains.append(
-                    FaultInterval("worker_drain", target, asyncio.get_running_loop().time())
-                )
+                since = asyncio.get_running_loop().time()
+                deployment.drains.append(FaultInterval("worker_drain", target, since))
                 deployment.register(target, "draining")
             else:
                 deployment.workers[target].leaving_header = LEAVING_HEADER
             await asyncio.sleep(LEAVE_STEP_S)
-        deployment.drains += drains
         await asyncio.sleep(duration_s + 3.0 - LEAVE_STEP_S)
-        for drain in drains:
-            drain.ended_at = asyncio.get_running_loop().time() + DEREGISTERED_S
         deployment.store.delete(f"servers/{target}")
         await asyncio.sleep(DEREGISTERED_S)
         deployment.restart_worker(target)
