--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -23,7 +23,7 @@
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.node.component import Component
 
-__all__ = ["FleetState", "KnownServer"]
+__all__ = ["FleetState", "KnownServer", "describe_server"]
 
 # Entries whose leases expired during a store outage are back within about 2 s of its end. A single
 # missing entry was more likely removed, so the drain time limit applies to its backend server.
@@ -40,6 +40,7 @@
 # A backend server whose entry is missing is remembered for this long, so that a store that is set
 # back to a copy from a few seconds before does not bring it back.
 GONE_RETENTION_S = 60.0
+MAX_LEFT = 20_000  # incarnations that have announced their leaving, about 150 bytes each
 
 
 class KnownServer:
@@ -56,7 +57,8 @@
     missing_since : float
         Time (s) at which its entry went missing, infinity while it exists.
     draining : bool
-        Whether it has announced a drain; a stale entry that is written later does not cancel it.
+        Whether it has announced that it leaves, in its entry or in an answer; an entry that is
+        read later does not cancel it.
     """
 
     __slots__ = ("draining", "entry", "missing_since", "stop_at")
@@ -67,6 +69,10 @@
         self.missing_since = inf
         self.draining = False
 
+    def is_listed_leaving(self):
+        """Return whether the store lists it, and it has announced that it leaves."""
+        return self.draining and self.missing_since == inf
+
 
 class FleetState(Component):
     """Keeps the newest entry of each key; older revisions are ignored.
@@ -93,6 +99,10 @@
         Whether the entries are from before the store was set back.
     store_unavailable_since : float or None
         Time (s) of the first call without a response since the last renewal of the lease.
+    left : dict
+        Where an incarnation has announced that it leaves, as text, by name and start (ms), the
+        oldest first. A store that is set back may list it as staying, even after a later
+        incarnation was known.
     membership_version : int
         Incremented whenever a backend server is added or removed.
     node_missing_since : dict of str to float
@@ -111,6 +121,7 @@
         "forget_at",
         "is_set_back",
         "keys",
+        "left",
         "membership_version",
         "node_missing_since",
         "nodes",
@@ -132,6 +143,7 @@
         self.routes = RouteTable()
         self.keys = {}
         self.servers = {}
+        self.left = {}
         self.published_versions = {}
         self.nodes = {}
         self.rights = {}
@@ -268,16 +280,39 @@
         known.entry = entry
         known.missing_since = inf
         self.doubtful_until.pop(entry.name, None)
-        if entry.draining and not known.draining:
-            known.draining = True
-            known.stop_at = min(known.stop_at, now)
-            out.emit(LogEvent("server_draining", describe_server(entry)))
+        if entry.draining or (entry.name, entry.started_at_ms) in self.left:
+            if self.take_out(entry.name, entry.started_at_ms, "in its entry", now):
+                out.emit(LogEvent("server_draining", describe_server(entry)))
         elif is_stale and had_left and not known.draining:
             self.doubtful_until[entry.name] = now + STALE_ENTRY_S
             out.emit(LogEvent("server_doubtful", describe_server(entry)))
         elif not known.draining:
             known.stop_at = inf
 
+    def take_out(self, name, started_at_ms, source, now):
+        """Give an incarnation of a backend server no new work any more.
+
+        Both announcements of its leaving, in its entry and in an answer, end here; `source` is the
+        place of this one as text. Returns whether it was not known before.
+        """
+        self.left.setdefault((name, started_at_ms), source)
+        while len(self.left) > MAX_LEFT:
+            del self.left[next(iter(self.left))]
+        known = self.servers.get(name)
+        if known is None or known.entry.started_at_ms != started_at_ms or known.draining:
+            return False
+        known.draining = True
+        known.stop_at = min(known.stop_at, now)
+        self.node.relays.wake_service(known.entry.service, now)
+        self.node.orders.review_soon(now)
+        return True
+
+    def is_leaving(self, name, started_at_ms):
+        """Return whether an incarnation of a backend server has announced that it leaves."""
+        known = self.servers.get(name)
+        is_current = known is not None and known.entry.started_at_ms == started_at_ms
+        return known.draining if is_current else (name, started_at_ms) in self.left
+
     def handle_entry_deleted(self, message, now, out):
         """Apply the deletion of an entry unless a newer revision is known."""
         self.revision = max(self.revision, message.revision) if self.revision else 0
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -87,10 +87,11 @@
         trusted = [
             e for e in entries if e.name not in health.suspects or health.may_use(e.name, now)
         ]
+        staying = self.node.leaving.exclude_reported(trusted or entries, now)
         is_adapter = key is not None and bool(key.adapter)
         holders = self.node.holdings.find_servers(key) if is_adapter else ()
         ready, others = [], []
-        for entry in trusted or entries:
+        for entry in staying:
             is_known = not is_adapter or entry.name in holders
             ready_in_s = self._find_ready_s(entry, key, now) if is_known else None
             if ready_in_s is None:
--- a/medlarbeam/gateway/tests/naive_server_selector.py
+++ b/medlarbeam/gateway/tests/naive_server_selector.py
@@ -14,7 +14,7 @@
         positions = {entry.name: index for index, entry in enumerate(preferred)}
         candidates = [
             self._build_candidate(entry, relay, positions.get(entry.name, len(preferred)), now)
-            for entry in trusted or entries
+            for entry in self.node.leaving.exclude_reported(trusted or entries, now)
         ]
         return self.routing.choose(candidates)
 
--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -113,16 +113,22 @@
     rng : random.Random
     gateways, engines : int
         Number of gateway processes and of LLM workers.
+
+    Attributes
+    ----------
+    drains : list of FaultInterval
+        Periods in which the entry of a worker says that it drains, until its next incarnation.
     """
 
     __slots__ = (
+        "arrivals",
         "crashed_at",
         "draining",
+        "drains",
         "folder",
         "gateway_count",
         "gateways",
         "harmful_requests",
-        "incarnations",
         "orders",
         "proxies",
         "restarts",
@@ -139,10 +145,11 @@
         self.rng = rng
         self.runs = []
         self.orders = []
+        self.arrivals = []
+        self.drains = []
         self.store = PlatformStore()
         names = [f"engine-{i}" for i in range(engines)] + ["ledger-0", "ledger-1"]
-        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders) for n in names}
-        self.incarnations = dict.fromkeys(names, 1)
+        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders, self.arrivals) for n in names}
         self.proxies = {}
         self.crashed_at = []
         self.draining = set()
@@ -221,7 +228,7 @@
             "zone": f"fd-{int(name[-1]) % 2}",
             "slots": 4,
             "state": state,
-            "born": self.incarnations[name],
+            "born": self.workers[name].incarnation,
             "models": [{"name": "m0", "version": 1, "adapters": []}] if is_engine else [],
         }
         self.store.put(f"servers/{name}", dumps(document))
@@ -231,9 +238,15 @@
         worker = self.workers[name]
         worker.order_count = 0
         worker.adapters.clear()
-        self.incarnations[name] += 1
+        is_leaving = name in self.draining
+        worker.incarnation += 1
+        if not is_leaving:
+            worker.leaving_header = b""
+            for drain in self.drains:
+                if drain.target == name:
+                    drain.ended_at = min(drain.ended_at, asyncio.get_running_loop().time())
         # A worker that crashes while it drains is still to leave.
-        self.register(name, "draining" if name in self.draining else "ready")
+        self.register(name, "draining" if is_leaving else "ready")
 
     async def keep_restarting(self, name):
         """Restart a worker some seconds after each crash; its connections are refused meanwhile."""
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -12,6 +12,7 @@
 from medlarbeam.soak.records import FaultInterval
 from medlarbeam.soak.worker import HARMFUL_PART
 from medlarbeam.standins.platform_store import StoreCopy
+from medlarbeam.standins.platform_worker import LEAVING_HEADER
 
 __all__ = ["FAULTS", "RATE_LIMIT", "Fault", "inject_faults"]
 
@@ -19,6 +20,9 @@
 
 HARMFUL_S = 6.0
 HARMFUL_CALLERS = 2
+DEREGISTERED_S = 0.5  # from the removal of the entry of a worker to its restart
+LEAVE_STEP_S = 1.0
+LEAVE_STEPS = (("entry",), ("header",), ("header", "entry"), ("entry", "header"))
 RATE_LIMIT = 6.0  # requests per second
 RATE_LIMIT_S = 5.0
 STORE_LOSS_S = 12.0  # the takeover of a right takes about as long
@@ -158,19 +162,32 @@
         worker.fault_probability = 0.0
 
 
-class WorkerDrain(WorkerLink):
-    """A worker announces that it is draining, deregisters and is restarted."""
+class WorkerLeave(WorkerLink):
+    """A worker announces that it leaves, deregisters and is restarted.
+
+    It says so in its entry, in all its answers, or in both, one after the other.
+    """
 
     __slots__ = ()
-    name = "worker_drain"
+    name = "worker_leave"
 
     async def apply(self, deployment, target, rng, duration_s):
         """Drain and restart a worker; see `Fault.apply`."""
+        # Not drawn from `rng`, so that the faults of earlier seeds stay the same.
+        steps = LEAVE_STEPS[int(duration_s * 1000) % len(LEAVE_STEPS)]
+        log.info("%s leaves: %s", target, " ".join(steps))
         deployment.draining.add(target)
-        deployment.register(target, "draining")
-        await asyncio.sleep(duration_s + 3.0)
+        for step in steps:
+            if step == "entry":
+                since = asyncio.get_running_loop().time()
+                deployment.drains.append(FaultInterval("worker_drain", target, since))
+                deployment.register(target, "draining")
+            else:
+                deployment.workers[target].leaving_header = LEAVING_HEADER
+            await asyncio.sleep(LEAVE_STEP_S)
+        await asyncio.sleep(duration_s + 3.0 - LEAVE_STEP_S)
         deployment.store.delete(f"servers/{target}")
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(DEREGISTERED_S)
         deployment.draining.discard(target)
         deployment.restart_worker(target)
 
@@ -285,7 +302,7 @@
     StoreLoss(),
     WorkerLink(),
     WorkerFaults(),
-    WorkerDrain(),
+    WorkerLeave(),
     HarmfulPart(),
     RateLimit(),
     StoreFault(),
