Read the pause that a backend server asks for in a refusal

The value is parsed as decimal seconds, only in a 503 for a request that was not run, and only if attempt id and instance are those that were asked. Dates, negative, empty, repeated and other values are reported as unusable. Retry-After of a server error is no longer passed on to callers, since another server may take the next attempt at once. Nothing acts on the pause yet.

--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -12,6 +12,7 @@
     "LeaseExpired",
     "LeaseRenewed",
     "NodeDatagram",
+    "PauseRequest",
     "ProbeResult",
     "RunCompleted",
     "RunErrorResponse",
@@ -144,6 +145,28 @@
         self.load = load
 
 
+class PauseRequest(Record):
+    """A pause that a backend server asks for when it refuses a request.
+
+    Parameters
+    ----------
+    text : str
+        The value as received, shortened and escaped for log lines.
+    pause_s : float or None
+        Seconds in which the server wants no requests of this node; None if the value cannot be
+        used. It may be infinite.
+    problem : str
+        Why the value cannot be used, "" if it can.
+    """
+
+    __slots__ = ("pause_s", "problem", "text")
+
+    def __init__(self, text, pause_s, problem=""):
+        self.text = text
+        self.pause_s = pause_s
+        self.problem = problem
+
+
 class RunRefused(Record):
     """The backend server reported that it did not run the request, or nothing was sent.
 
@@ -154,15 +177,18 @@
         0 if nothing was sent.
     reason : str
     load : ServerLoad or None
+    pause : PauseRequest or None
+        Pause that the backend server asks for in the refusal.
     """
 
-    __slots__ = ("load", "reason", "run_id", "status")
+    __slots__ = ("load", "pause", "reason", "run_id", "status")
 
-    def __init__(self, run_id, status, reason, load):
+    def __init__(self, run_id, status, reason, load, pause=None):
         self.run_id = run_id
         self.status = status
         self.reason = reason
         self.load = load
+        self.pause = pause
 
 
 class RunInterrupted(Record):
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -1,5 +1,6 @@
 """HTTP headers of callers and backend servers: filtering, parsing and construction."""
 
+import re
 from math import inf
 from string import hexdigits
 
@@ -7,6 +8,7 @@
 
 from medlarbeam.classes.fleet import AdapterKey
 from medlarbeam.classes.gateway_effects import ServerLoad
+from medlarbeam.classes.gateway_messages import PauseRequest
 
 __all__ = [
     "ATTEMPT_ID",
@@ -19,6 +21,7 @@
     "parse_deadline_s",
     "parse_last_event",
     "parse_load",
+    "parse_pause",
     "parse_prompt_tokens",
     "parse_shared_parts",
     "parse_tokens",
@@ -31,11 +34,14 @@
 LAST_EVENT_ID = "Last-Event-Id"
 NOT_RUN = "X-Not-Executed"
 RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
+RETRY_AFTER = "Retry-After"
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
 
 MAX_SHARED_PARTS = 256
 MAX_DIGITS = 15  # of a number; `int` raises ValueError for thousands of digits
 MAX_PART_ID_CHARACTERS = 64
+MAX_LOGGED_CHARACTERS = 40  # of a header value that goes into a log line
+DECIMAL = re.compile(r"[0-9]+(?:\.[0-9]*)?|\.[0-9]+")
 
 # Hop-by-hop headers, and headers that the HTTP library generates itself.
 HOP_BY_HOP = {
@@ -82,9 +88,15 @@
     return _filter(headers, HOP_BY_HOP | INTERNAL_HEADERS)
 
 
-def response_headers(headers):
-    """Return the backend server's headers for the caller, as a list of ``(name, value)``."""
+def response_headers(headers, status=200):
+    """Return the backend server's headers for the caller, as a list of ``(name, value)``.
+
+    ``Retry-After`` of a server error is removed: it states when that one server takes requests of
+    this node again, while another server may take the caller's next attempt at once.
+    """
     internal = {"date", "server", "x-server-load", INSTANCE_ID.lower(), RATE_LIMIT.lower()}
+    if status >= 500:
+        internal.add(RETRY_AFTER.lower())
     return _filter(headers, HOP_BY_HOP | internal)
 
 
@@ -182,6 +194,32 @@
     return rate if 0.0 <= rate < inf else None
 
 
+def parse_pause(headers, attempt_id, server):
+    """Return the `PauseRequest` in the headers of a 503 for a request that was not run, or None.
+
+    Parameters
+    ----------
+    headers : multidict.CIMultiDictProxy
+    attempt_id : str
+        Attempt id of the request. A worker may write the response to an earlier one again.
+    server : str
+        Instance id of the backend server to which the request was sent.
+    """
+    values = headers.getall(RETRY_AFTER, ())
+    if not values:
+        return None
+    text = ascii(", ".join(values)[:MAX_LOGGED_CHARACTERS])
+    if headers.get(ATTEMPT_ID, attempt_id) != attempt_id:
+        return PauseRequest(text, None, "the response has the attempt id of another request")
+    if headers.get(INSTANCE_ID, server) != server:
+        return PauseRequest(text, None, "the response is of another instance")
+    if len(values) > 1:
+        return PauseRequest(text, None, "the header is repeated")
+    if not DECIMAL.fullmatch(values[0].strip()):
+        return PauseRequest(text, None, "the value is not a decimal number of seconds")
+    return PauseRequest(text, float(values[0]))
+
+
 def parse_last_event(headers):
     """Return the id of the last event that a caller received, 0 if it names none."""
     return _parse_number(headers.get(LAST_EVENT_ID, ""))
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -49,6 +49,7 @@
     NOT_RUN,
     SIGNATURE,
     parse_load,
+    parse_pause,
     response_headers,
     run_headers,
 )
@@ -189,7 +190,8 @@
                 refusal = find_refusal(response)
                 if refusal:
                     await discard_body(response)
-                    return RunRefused(effect.run_id, response.status, refusal, load)
+                    pause = find_pause(response, exchange, effect)
+                    return RunRefused(effect.run_id, response.status, refusal, load, pause)
                 check_response(response, exchange)
                 if effect.is_stream and response.status == 200:
                     await self._relay_stream(effect, exchange, response, load, timer)
@@ -199,7 +201,9 @@
                 body = await read_body(response, MAX_RESPONSE_BYTES)
                 check_response_end(response, protocol)
         buffered = Response(
-            status=response.status, body=body, headers=response_headers(response.headers)
+            status=response.status,
+            body=body,
+            headers=response_headers(response.headers, response.status),
         )
         if 200 <= response.status < 300:
             exchange.finish(buffered)
@@ -314,6 +318,16 @@
     return ""
 
 
+def find_pause(response, exchange, effect):
+    """Return the `PauseRequest` of a backend server that turned a request away, or None.
+
+    Other statuses than 503 refuse one request, and a 503 without `NOT_RUN` may come from a run.
+    """
+    if response.status != 503 or NOT_RUN not in response.headers:
+        return None
+    return parse_pause(response.headers, exchange.request.attempt_id, effect.server.name)
+
+
 def check_response(response, exchange):
     """Raise BadResponseError unless the headers show a signed response to this request."""
     if response.headers.get(ATTEMPT_ID, "") != exchange.request.attempt_id:
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -18,9 +18,11 @@
     parse_deadline_s,
     parse_last_event,
     parse_load,
+    parse_pause,
     parse_prompt_tokens,
     parse_shared_parts,
     parse_tokens,
+    response_headers,
     run_headers,
 )
 
@@ -134,3 +136,68 @@
 )
 def test_shared_parts_of_a_prompt(headers, expected):
     assert parse_shared_parts(CIMultiDict(headers)) == tuple(expected.split())
+
+
+PAUSES = [
+    ("whole-seconds", ["2"], 2.0),
+    ("fraction-of-a-second", ["0.35"], 0.35),
+    ("fraction-without-a-digit-before-it", [".5"], 0.5),
+    ("space-around-the-value", [" 1.5 "], 1.5),
+    ("zero", ["0"], 0.0),
+    ("huge-value", ["9" * 30], 1e30),
+    ("thousands-of-digits-raise-nothing", ["9" * 5000], inf),
+    ("date", ["Wed, 21 Oct 2026 07:28:00 GMT"], None),
+    ("negative", ["-1"], None),
+    ("empty", [""], None),
+    ("not-a-number", ["nan"], None),
+    ("infinity-by-name", ["inf"], None),
+    ("exponent", ["1e3"], None),
+    ("digits-of-another-script", ["\u0662"], None),
+    ("words", ["soon"], None),
+    ("unit", ["2s"], None),
+    ("two-values-in-one-line", ["2, 3"], None),
+    ("header-twice", ["2", "3"], None),
+    ("header-twice-with-one-value", ["2", "2"], None),
+]
+
+
+@pytest.mark.parametrize(("values", "pause_s"), [p[1:] for p in PAUSES], ids=[p[0] for p in PAUSES])
+def test_pause_is_parsed(values, pause_s):
+    pause = parse_pause(CIMultiDict([("Retry-After", value) for value in values]), "id-1", "w1")
+    assert pause.pause_s == (pytest.approx(pause_s) if pause_s is not None else None)
+    assert bool(pause.problem) is (pause_s is None)
+    assert len(pause.text) <= 250 and pause.text.isascii()
+
+
+SOURCES = [
+    ("no-header", {}, None, False),
+    ("own-request", {"X-Attempt-Id": "id-1"}, 2.0, True),
+    ("response-to-an-earlier-request", {"X-Attempt-Id": "id-0"}, None, True),
+    ("own-instance", {"X-Instance-Id": "w1"}, 2.0, True),
+    ("other-server-at-the-address", {"X-Instance-Id": "w2"}, None, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("headers", "pause_s", "is_named"), [s[1:] for s in SOURCES], ids=[s[0] for s in SOURCES]
+)
+def test_pause_counts_only_from_the_server_that_was_asked(headers, pause_s, is_named):
+    fields = CIMultiDict({"Retry-After": "2", **headers} if is_named else headers)
+    pause = parse_pause(fields, "id-1", "w1")
+    assert (pause.pause_s if pause is not None else None) == pause_s
+    assert (pause is not None) is is_named
+
+
+PASSED = [
+    ("time-of-one-server-is-not-that-of-the-service", 503, False),
+    ("time-in-an-error-of-a-run", 500, False),
+    ("time-that-concerns-the-caller-s-own-request", 409, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("status", "is_passed"), [p[1:] for p in PASSED], ids=[p[0] for p in PASSED]
+)
+def test_retry_after_of_a_server_is_passed_on_only_where_true(status, is_passed):
+    headers = CIMultiDict({"Retry-After": "2"})
+    assert bool(response_headers(headers, status)) is is_passed
