Send nothing to a backend server in a pause that it asked for

Cause: a refusal only kept the one request away from the server.

ServerPauses, with the chart server_pause, keeps the end of each pause; the later end of several responses holds, a restart ends it, and 60 s bound it. Selection knows a pause as a time: a request waits for it in a queue by priority, within its own time limit, where that costs less than a load elsewhere, and paused servers keep their places in the hash order. If no server takes a request in time, it is refused at once with a Retry-After in the time after the pause, most urgent callers first. After a pause requests are spread over a second, within a named rate. The decisions on refused runs moved from relays.py to run_refusals.py.

--- a/medlarbeam/algorithms/direct_routing.py
+++ b/medlarbeam/algorithms/direct_routing.py
@@ -39,6 +39,8 @@
         Position in the rendezvous hash order of the adapter, from 0.
     prompt_wait_s : float
         Time until the server can read the prompt without pausing its streams.
+    pause_wait_s : float
+        Time until the request may be sent to a server that has asked for a pause.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         "hash_position",
         "is_same_domain",
         "occupancy",
+        "pause_wait_s",
         "prompt_wait_s",
         "ready_in_s",
     )
@@ -62,7 +65,9 @@
         free_slots,
         hash_position=0,
         prompt_wait_s=0.0,
+        pause_wait_s=0.0,
     ):
+        self.pause_wait_s = pause_wait_s
         self.prompt_wait_s = prompt_wait_s
         self.hash_position = hash_position
         self.free_slots = free_slots
@@ -100,10 +105,11 @@
             0.0, occupancy - 1.0
         )
         if candidate.ready_in_s is not None:
-            cost += max(candidate.ready_in_s, candidate.prompt_wait_s)
+            cost += max(candidate.ready_in_s, candidate.prompt_wait_s, candidate.pause_wait_s)
             return cost if candidate.is_same_domain else cost + CROSS_DOMAIN_PENALTY_S
         cost += (
-            LOAD_PENALTY_S
+            candidate.pause_wait_s
+            + LOAD_PENALTY_S
             + HASH_POSITION_PENALTY_S * candidate.hash_position
             + QUEUED_DEMAND_PENALTY_S * max(0, 1 - candidate.free_slots)
         )
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -12,6 +12,7 @@
 from medlarbeam.gateway.relays import Relays
 from medlarbeam.gateway.server_health import ServerHealth
 from medlarbeam.gateway.server_limits import ServerLimits
+from medlarbeam.gateway.server_pauses import ServerPauses
 from medlarbeam.node.component import ComponentHost
 
 __all__ = ["Gateway"]
@@ -42,6 +43,7 @@
         "lifecycle",
         "limits",
         "orders",
+        "pauses",
         "prompts",
         "reachability",
         "relays",
@@ -58,6 +60,7 @@
         self.reachability = NodeReachability(self)
         self.health = ServerHealth(self)
         self.limits = ServerLimits(self)
+        self.pauses = ServerPauses(self)
         self.prompts = PromptPacing(self)
         self.crashes = CrashSuspects(self)
         self.lifecycle = GatewayLifecycle(self)
@@ -73,6 +76,7 @@
                 self.reachability,
                 self.health,
                 self.limits,
+                self.pauses,
                 self.prompts,
                 self.crashes,
                 self.lifecycle,
@@ -105,6 +109,7 @@
             "suspect_servers": self.health.count_suspects(),
             "ordered_servers": len(self.orders.schedulers),
             "limited_servers": len(self.limits.limits),
+            "paused_servers": self.pauses.count_paused(now),
             "quarantines": self.crashes.count_quarantined(),
             "loads_in_transit": self.orders.count_in_transit(),
         }
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -182,7 +182,8 @@
     def _send_next_order(self, scheduler, now, out):
         fence = self.node.rights.find_fence(scheduler.entry.name, now)
         engine = self.node.fleet.find_engine(scheduler.entry)
-        if fence == scheduler.fence and engine is not None:
+        is_paused = self.node.pauses.is_paused(scheduler.entry, now)
+        if fence == scheduler.fence and engine is not None and not is_paused:
             effect = scheduler.decide(
                 engine,
                 self.node.fleet.published_versions,
@@ -261,7 +262,8 @@
             due = inf
             for scheduler in self.schedulers.values():
                 self._send_next_order(scheduler, now, out)
-                due = min(due, scheduler.next_due())
+                if not self.node.pauses.is_paused(scheduler.entry, now):
+                    due = min(due, scheduler.next_due())
             self.review_at = min(now + REVIEW_INTERVAL_S, max(due, now + 0.005))
         if min(self.report_at, self.refresh_at) <= now:
             self._send_reports(now, out)
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -36,6 +36,10 @@
         Number of runs that were sent, and of those that may have been executed.
     excluded : set of str
         Names of backend servers that must not get the request again.
+    paused_by : set of str
+        Names of backend servers that have refused the request and asked for a pause.
+    retry_after_s : float
+        Time (s) after which the caller of a refused request may return, 0 for the usual one.
     is_response_started : bool
         Whether the caller has received a part of the response.
     error_run_id : str
@@ -62,9 +66,11 @@
         "is_response_started",
         "next_check_at",
         "outcome",
+        "paused_by",
         "reason",
         "request",
         "response_started_at",
+        "retry_after_s",
         "route",
         "run_id",
         "runs",
@@ -89,6 +95,8 @@
         self.sends = 0
         self.runs = 0
         self.excluded = set()
+        self.paused_by = set()
+        self.retry_after_s = 0.0
         self.is_response_started = False
         self.error_run_id = ""
         self.reason = ""
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -27,6 +27,7 @@
 from medlarbeam.gateway.relay import Relay, RelayTimers
 from medlarbeam.gateway.route_table import choose_service
 from medlarbeam.gateway.run_plan import has_attempt_left, plan_run
+from medlarbeam.gateway.run_refusals import RunRefusals
 from medlarbeam.gateway.server_selector import ServerSelector
 from medlarbeam.gateway.shared_retry_budget import SharedRetryBudget
 from medlarbeam.node.component import Component
@@ -35,10 +36,9 @@
 
 EXPECTED_START_S = 0.35  # expected time from a load order to the first event
 DEMAND_INTERVAL_S = 0.1  # between repeats of a demand while its request waits
+PAUSE_RECHECK_S = 0.1  # between selections while a request waits for the end of a pause
 RECHECK_INTERVAL_S = 0.05  # between selections while no backend server is available
 NO_SERVER_WAIT_SHARE = 0.5  # of the latency goal, after which the request is refused
-NOT_READY_DELAY_S = 0.03  # before a retry if an adapter is not loaded at the expected time
-LOAD_SETTLE_S = 0.6  # a refusal within this time after a load is attributed to the load
 RETRY_AFTER_S = 0.2
 RESPONSE_SLACK_S = 0.15  # for a response that the backend server sends at its deadline
 
@@ -51,6 +51,7 @@
         "load_requests",
         "longest_timeouts",
         "open_relays",
+        "refusals",
         "relays_by_run",
         "retry_budget",
         "run_count",
@@ -64,6 +65,7 @@
         self.chart = load_chart("relay", Relays)
         self.selector = ServerSelector(node, AdapterAffinityRouting())
         self.load_requests = LoadRequests(node, self.selector)
+        self.refusals = RunRefusals(node)
         self.retry_budget = SharedRetryBudget(node.settings)
         self.longest_timeouts = {}
         self.open_relays = {}
@@ -145,11 +147,16 @@
             self.chart.fire(relay, "deadline", self, now, out, None)
             self._process_state(relay, now, out)
             return
+        self.node.pauses.leave(relay)
         choice = self.selector.choose(relay, now)
         if choice is None:
             self._wait_for_server(relay, now, out)
         elif choice.ready_in_s is None or choice.ready_in_s > 0.0:
             self._wait_for_adapter(relay, choice, now, out)
+        elif choice.pause_wait_s > 0.0:
+            self.node.pauses.wait(choice.entry, relay)
+            self._wait(relay, now + min(choice.pause_wait_s, PAUSE_RECHECK_S))
+            relay.reason = f"waited for the end of the pause of server={choice.entry.name}"
         elif choice.prompt_wait_s > 0.0:
             self._wait(relay, now + choice.prompt_wait_s)
             relay.reason = f"waited until {choice.entry.name} had read other prompts"
@@ -158,7 +165,12 @@
 
     def _wait_for_server(self, relay, now, out):
         limit = relay.arrived_at + relay.route.latency_goal_s * NO_SERVER_WAIT_SHARE
-        if now >= limit:
+        blocking = self.selector.find_blocking_pause(relay, now)
+        if blocking is not None:
+            relay.reason = blocking.reason
+            relay.retry_after_s = blocking.retry_after_s
+            self._fire_and_process(relay, "unroutable", now, out)
+        elif now >= limit:
             relay.reason = relay.reason or "no backend server accepts new work"
             self.chart.fire(relay, "unroutable", self, now, out, None)
             self._process_state(relay, now, out)
@@ -191,6 +203,7 @@
                     self.timers.set(relay, now)
 
     def _stop_waiting(self, relay):
+        self.node.pauses.leave(relay)
         relays = self.waiting.get(relay.request.key)
         if relays is not None and relays.pop(relay.request.request_id, None) and not relays:
             del self.waiting[relay.request.key]
@@ -215,6 +228,7 @@
         self.relays_by_run[relay.run_id] = relay
         self.node.health.open_run(entry.name, now)
         self.node.limits.record_send(entry.name, now)
+        self.node.pauses.record_send(entry, now)
         self.node.prompts.record_send(entry.name, relay, now)
         self.node.uses.begin(entry.name, relay.request.key, now)
         self.chart.fire(relay, "sent", self, now, out, None)
@@ -289,22 +303,9 @@
         relay = self.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        server = relay.server.name
-        key = relay.request.key
-        relay.reason = f"{server}: {message.reason}"
+        relay.reason = f"{relay.server.name}: {message.reason}"
         self._record_load(relay, message, now)
-        holding = self.node.holdings.find(server, key) if key is not None else None
-        if message.status == 0:
-            self.node.health.record_outcome(server, "unreachable", now, out)
-            relay.excluded.add(server)
-        elif holding is not None and now - holding.ready_at < LOAD_SETTLE_S:
-            self.node.holdings.delay(server, key, now + NOT_READY_DELAY_S)
-            self.node.orders.handle_early_refusal(server, key, now, out)
-        elif message.status == 421 and holding is not None:
-            self.node.holdings.forget(server, key)
-            self.node.orders.handle_missing_adapter(server, key, now, out)
-        else:
-            relay.excluded.add(server)
+        self.refusals.record(relay, message, now, out)
         out.emit(
             LogEvent(
                 "run_refused",
@@ -459,7 +460,7 @@
             self.fail_interrupted(relay, now, out, message)
         else:
             failure = Failure(ErrorKind.NO_SERVER, relay.reason, RunState.NOT_RUN)
-            self._fail(relay, failure, RETRY_AFTER_S, out)
+            self._fail(relay, failure, relay.retry_after_s or RETRY_AFTER_S, out)
 
     def fail_quarantined(self, relay, now, out, message):
         """Respond to a request that may not run because it crashes backend servers."""
--- a/medlarbeam/gateway/server_limits.py
+++ b/medlarbeam/gateway/server_limits.py
@@ -124,6 +124,21 @@
         limit = self.limits.get(server)
         return limit is None or limit.refill(now) >= 1.0
 
+    def find_token_wait(self, server, now):
+        """Return the time (s) until a request may be sent to a backend server."""
+        limit = self.limits.get(server)
+        missing = 0.0 if limit is None else 1.0 - limit.refill(now)
+        if missing <= 0.0:
+            return 0.0
+        return missing / limit.share if limit.share else inf
+
+    def find_interval(self, server):
+        """Return the mean time (s) between two requests to a backend server, 0 without a limit."""
+        limit = self.limits.get(server)
+        if limit is None:
+            return 0.0
+        return 1.0 / limit.share if limit.share else inf
+
     def record_send(self, server, now):
         """Count a request that is sent to a backend server."""
         limit = self.limits.get(server)
--- /dev/null
+++ b/medlarbeam/gateway/server_pauses.py
@@ -0,0 +1,312 @@
+"""Pauses that backend servers ask this node for, and the requests that wait for their end."""
+
+from bisect import bisect_left, insort
+from math import inf
+
+from medlarbeam.charts.loader import load_chart
+from medlarbeam.classes.effects import LogEvent
+from medlarbeam.node.component import Component
+
+__all__ = ["MAX_PAUSE_S", "PauseRefusal", "ServerPause", "ServerPauses"]
+
+# No request waits longer for a server, so a longer pause only means that the server is asked again
+# later. The users' rule allows two requests in a pause. One after each minute keeps it for pauses
+# of up to three minutes, and a value in a wrong unit costs a server a minute, not a day.
+MAX_PAUSE_S = 60.0
+# After a pause, the rate of all nodes begins at the requests that the server runs at once in a
+# second, and doubles in each step. At the end of the recovery it is above any that was seen.
+RECOVERY_S = 1.0
+RECOVERY_STEP_S = 0.25
+MAX_INTERVAL_S = 0.5  # between requests after a pause; a node must not wait longer for a turn
+MIN_WAIT_S = 0.001  # a shorter wait is below the resolution of the timers
+END_MARGIN_S = 0.01  # after the end of a pause, as the server reads its clock later than this node
+# Callers that are refused return within this time after the pause, the most urgent ones first.
+PRIORITY_BAND_S = 0.5
+MAX_BAND = 3  # later priorities share the last band
+
+
+class ServerPause:
+    """A pause of one backend server, or the recovery after it.
+
+    Attributes
+    ----------
+    state : str
+        State of the chart ``server_pause``.
+    entry : ServerRegistration
+        The incarnation of the server that asked for the pause.
+    since, until : float
+        Start and end (s) of the pause.
+    request_id : str
+        Request whose response asked for the end that holds.
+    text : str
+        Value of that response as received.
+    answers : int
+        Number of responses that asked for a pause.
+    refused : int
+        Number of requests that were refused because of it.
+    next_send_at : float
+        Time (s) from which the next request may be sent.
+    queue : list of tuple
+        Sort keys of the requests that wait for the server, the most urgent first.
+    """
+
+    __slots__ = (
+        "answers",
+        "entry",
+        "next_send_at",
+        "queue",
+        "refused",
+        "request_id",
+        "since",
+        "state",
+        "text",
+        "until",
+    )
+
+    def __init__(self, entry, state, now):
+        self.entry = entry
+        self.state = state
+        self.since = now
+        self.until = now
+        self.request_id = ""
+        self.text = ""
+        self.answers = 0
+        self.refused = 0
+        self.next_send_at = now
+        self.queue = []
+
+    def describe(self, now):
+        """Return the pause as text for log lines and refusals."""
+        return (
+            f"server={self.entry.name} asked for a pause of {self.text} s in the response to "
+            f"request={self.request_id}, {max(0.0, self.until - now):.3f} s are left"
+        )
+
+
+class PauseRefusal:
+    """Why a request is refused at once, and the time (s) after which its caller may return."""
+
+    __slots__ = ("reason", "retry_after_s")
+
+    def __init__(self, reason, retry_after_s):
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class ServerPauses(Component):
+    """Drives the chart ``server_pause`` of each backend server that asked for a pause.
+
+    Attributes
+    ----------
+    pauses : dict of str to ServerPause
+        By backend server.
+    waiting : dict of str to ServerPause
+        The pause for whose end a request waits, by request id.
+    """
+
+    __slots__ = ("chart", "pauses", "waiting")
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.chart = load_chart("server_pause", ServerPauses)
+        self.pauses = {}
+        self.waiting = {}
+
+    # What servers ask for
+
+    def record_request(self, entry, request_id, request, now, out):
+        """Record that a refusal of a backend server asks for a pause.
+
+        The later end holds: each response asks for its own time, and responses to requests that
+        were sent before the first one arrive in any order.
+
+        Returns
+        -------
+        bool
+            Whether the server is paused now.
+        """
+        if request.pause_s is None:
+            detail = f"server={entry.name} value={request.text} {request.problem}"
+            out.emit(LogEvent("pause_unread", detail, request_id))
+            return self.is_paused(entry, now)
+        pause_s = min(request.pause_s, MAX_PAUSE_S)
+        if pause_s <= 0.0:
+            return self.is_paused(entry, now)
+        pause = self._find(entry, now, out)
+        is_new = pause is None
+        if is_new:
+            pause = self.pauses[entry.name] = ServerPause(entry, self.chart.initial, now)
+        was_paused = not is_new and self.chart.has_tag(pause, "paused")
+        pause.answers += 1
+        if now + pause_s > pause.until:
+            pause.until = now + pause_s
+            pause.request_id = request_id
+            pause.text = request.text
+        pause.next_send_at = pause.until + END_MARGIN_S
+        self.chart.fire(pause, "asked", self, now)
+        if not was_paused:
+            out.emit(
+                LogEvent(
+                    "server_paused",
+                    f"server={entry.name} request={request_id} value={request.text} "
+                    f"pause_s={pause_s:.3f} source=503 to a run",
+                )
+            )
+        return True
+
+    def _find(self, entry, now, out):
+        """Return the `ServerPause` of a backend server, or None."""
+        pause = self.pauses.get(entry.name)
+        if pause is not None and pause.entry.started_at_ms != entry.started_at_ms:
+            self._end(pause, "forgotten", "the server has restarted", now, out)
+            return None
+        return pause
+
+    def _get(self, entry):
+        """Return the `ServerPause` of this incarnation of a backend server, or None."""
+        pause = self.pauses.get(entry.name)
+        is_same = pause is not None and pause.entry.started_at_ms == entry.started_at_ms
+        return pause if is_same else None
+
+    # What may be sent
+
+    def is_paused(self, entry, now):
+        """Return whether nothing may be sent to a backend server at `now` (s)."""
+        pause = self._get(entry)
+        return pause is not None and now < pause.until + END_MARGIN_S
+
+    def find_wait(self, entry, relay, now):
+        """Return the time (s) until a relay may be sent to a backend server.
+
+        After a pause the server gets one request in `interval_s`, the most urgent one first.
+        """
+        pause = self._get(entry)
+        if pause is None:
+            return 0.0
+        position = bisect_left(pause.queue, self._sort_key(relay))
+        interval_s = self._find_interval(pause, now) if position else 0.0
+        token_wait_s = self.node.limits.find_token_wait(entry.name, now)
+        wait_s = max(pause.next_send_at - now, token_wait_s) + position * interval_s
+        return wait_s if wait_s >= MIN_WAIT_S else 0.0
+
+    def has_pause(self, entry):
+        """Return whether `find_wait` decides when a backend server gets requests."""
+        return self._get(entry) is not None
+
+    def find_blocking(self, entries, relay, now):
+        """Return the `PauseRefusal` of a relay that none of `entries` takes in time, or None.
+
+        Parameters
+        ----------
+        entries : list of ServerRegistration
+            Backend servers that could run the request.
+        relay : Relay
+        now : float
+        """
+        pauses = [pause for entry in entries if (pause := self._get(entry)) is not None]
+        limit_s = relay.find_wait_limit() - now
+        if (
+            not pauses
+            or len(pauses) < len(entries)
+            or any(self.find_wait(pause.entry, relay, now) < limit_s for pause in pauses)
+        ):
+            return None
+        pause = min(pauses, key=lambda p: p.next_send_at)
+        pause.refused += 1
+        band = min(relay.route.priority, MAX_BAND) + self.node.rng.random()
+        retry_after_s = max(0.0, pause.next_send_at - now) + PRIORITY_BAND_S * band
+        reason = f"each of {len(entries)} backend servers pauses; {pause.describe(now)}"
+        return PauseRefusal(reason, retry_after_s)
+
+    def wait(self, entry, relay):
+        """Give a relay its place among the requests that wait for a backend server."""
+        self.leave(relay)
+        pause = self._get(entry)
+        if pause is not None:
+            insort(pause.queue, self._sort_key(relay))
+            self.waiting[relay.request.request_id] = pause
+
+    def leave(self, relay):
+        """Remove a relay from the requests that wait for a backend server."""
+        pause = self.waiting.pop(relay.request.request_id, None)
+        if pause is not None:
+            del pause.queue[bisect_left(pause.queue, self._sort_key(relay))]
+
+    def record_send(self, entry, now):
+        """Count a request that is sent to a backend server."""
+        pause = self._get(entry)
+        if pause is not None:
+            interval_s = self._find_interval(pause, now)
+            pause.next_send_at = max(pause.next_send_at, now + interval_s)
+
+    def _sort_key(self, relay):
+        return (relay.route.priority, relay.goal_at, relay.request.request_id)
+
+    def _find_interval(self, pause, now):
+        """Return the time (s) between two requests of this node after a pause.
+
+        All nodes may have been asked for the pause, so they share the places of the server. A rate
+        that the server names goes first.
+        """
+        entry = pause.entry
+        nodes = max(1, len(self.node.fleet.nodes))
+        interval_s = min(MAX_INTERVAL_S, RECOVERY_S * nodes / max(1, entry.concurrency))
+        steps = max(0, int((now - pause.until) / RECOVERY_STEP_S))
+        return max(interval_s / 2**steps, self.node.limits.find_interval(entry.name))
+
+    # The end of a pause
+
+    def next_deadline(self):
+        """Return the time (s) at which the next pause or recovery ends."""
+        return min((self._find_end(pause) for pause in self.pauses.values()), default=inf)
+
+    def _find_end(self, pause):
+        end = pause.until + END_MARGIN_S
+        return end if self.chart.has_tag(pause, "paused") else end + RECOVERY_S
+
+    def tick(self, now, out):
+        """End the pauses and recoveries that are due."""
+        servers = self.node.fleet.servers
+        for pause in list(self.pauses.values()):
+            if self._find_end(pause) > now:
+                continue
+            known = servers.get(pause.entry.name)
+            if known is None or known.entry.started_at_ms != pause.entry.started_at_ms:
+                self._end(pause, "forgotten", "the server has restarted", now, out)
+            elif self.chart.has_tag(pause, "paused"):
+                self._log_end(pause, "its time is over", now, out)
+                self.chart.fire(pause, "elapsed", self, now)
+            else:
+                self.chart.fire(pause, "recovered", self, now)
+
+    def _end(self, pause, event, reason, now, out):
+        if self.chart.has_tag(pause, "paused"):
+            self._log_end(pause, reason, now, out)
+        self.chart.fire(pause, event, self, now)
+
+    def _log_end(self, pause, reason, now, out):
+        out.emit(
+            LogEvent(
+                "server_pause_ended",
+                f"server={pause.entry.name} request={pause.request_id} value={pause.text} "
+                f"lasted_s={now - pause.since:.3f} answers={pause.answers} "
+                f"waiting={len(pause.queue)} refused={pause.refused} {reason}",
+            )
+        )
+
+    def count_paused(self, now):
+        """Return the number of backend servers that are paused."""
+        return sum(1 for p in self.pauses.values() if now < p.until + END_MARGIN_S)
+
+    # Actions of the chart
+
+    def repeat_pause(self, pause, now):
+        """Begin another pause after the one that has ended."""
+        pause.since = now
+        pause.answers = 1
+        pause.refused = 0
+
+    def remove(self, pause, now):
+        """Forget a pause; the requests that waited for its end are selected for again."""
+        if self.pauses.get(pause.entry.name) is pause:
+            del self.pauses[pause.entry.name]
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -69,7 +69,7 @@
         """Return the name of the backend server that should take over a stalled run, or ""."""
         server = relay.server.name
         choice = self.choose(relay, now, relay.excluded | {server})
-        if choice is None:
+        if choice is None or choice.pause_wait_s > 0.0:
             return ""
         is_ready = choice.ready_in_s is not None and choice.ready_in_s <= MAX_MOVE_WAIT_S
         if not is_ready and self.node.health.has_responded_since(server, relay.sent_at):
@@ -77,21 +77,37 @@
         return choice.entry.name
 
     def _choose_among(self, entries, preferred, relay, now):
-        trusted = [e for e in entries if self.node.health.may_use(e.name, now)]
+        # Paused servers keep their positions, so that a pause moves no other adapter.
         positions = {entry.name: index for index, entry in enumerate(preferred)}
+        limit_s = relay.find_wait_limit() - now
+        waits = {entry.name: self.node.pauses.find_wait(entry, relay, now) for entry in entries}
+        entries = [entry for entry in entries if waits[entry.name] < limit_s]
+        trusted = [e for e in entries if self.node.health.may_use(e.name, now)]
         candidates = [
-            self._build_candidate(entry, relay, positions.get(entry.name, len(preferred)), now)
+            self._build_candidate(
+                entry,
+                relay,
+                positions.get(entry.name, len(preferred)),
+                waits[entry.name],
+                now,
+            )
             for entry in trusted or entries
         ]
         return self.routing.choose(candidates)
 
+    def find_blocking_pause(self, relay, now):
+        """Return the `PauseRefusal` of a relay that no backend server takes in time, or None."""
+        entries = self.node.fleet.usable_servers(relay.service, now)
+        allowed = [entry for entry in entries if entry.name not in relay.excluded]
+        return self.node.pauses.find_blocking(allowed, relay, now)
+
     def _find_all(self, service, excluded, now):
         entries = self.node.fleet.usable_servers(service, now)
-        return [
-            entry
-            for entry in entries
-            if entry.name not in excluded and self.node.limits.may_send(entry.name, now)
-        ]
+        return [e for e in entries if e.name not in excluded and self._may_send(e, now)]
+
+    def _may_send(self, entry, now):
+        """Return whether a server's rate allows a request; for a paused one, the wait says when."""
+        return self.node.limits.may_send(entry.name, now) or self.node.pauses.has_pause(entry)
 
     def _find_usable(self, names, service, excluded, now):
         """Return the entries of the named servers that accept requests of `service`, in order."""
@@ -99,7 +115,7 @@
         known = [
             servers[name]
             for name in names
-            if name in servers and name not in excluded and self.node.limits.may_send(name, now)
+            if name in servers and name not in excluded and self._may_send(servers[name].entry, now)
         ]
         return [k.entry for k in known if k.stop_at > now and k.entry.service == service]
 
@@ -124,7 +140,7 @@
             )
         return preferred
 
-    def _build_candidate(self, entry, relay, hash_position, now):
+    def _build_candidate(self, entry, relay, hash_position, pause_wait_s, now):
         node = self.node
         return Candidate(
             entry,
@@ -135,6 +151,7 @@
             node.holdings.find_spare(entry.name),
             hash_position,
             node.prompts.find_wait(entry.name, relay, now),
+            pause_wait_s,
         )
 
     def _find_ready_s(self, entry, key, now):
