Teach the stand-in worker, the soak and its checker pauses

Workers of the stand-ins never asked for a pause, so neither the tests of the whole path nor the soak could show that requests reach a worker in one. The worker turns requests away with Retry-After, also with bad values; the soak has the faults pause, pause_most and pause_turns; its checker applies the users' rule to the requests of each gateway.

Evidence: test_pause_that_servers_ask_for_is_kept over HTTP, and the tables of test_checker.py.

--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+from math import inf
 from resource import RUSAGE_SELF, getrusage
 
 import pytest
@@ -194,6 +195,42 @@
     assert seen_runs in runs
 
 
+PAUSES = [
+    ("pause-in-seconds", ("30",), True),
+    ("pause-with-a-fraction", ("29.5",), True),
+    ("huge-pause", ("9" * 40,), True),
+    ("no-header", (), False),
+    ("zero", ("0",), False),
+    ("date", ("Wed, 21 Oct 2026 07:28:00 GMT",), False),
+    ("negative", ("-3",), False),
+    ("empty", ("",), False),
+    ("repeated", ("30", "30"), False),
+    ("words", ("soon",), False),
+]
+
+
+@pytest.mark.parametrize(("values", "is_kept"), [p[1:] for p in PAUSES], ids=[p[0] for p in PAUSES])
+def test_pause_that_servers_ask_for_is_kept(values, is_kept):
+    """Requests went on to reach servers that had asked for a pause."""
+
+    async def scenario(deployment, session):
+        ledgers = [deployment.workers[name] for name in ("l1", "l2")]
+        for worker in ledgers:
+            worker.pause_values = values
+            worker.paused_until = inf
+            if not values:
+                worker.paused_until, worker.response_mode = 0.0, "refuse"
+        first, _ = await deployment.call(session, "pay", "id-1")
+        for worker in ledgers:
+            worker.paused_until, worker.response_mode = 0.0, "good"
+        arrived = sum(worker.request_count for worker in ledgers)
+        second, _ = await deployment.call(session, "pay", "id-2")
+        arrived = sum(worker.request_count for worker in ledgers) - arrived
+        return first, second, arrived, deployment.count_runs("id-1")
+
+    assert run(scenario) == (503, *((503, 0) if is_kept else (200, 1)), 0)
+
+
 ENDLESS = [
     ("no-response-without-end", "endless_garbage", "pay", {502}, {1}),
     ("head-without-end", "endless_head", "pay", {502}, {1}),
--- a/medlarbeam/soak/__main__.py
+++ b/medlarbeam/soak/__main__.py
@@ -74,6 +74,7 @@
             recovery_deadline,
             deployment.harmful_requests,
             deployment.crashed_at,
+            deployment.arrivals,
         )
 
 
--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -23,6 +23,8 @@
 CONTACT_S = 3.0  # within which all gateways have to know of crashes and limits
 MAX_CRASHES = 5  # after which no more than `MAX_LATE_RUNS` harmful requests may reach workers
 MAX_LATE_RUNS = 3
+PAUSE_KNOWN_S = 0.5  # after which requests in a pause count
+MAX_PAUSE_ARRIVALS = 2  # in one pause, from one gateway
 RATE_WINDOW_S = 4.0
 RATE_OVERSHOOT = 1.5
 RATE_EXTRA = 5
@@ -45,9 +47,12 @@
         Requests that crash each worker that runs them.
     crashed_at : list of float
         Times (s) of the crashes.
+    arrivals : list of ArrivalRecord
+        Requests that reached workers, also those that were refused.
     """
 
     __slots__ = (
+        "arrivals",
         "crashed_at",
         "fault_intervals",
         "harmful_requests",
@@ -66,7 +71,9 @@
         recovery_deadline,
         harmful_requests=(),
         crashed_at=(),
+        arrivals=(),
     ):
+        self.arrivals = arrivals
         self.harmful_requests = harmful_requests
         self.crashed_at = crashed_at
         self.requests = requests
@@ -225,6 +232,37 @@
                 break
 
 
+def check_pauses(history):
+    """Yield pauses in which a gateway goes on to send requests to the worker that asked for it."""
+    gateways = {r.attempt: r.gateway for r in [*history.requests, *history.harmful_requests]}
+    times = defaultdict(list)
+    for arrival in history.arrivals:
+        gateway = gateways.get(arrival.attempt)
+        times[arrival.worker, gateway].append(arrival.arrived_at)
+    for answer in history.arrivals:
+        since, until = answer.arrived_at + PAUSE_KNOWN_S, answer.paused_until
+        gateway = gateways.get(answer.attempt)
+        late = [at for at in times[answer.worker, gateway] if since < at < until]
+        if len(late) <= MAX_PAUSE_ARRIVALS:
+            continue
+        # A gateway that restarts forgets the pause, and one that is cut off does not learn of it.
+        # A worker that restarts asks for none until it says so again.
+        gateway_kinds = {"kill", "terminate", "freeze"}
+        worker_kinds = {"worker_link", "worker_drain"}
+        period = (answer.arrived_at - FAULT_FREE_S, until)
+        if (
+            history.overlaps_fault(*period, gateway_kinds, {gateway})
+            or history.overlaps_fault(*period, worker_kinds, {answer.worker})
+            or history.overlaps_fault(*period, {"harmful_part"})
+        ):
+            continue
+        yield (
+            f"BUDGET {len(late)} requests of {gateway} reached {answer.worker} in a pause of "
+            f"{until - answer.arrived_at:.2f} s that it asked for in the response to "
+            f"{answer.attempt}"
+        )
+
+
 def check_response_times(history):
     """Yield requests that waited for a response longer than `RESPONSE_LIMIT_S`."""
     for request in history.requests:
@@ -253,6 +291,7 @@
     check_planned_stops,
     check_harmful_requests,
     check_rate_limits,
+    check_pauses,
     check_response_times,
     check_recovery,
 ]
--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -116,6 +116,7 @@
     """
 
     __slots__ = (
+        "arrivals",
         "crashed_at",
         "folder",
         "gateway_count",
@@ -138,9 +139,10 @@
         self.rng = rng
         self.runs = []
         self.orders = []
+        self.arrivals = []
         self.store = PlatformStore()
         names = [f"engine-{i}" for i in range(engines)] + ["ledger-0", "ledger-1"]
-        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders) for n in names}
+        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders, self.arrivals) for n in names}
         self.incarnations = dict.fromkeys(names, 1)
         self.proxies = {}
         self.crashed_at = []
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -19,6 +19,19 @@
 HARMFUL_CALLERS = 2
 RATE_LIMIT = 6.0  # requests per second
 RATE_LIMIT_S = 5.0
+TURN_S = 1.0  # pause of each worker of a service whose workers pause in turn
+LONG_PAUSE_S = 6.0
+# Each entry has the values of one response; those that are no number must not be acted on.
+PAUSE_VALUES = (
+    (),
+    ("0.2",),
+    (f"{LONG_PAUSE_S}",),
+    ("soon",),
+    ("-2",),
+    ("",),
+    ("Wed, 21 Oct 2026 07:28:00 GMT",),
+    ("3", "3"),
+)
 
 
 class Fault(ABC):
@@ -195,6 +208,56 @@
         worker.rate_limit = None
 
 
+class Pause(WorkerLink):
+    """A worker turns requests away and asks for a pause: its rest, a short, long or bad value."""
+
+    __slots__ = ()
+    name = "pause"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Let a worker pause; see `Fault.apply`."""
+        await _pause([deployment.workers[target]], duration_s, rng.choice(PAUSE_VALUES))
+
+
+class PauseMost(Fault):
+    """All workers of a service but one pause at once."""
+
+    __slots__ = ()
+    name = "pause_most"
+
+    def choose(self, deployment, rng):
+        """Return ``engine``."""
+        return "engine"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Let most engines pause; see `Fault.apply`."""
+        engines = [w for name, w in sorted(deployment.workers.items()) if name.startswith(target)]
+        engines.remove(rng.choice(engines))
+        await _pause(engines, duration_s)
+
+
+class PauseTurns(PauseMost):
+    """The workers of a service pause one after the other."""
+
+    __slots__ = ()
+    name = "pause_turns"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Let each engine pause in turn; see `Fault.apply`."""
+        for name, worker in sorted(deployment.workers.items()):
+            if name.startswith(target):
+                await _pause([worker], TURN_S)
+
+
+async def _pause(workers, pause_s, values=()):
+    """Let workers turn requests away for `pause_s` seconds."""
+    until = asyncio.get_running_loop().time() + pause_s
+    for worker in workers:
+        worker.pause_values = values
+        worker.paused_until = until
+    await asyncio.sleep(pause_s)
+
+
 class StoreFault(Fault):
     """The store rejects or ignores calls, discards its history or expires all leases."""
 
@@ -241,6 +304,9 @@
     WorkerDrain(),
     HarmfulPart(),
     RateLimit(),
+    Pause(),
+    PauseMost(),
+    PauseTurns(),
     StoreFault(),
     ConfigChange(),
 ]
--- a/medlarbeam/soak/tests/test_checker.py
+++ b/medlarbeam/soak/tests/test_checker.py
@@ -5,7 +5,7 @@
 from medlarbeam.soak.checker import History, find_violations
 from medlarbeam.soak.deployment import ADAPTER_CAPACITY
 from medlarbeam.soak.records import INCOMPLETE, FaultInterval, RequestRecord
-from medlarbeam.soak.worker import OrderRecord, RunRecord, expected_body
+from medlarbeam.soak.worker import ArrivalRecord, OrderRecord, RunRecord, expected_body
 
 RECOVERY_DEADLINE = 100.0
 
@@ -25,7 +25,13 @@
 
 
 def history(
-    requests=(), runs=(), orders=(), fault_intervals=(), harmful_requests=(), crashed_at=()
+    requests=(),
+    runs=(),
+    orders=(),
+    fault_intervals=(),
+    harmful_requests=(),
+    crashed_at=(),
+    arrivals=(),
 ):
     """Return the history of a run that recovered, with additional records."""
     final = request("final", at=RECOVERY_DEADLINE + 1.0)
@@ -37,9 +43,19 @@
         RECOVERY_DEADLINE,
         list(harmful_requests),
         list(crashed_at),
+        list(arrivals),
     )
 
 
+def arrive(times, pause_s=4.0, since=50.0, worker="ledger-0"):
+    """Return a refusal with a pause at `since` (s), and arrivals at `times` (s)."""
+    answer = ArrivalRecord("p0", worker, since, since + pause_s)
+    return [answer, *(ArrivalRecord(f"p{n + 1}", worker, at) for n, at in enumerate(times))]
+
+
+ASKING = [request(f"p{number}", "read", 503) for number in range(9)]
+
+
 STREAM = expected_body("a", True)
 STOP = FaultInterval("terminate", "gw-0", 49.0, 55.0)
 DRAIN = FaultInterval("worker_drain", "ledger-0", 40.0, 46.0)
@@ -47,6 +63,20 @@
 HARMFUL = [request(f"h{number}", "chat", 502) for number in range(4)]
 LIMITED = FaultInterval("rate_limit", "engine-0", 40.0, 48.0)
 VIOLATIONS = [
+    (
+        "requests-go-on-to-reach-a-pausing-worker",
+        "BUDGET",
+        {"requests": ASKING, "arrivals": arrive([51.0, 52.0, 53.0])},
+    ),
+    (
+        "fault-of-another-gateway-excuses-no-requests-in-a-pause",
+        "BUDGET",
+        {
+            "requests": ASKING,
+            "arrivals": arrive([51.0, 52.0, 53.0]),
+            "fault_intervals": [FaultInterval("kill", "gw-1", 50.0, 51.0)],
+        },
+    ),
     (
         "harmful-requests-go-on-to-run",
         "BUDGET",
@@ -199,6 +229,36 @@
             "fault_intervals": [STOP],
         },
     ),
+    ("two-requests-in-a-pause", {"requests": ASKING, "arrivals": arrive([51.0, 52.0])}),
+    (
+        "requests-in-the-first-half-second-and-after-a-pause",
+        {"requests": ASKING, "arrivals": arrive([50.1, 50.2, 50.4, 54.1, 54.2, 54.3])},
+    ),
+    (
+        "requests-of-another-gateway-in-a-pause",
+        {
+            "requests": [
+                ASKING[0],
+                *(
+                    RequestRecord(f"p{n}", "read", "gw-1", 51.0, 51.1, 503, b"", True)
+                    for n in range(1, 4)
+                ),
+            ],
+            "arrivals": arrive([51.0, 52.0, 53.0]),
+        },
+    ),
+    (
+        "value-that-is-no-time",
+        {"requests": ASKING, "arrivals": arrive([51.0, 52.0, 53.0], 0.0)},
+    ),
+    (
+        "pause-that-a-gateway-forgot-in-its-restart",
+        {
+            "requests": ASKING,
+            "arrivals": arrive([51.0, 52.0, 53.0]),
+            "fault_intervals": [FaultInterval("kill", "gw-0", 50.0, 51.0)],
+        },
+    ),
 ]
 
 
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -5,7 +5,14 @@
 from medlarbeam.classes.record import Record
 from medlarbeam.standins.platform_worker import RESPONDERS, PlatformWorker, encode_event
 
-__all__ = ["HARMFUL_PART", "OrderRecord", "RunRecord", "SoakWorker", "expected_body"]
+__all__ = [
+    "HARMFUL_PART",
+    "ArrivalRecord",
+    "OrderRecord",
+    "RunRecord",
+    "SoakWorker",
+    "expected_body",
+]
 
 EVENT_COUNT = 6
 EVENT_PAUSE_S = 0.02
@@ -25,6 +32,18 @@
         self.started_at = started_at
 
 
+class ArrivalRecord(Record):
+    """A request that reached a worker, and the end (s) of the pause in its refusal, 0 for none."""
+
+    __slots__ = ("arrived_at", "attempt", "paused_until", "worker")
+
+    def __init__(self, attempt, worker, arrived_at, paused_until=0.0):
+        self.attempt = attempt
+        self.worker = worker
+        self.arrived_at = arrived_at
+        self.paused_until = paused_until
+
+
 class OrderRecord(Record):
     """An order received by a worker, accepted or not, and the adapters held after it."""
 
@@ -61,9 +80,9 @@
     ----------
     name : str
     rng : random.Random
-    runs, order_records : list
-        Lists to which a `RunRecord` for each execution and an `OrderRecord` for each order are
-        appended.
+    runs, order_records, arrivals : list
+        Lists to which a `RunRecord` for each execution, an `OrderRecord` for each order and an
+        `ArrivalRecord` for each request are appended.
 
     Attributes
     ----------
@@ -71,10 +90,11 @@
         Set when the worker has to be taken down and restarted.
     """
 
-    __slots__ = ("crashed", "fault_probability", "order_records", "rng", "runs")
+    __slots__ = ("arrivals", "crashed", "fault_probability", "order_records", "rng", "runs")
 
-    def __init__(self, name, rng, runs, order_records):
+    def __init__(self, name, rng, runs, order_records, arrivals):
         super().__init__(name, EVENT_COUNT)
+        self.arrivals = arrivals
         self.rng = rng
         self.runs = runs
         self.order_records = order_records
@@ -87,6 +107,8 @@
         if headers.get("x-expect-instance") != self.name:
             return self.write_response(writer, 421, b"", b"")
         attempt = headers["x-attempt-id"]
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(ArrivalRecord(attempt, self.name, now))
         adapter = headers.get("x-model", "").partition("/")[2]
         if adapter and adapter not in self.adapters:
             return self.write_response(writer, 421, b"", b"")
@@ -107,6 +129,16 @@
             await asyncio.sleep(EVENT_PAUSE_S * len(pieces))
         return await RESPONDERS[fault](self, writer, attempt, pieces or [b""])
 
+    def refuse_paused(self, writer, headers, left_s):
+        """Turn a request away, and record the pause; see `PlatformWorker.refuse_paused`."""
+        now = asyncio.get_running_loop().time()
+        text = self.pause_values[0] if len(self.pause_values) == 1 else ""
+        is_number = text.replace(".", "", 1).isdigit()
+        pause_s = float(text) if is_number else 0.0 if self.pause_values else left_s
+        attempt = headers["x-attempt-id"]
+        self.arrivals.append(ArrivalRecord(attempt, self.name, now, now + pause_s))
+        return super().refuse_paused(writer, headers, left_s)
+
     def handle_order(self, order):
         """Execute an order and record its sender, the holder of the order right, and its token."""
         status = super().handle_order(order)
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -34,6 +34,13 @@
         Part of a prompt under which the worker crashes, "" for none.
     rate_limit : float or None
         Requests per second that complete responses name.
+    paused_until : float
+        Time (s) of the loop until which requests are turned away with ``Retry-After``.
+    pause_values : tuple of str
+        Values of that header, one for each time that it is written; empty for the rest of the
+        pause.
+    request_count : int
+        Number of requests of callers that have arrived.
     """
 
     __slots__ = (
@@ -45,7 +52,10 @@
         "harmful_part",
         "name",
         "order_count",
+        "pause_values",
+        "paused_until",
         "rate_limit",
+        "request_count",
         "response_mode",
         "server",
     )
@@ -59,6 +69,9 @@
         self.adapters = set()
         self.harmful_part = ""
         self.rate_limit = None
+        self.paused_until = 0.0
+        self.pause_values = ()
+        self.request_count = 0
         self.connections = set()
         self.server = None
         self.address = ""
@@ -102,6 +115,10 @@
             return self.write_response(writer, 200, b"", dumps(self._build_report()))
         if path == "/order":
             return self.write_response(writer, self.handle_order(loads(body)), b"", b"")
+        self.request_count += 1
+        left_s = self.paused_until - asyncio.get_running_loop().time()
+        if left_s > 0.0:
+            return self.refuse_paused(writer, headers, left_s)
         return await self.respond(writer, path, headers, body)
 
     async def respond(self, writer, path, headers, body):
@@ -120,6 +137,13 @@
             body_parts = [b"paid"]
         return await responder(self, writer, attempt, body_parts)
 
+    def refuse_paused(self, writer, headers, left_s):
+        """Turn a request away with a pause of `left_s` seconds, or with `pause_values`."""
+        values = self.pause_values or (f"{left_s:.3f}",)
+        lines = "".join(f"Retry-After: {value}\r\n" for value in values)
+        refusal = f"X-Not-Executed: 1\r\n{lines}".encode()
+        return self.write_response(writer, 503, refusal, b"")
+
     def is_harmful(self, headers):
         """Return whether a request crashes this worker."""
         part = f"{self.harmful_part}:"
