--- a/medlarbeam/cli/explain.py
+++ b/medlarbeam/cli/explain.py
@@ -6,10 +6,12 @@
 
 from medlarbeam.exceptions import FormatError
 
-__all__ = ["Explanation", "explain_request", "read_lines"]
+__all__ = ["PAUSED_OUTCOME", "Explanation", "explain_request", "read_lines"]
 
 # Log lines without a request id that may explain the outcome of a request.
 LOOKBACK_S = 3.0  # a backend server stays suspect for several seconds
+PAUSE_LOOKBACK_S = 60.0  # longest pause of a backend server
+PAUSE_EVENTS = {"server_pause_ended", "server_paused"}
 SERVER_NAME = re.compile(r"\b(?:server|better)=(\S+)|\bon (\S+), ordered by (\S+)")
 ADAPTER = re.compile(r"\badapter=(\S+)|\bwaited for (\S+) on ")
 CONTEXT_EVENTS = {
@@ -31,6 +33,10 @@
     "answer_cut": "A started stream could not be completed; the gateway closed the connection.",
     "caller_left": "The caller disconnected first; the request was cancelled.",
 }
+PAUSED_OUTCOME = (
+    "The caller was refused because each backend server that could run the request had asked for "
+    "a pause; the `server_paused` lines name the responses that did."
+)
 NO_OUTCOME = "The log does not show the outcome: the process exited or lines are missing."
 
 
@@ -101,12 +107,17 @@
     lines = list(lines)
     request_id = _find_request(requested_id, lines)
     own_lines = [line for line in lines if line.get("request_id") == request_id]
-    ends = [OUTCOMES[line["event"]] for line in own_lines if line["event"] in OUTCOMES]
+    ends = [_find_outcome(line) for line in own_lines if line["event"] in OUTCOMES]
     return Explanation(
         request_id, ends[-1] if ends else NO_OUTCOME, own_lines, _find_context(own_lines, lines)
     )
 
 
+def _find_outcome(line):
+    is_paused = line["event"] == "request_refused" and "asked for a pause" in line["message"]
+    return PAUSED_OUTCOME if is_paused else OUTCOMES[line["event"]]
+
+
 def _find_request(requested_id, lines):
     attempt = f"attempt={requested_id}"
     for line in lines:
@@ -127,7 +138,8 @@
     first, last = own_lines[0]["time_s"] - LOOKBACK_S, own_lines[-1]["time_s"]
     context_lines = []
     for line in lines:
-        if line.get("request_id") or not first <= line.get("time_s", 0.0) <= last:
+        since = first + LOOKBACK_S - PAUSE_LOOKBACK_S if line["event"] in PAUSE_EVENTS else first
+        if line.get("request_id") or not since <= line.get("time_s", 0.0) <= last:
             continue
         mentioned_servers = _find_names(SERVER_NAME, [line]) | set(
             re.findall(r"\bnode=(\S+)", line["message"])
--- a/medlarbeam/cli/tests/test_explain.py
+++ b/medlarbeam/cli/tests/test_explain.py
@@ -10,13 +10,21 @@
 from medlarbeam.classes.gateway_effects import ServerOrder
 from medlarbeam.classes.gateway_messages import (
     EngineStateResult,
+    PauseRequest,
     RunCompleted,
     RunErrorResponse,
     RunInterrupted,
+    RunRefused,
     RunStarted,
     ServerOrderResult,
 )
-from medlarbeam.cli.explain import NO_OUTCOME, OUTCOMES, explain_request, read_lines
+from medlarbeam.cli.explain import (
+    NO_OUTCOME,
+    OUTCOMES,
+    PAUSED_OUTCOME,
+    explain_request,
+    read_lines,
+)
 from medlarbeam.cli.main import explain
 from medlarbeam.gateway.tests.fleet_samples import (
     COLD,
@@ -105,6 +113,36 @@
     return log
 
 
+def log_refusal_in_a_pause(age_s, pause_s, count):
+    """Send a request `age_s` seconds after each of `count` servers has asked for a pause."""
+    names = [f"l{number}" for number in range(count)]
+    log = LogRecorder(servers=[make_server(name, "ledger") for name in names])
+    log.send_request("pay", request_id="r0")
+    for _ in names:
+        pause = PauseRequest(str(pause_s), pause_s)
+        log.deliver(RunRefused(log.find_run_id(), 503, "refused", None, pause))
+    log.pass_time(age_s)
+    log.send_request("pay")
+    return log
+
+
+PAUSED = [
+    ("one-server-just-now", 0.1, 20.0, 1),
+    ("pause-that-began-long-ago", 15.0, 30.0, 1),
+    ("each-server-of-the-service", 1.0, 20.0, 2),
+]
+
+
+@pytest.mark.parametrize(
+    ("age_s", "pause_s", "count"), [p[1:] for p in PAUSED], ids=[p[0] for p in PAUSED]
+)
+def test_pause_is_named_as_the_cause_of_a_refusal(age_s, pause_s, count):
+    explanation = explain_request("r1", log_refusal_in_a_pause(age_s, pause_s, count).lines)
+    assert explanation.outcome == PAUSED_OUTCOME
+    lines = [line for line in explanation.context if line["event"] == "server_paused"]
+    assert lines and "request=r0" in lines[0]["message"]
+
+
 FAILURES = [
     ("refused-stream", log_refused_stream, "request_refused", "waited for m0/a9 on w1", ""),
     ("payment-without-response", log_payment_without_response, "request_refused", "reset", ""),
--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -138,8 +138,9 @@
             pause = self.pauses[entry.name] = ServerPause(entry, self.chart.initial, now)
         was_paused = not is_new and self.chart.has_tag(pause, "paused")
         pause.answers += 1
-        if now + pause_s > pause.until:
-            pause.until = now + pause_s
+        until = self._find_end_of_answers(pause, now + pause_s)
+        if until != pause.until:
+            pause.until = until
             pause.request_id = request_id
             pause.text = request.text
         pause.next_send_at = pause.until + END_MARGIN_S
@@ -154,6 +155,10 @@
             )
         return True
 
+    def _find_end_of_answers(self, pause, asked_until):
+        """Return the time (s) at which a pause ends after another answer asked for an end."""
+        return max(pause.until, asked_until)
+
     def _find(self, entry, now, out):
         """Return the `ServerPause` of a backend server, or None."""
         pause = self.pauses.get(entry.name)
