--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -352,25 +352,39 @@
     status : int
         HTTP status, 0 if there was no response; the order may then still be carried out later.
     reason : str
+    pause : PauseRequest or None
+        Pause that the backend server asks for when it turns the order away.
     """
 
-    __slots__ = ("order", "reason", "status")
+    __slots__ = ("order", "pause", "reason", "status")
 
-    def __init__(self, order, status, reason):
+    def __init__(self, order, status, reason, pause=None):
         self.order = order
         self.status = status
         self.reason = reason
+        self.pause = pause
 
 
 class EngineStateResult(Record):
-    """Result of `FetchEngineState`; `state` is an `EngineState`, or None on failure."""
+    """Result of `FetchEngineState`.
+
+    Parameters
+    ----------
+    server : str
+    state : EngineState or None
+        None on failure.
+    reason : str
+    pause : PauseRequest or None
+        Pause that the backend server asks for when it turns the call away.
+    """
 
-    __slots__ = ("reason", "server", "state")
+    __slots__ = ("pause", "reason", "server", "state")
 
-    def __init__(self, server, state, reason):
+    def __init__(self, server, state, reason, pause=None):
         self.server = server
         self.state = state
         self.reason = reason
+        self.pause = pause
 
 
 class ProbeResult(Record):
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -158,6 +158,7 @@
                 f"fence={order.fence} status={message.status} reason={message.reason}",
             )
         )
+        self._record_pause(order.server, message.pause, "order", now, out)
         scheduler = self.schedulers.get(order.server.name)
         if scheduler is not None:
             demand = scheduler.demands.get(order.key)
@@ -172,9 +173,14 @@
         if scheduler is not None:
             if message.state is None:
                 out.emit(LogEvent("state_unread", f"server={message.server} {message.reason}"))
+            self._record_pause(scheduler.entry, message.pause, "state read", now, out)
             scheduler.apply_state(message.state, now)
             self._send_next_order(scheduler, now, out)
 
+    def _record_pause(self, entry, pause, source, now, out):
+        if pause is not None:
+            self.node.pauses.record_request(entry, "", pause, now, out, source)
+
     def count_in_transit(self):
         """Return the number of adapters in transit to the backend servers of this holder."""
         return sum(scheduler.count_in_transit() for scheduler in self.schedulers.values())
--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -114,8 +114,8 @@
 
     # What servers ask for
 
-    def record_request(self, entry, request_id, request, now, out):
-        """Record that a refusal of a backend server asks for a pause.
+    def record_request(self, entry, request_id, request, now, out, source="run"):
+        """Record that the refusal of a run, an order or a state read asks for a pause.
 
         The later end holds: each response asks for its own time, and responses to requests that
         were sent before the first one arrive in any order.
@@ -150,7 +150,7 @@
                 LogEvent(
                     "server_paused",
                     f"server={entry.name} request={request_id} value={request.text} "
-                    f"pause_s={pause_s:.3f} source=503 to a run",
+                    f"pause_s={pause_s:.3f} source=503 to a {source}",
                 )
             )
         return True
--- a/medlarbeam/gateway/tests/test_server_pauses.py
+++ b/medlarbeam/gateway/tests/test_server_pauses.py
@@ -9,6 +9,7 @@
 import pytest
 
 from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.fleet import EngineState
 from medlarbeam.classes.gateway_effects import (
     CancelFleetRun,
     FetchEngineState,
@@ -17,11 +18,13 @@
     StartFleetRun,
 )
 from medlarbeam.classes.gateway_messages import (
+    EngineStateResult,
     PauseRequest,
     RunCompleted,
     RunRefused,
     RunStalled,
     RunStarted,
+    ServerOrderResult,
 )
 from medlarbeam.exceptions import RunState
 from medlarbeam.gateway import server_pauses
@@ -152,6 +155,37 @@
     assert [e for e in effects if isinstance(e, CancelFleetRun)] == []
 
 
+def refuse_order(harness, effect):
+    return ServerOrderResult(effect, 503, "", PauseRequest("2", 2.0))
+
+
+def refuse_read(harness, effect):
+    return EngineStateResult(effect.server.name, None, "HTTP 503", PauseRequest("2", 2.0))
+
+
+CALLS = [
+    ("order-that-is-turned-away", ServerOrder, refuse_order),
+    ("state-read-that-is-turned-away", FetchEngineState, refuse_read),
+]
+
+
+@pytest.mark.parametrize(("kind", "build"), [c[1:] for c in CALLS], ids=[c[0] for c in CALLS])
+def test_pause_in_the_answer_to_an_order_or_state_read_is_kept(kind, build):
+    harness = make_harness(servers=[make_server("w1", "llm")], rights=own_rights(["w1"]))
+    effects = harness.pass_time(0.2)
+    if kind is ServerOrder:
+        state = EngineState(0, ["m0"], {HOT: 1}, {}, False)
+        harness.deliver(EngineStateResult("w1", state, ""))
+        effects = harness.send_request("chat", COLD)
+    (call,) = [e for e in effects if isinstance(e, kind)]
+    effects = harness.deliver(build(harness, call))
+    effects += harness.send_request("chat", HOT, request_id="r2")
+    effects += harness.pass_time(1.9)
+    sent = (StartFleetRun, ServerOrder, FetchEngineState)
+    assert [e for e in effects if isinstance(e, sent)] == []
+    assert harness.gateway.pauses.is_paused(call.server, harness.now)
+
+
 SECOND_ANSWERS = [
     ("longer-answer-extends-the-pause", 2.0, 1.0, 3.0, 4.0),
     ("shorter-answer-does-not-end-it-sooner", 2.0, 0.5, 0.2, 2.0),
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -190,7 +190,8 @@
                 refusal = find_refusal(response)
                 if refusal:
                     await discard_body(response)
-                    pause = find_pause(response, exchange, effect)
+                    attempt_id = exchange.request.attempt_id
+                    pause = find_pause(response, attempt_id, effect.server.name)
                     return RunRefused(effect.run_id, response.status, refusal, load, pause)
                 check_response(response, exchange)
                 if effect.is_stream and response.status == 200:
@@ -277,13 +278,15 @@
                         allow_redirects=False,
                     ) as response:
                         await discard_body(response)
-            message = ServerOrderResult(effect, response.status, "")
+            pause = find_pause(response, "", effect.server.name)
+            message = ServerOrderResult(effect, response.status, "", pause)
         except Exception as error:  # every order must result in exactly one message
             message = ServerOrderResult(effect, 0, describe_error(error))
         self.driver.deliver(message)
 
     async def _fetch_state(self, effect):
         name = effect.server.name
+        pause = None
         try:
             with apply_send_guard(SendGuard(allow_resend=True)):
                 async with asyncio.timeout(REPORT_TIMEOUT_S):
@@ -293,11 +296,12 @@
                         allow_redirects=False,
                     ) as response:
                         text = await read_body(response, MAX_RESPONSE_BYTES)
+            pause = find_pause(response, "", name)
             if response.status != 200:
                 raise FormatError(f"HTTP {response.status}")
             message = EngineStateResult(name, decode_engine_state(decode_object(text)), "")
         except Exception as error:  # every state request must result in exactly one message
-            message = EngineStateResult(name, None, describe_error(error))
+            message = EngineStateResult(name, None, describe_error(error), pause)
         self.driver.deliver(message)
 
 
@@ -318,14 +322,14 @@
     return ""
 
 
-def find_pause(response, exchange, effect):
+def find_pause(response, attempt_id, server):
     """Return the `PauseRequest` of a backend server that turned a request away, or None.
 
     Other statuses than 503 refuse one request, and a 503 without `NOT_RUN` may come from a run.
     """
     if response.status != 503 or NOT_RUN not in response.headers:
         return None
-    return parse_pause(response.headers, exchange.request.attempt_id, effect.server.name)
+    return parse_pause(response.headers, attempt_id, server)
 
 
 def check_response(response, exchange):
