--- a/medlarbeam/cli/explain.py
+++ b/medlarbeam/cli/explain.py
@@ -11,6 +11,7 @@
 # Log lines without a request id that may explain the outcome of a request.
 LOOKBACK_S = 3.0  # a backend server stays suspect for several seconds
 PAUSE_LOOKBACK_S = 60.0  # longest pause of a backend server
+PAUSE_REASON = re.compile(r"asked for a pause|waited for the end of the pause")
 PAUSE_EVENTS = {"server_pause_ended", "server_paused"}
 SERVER_NAME = re.compile(r"\b(?:server|better)=(\S+)|\bon (\S+), ordered by (\S+)")
 ADAPTER = re.compile(r"\badapter=(\S+)|\bwaited for (\S+) on ")
@@ -34,8 +35,8 @@
     "caller_left": "The caller disconnected first; the request was cancelled.",
 }
 PAUSED_OUTCOME = (
-    "The caller was refused because each backend server that could run the request had asked for "
-    "a pause; the `server_paused` lines name the responses that did."
+    "The caller was refused because the backend servers that could run the request had asked "
+    "for a pause; the `server_paused` lines name the responses that did."
 )
 NO_OUTCOME = "The log does not show the outcome: the process exited or lines are missing."
 
@@ -114,7 +115,7 @@
 
 
 def _find_outcome(line):
-    is_paused = line["event"] == "request_refused" and "asked for a pause" in line["message"]
+    is_paused = line["event"] == "request_refused" and PAUSE_REASON.search(line["message"])
     return PAUSED_OUTCOME if is_paused else OUTCOMES[line["event"]]
 
 
--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -5,6 +5,8 @@
 
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.fleet import ServerRegistration
+from medlarbeam.classes.gateway_messages import EntryUpdated
 from medlarbeam.node.component import Component
 
 __all__ = ["MAX_PAUSE_S", "PauseRefusal", "ServerPause", "ServerPauses"]
@@ -112,6 +114,21 @@
         self.pauses = {}
         self.waiting = {}
 
+    def handlers(self):
+        """Return the handler method of each message class."""
+        return {EntryUpdated: self.handle_entry_updated}
+
+    def handle_entry_updated(self, message, now, out):
+        """End the pause of a backend server that has restarted."""
+        if isinstance(message.value, ServerRegistration):
+            pause = self.pauses.get(message.value.name)
+            if pause is not None and not self._is_current(pause):
+                self._end(pause, "forgotten", "the server has restarted", now, out)
+
+    def _is_current(self, pause):
+        known = self.node.fleet.servers.get(pause.entry.name)
+        return known is not None and known.entry.started_at_ms == pause.entry.started_at_ms
+
     # What servers ask for
 
     def record_request(self, entry, request_id, request, now, out, source="run"):
@@ -271,12 +288,10 @@
 
     def tick(self, now, out):
         """End the pauses and recoveries that are due."""
-        servers = self.node.fleet.servers
         for pause in list(self.pauses.values()):
             if self._find_end(pause) > now:
                 continue
-            known = servers.get(pause.entry.name)
-            if known is None or known.entry.started_at_ms != pause.entry.started_at_ms:
+            if not self._is_current(pause):
                 self._end(pause, "forgotten", "the server has restarted", now, out)
             elif self.chart.has_tag(pause, "paused"):
                 self._log_end(pause, "its time is over", now, out)
--- a/medlarbeam/gateway/tests/pausing_fleet.py
+++ b/medlarbeam/gateway/tests/pausing_fleet.py
@@ -291,6 +291,20 @@
             worst, total = max(worst, count), total + count
         return worst, total
 
+    def find_largest_burst(self, window_s):
+        """Return the most requests that reach an engine within `window_s` (s) after a pause."""
+        ends = {(a.server, round(a.until, 2)) for a in self.answers}
+        return max(
+            (
+                sum(
+                    a.server == server and end - 0.01 <= a.at < end + window_s and not a.is_order
+                    for a in self.arrivals
+                )
+                for server, end in ends
+            ),
+            default=0,
+        )
+
     def measure_in_time(self, route, since, until):
         """Return the share of the requests of a route that began within their goal."""
         names = [
--- a/medlarbeam/gateway/tests/test_server_pauses.py
+++ b/medlarbeam/gateway/tests/test_server_pauses.py
@@ -19,12 +19,14 @@
 )
 from medlarbeam.classes.gateway_messages import (
     EngineStateResult,
+    EntryUpdated,
     PauseRequest,
     RunCompleted,
     RunRefused,
     RunStalled,
     RunStarted,
     ServerOrderResult,
+    StoreSnapshot,
 )
 from medlarbeam.exceptions import RunState
 from medlarbeam.gateway import server_pauses
@@ -39,7 +41,7 @@
     make_server,
     own_rights,
 )
-from medlarbeam.gateway.tests.pausing_fleet import ALLOWED_ARRIVALS, PausingFleet
+from medlarbeam.gateway.tests.pausing_fleet import ALLOWED_ARRIVALS, SLOTS, PausingFleet
 
 
 def refuse(run, pause_s, text=None):
@@ -186,6 +188,32 @@
     assert harness.gateway.pauses.is_paused(call.server, harness.now)
 
 
+WEIGHED = [
+    ("short-pause-is-awaited", 0.4, None),
+    ("long-pause-is-worth-a-load-elsewhere", 2.0, "w2"),
+    ("pause-beyond-the-deadline-needs-a-load", 20.0, "w2"),
+]
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "loaded_on"), [w[1:] for w in WEIGHED], ids=[w[0] for w in WEIGHED]
+)
+def test_pause_is_weighed_against_a_load_elsewhere(pause_s, loaded_on):
+    """Each short pause moved adapters, or requests waited for a long one in vain."""
+    servers = [make_server("w1", "llm"), make_server("w2", "llm", adapters=())]
+    harness = make_harness(servers=servers, rights=own_rights())
+    harness.pass_time(0.2)
+    for server in servers:
+        state = EngineState(0, ["m0"], dict(server.adapters), {}, False)
+        harness.deliver(EngineStateResult(server.name, state, ""))
+    effects = harness.send_request("chat", HOT)
+    (run,) = find_runs(effects)
+    effects = harness.deliver(refuse(run, pause_s))
+    effects += harness.pass_time(0.3)
+    orders = [e.server.name for e in effects if isinstance(e, ServerOrder) and e.is_load]
+    assert orders == ([loaded_on] if loaded_on else [])
+
+
 SECOND_ANSWERS = [
     ("longer-answer-extends-the-pause", 2.0, 1.0, 3.0, 4.0),
     ("shorter-answer-does-not-end-it-sooner", 2.0, 0.5, 0.2, 2.0),
@@ -215,19 +243,31 @@
     assert not pauses.is_paused(entry, start + end_s + 0.05)
 
 
+def write_entry(harness, entry):
+    harness.write_entry(f"servers/{entry.name}", entry)
+
+
+def read_snapshot(harness, entry):
+    """Pass a snapshot that is newer in this entry alone."""
+    harness.deliver(StoreSnapshot([EntryUpdated(f"servers/{entry.name}", entry, 99)], 0))
+
+
 ENTRIES = [
-    ("restart-ends-the-pause", "l1", 2, True),
-    ("entry-of-the-same-start-does-not", "l1", 1, False),
+    ("restart-ends-the-pause", 2, write_entry, True),
+    ("restart-that-a-snapshot-shows", 2, read_snapshot, True),
+    ("entry-of-the-same-start-does-not", 1, write_entry, False),
+    ("snapshot-of-the-same-start-does-not", 1, read_snapshot, False),
 ]
 
 
 @pytest.mark.parametrize(
-    ("name", "started_at_ms", "is_sent"), [e[1:] for e in ENTRIES], ids=[e[0] for e in ENTRIES]
+    ("started_at_ms", "pass_entry", "is_sent"),
+    [e[1:] for e in ENTRIES],
+    ids=[e[0] for e in ENTRIES],
 )
-def test_only_a_restart_ends_a_pause_early(name, started_at_ms, is_sent):
+def test_only_a_restart_ends_a_pause_early(started_at_ms, pass_entry, is_sent):
     harness, _ = make_paused(10.0, LEDGERS[:1])
-    entry = make_server(name, "ledger", started_at_ms=started_at_ms)
-    harness.write_entry(f"servers/{name}", entry)
+    pass_entry(harness, make_server("l1", "ledger", started_at_ms=started_at_ms))
     harness.send_request("read", request_id="r2")
     assert bool(harness.find(StartFleetRun)) is is_sent
     assert bool(harness.find(RefuseRequest)) is not is_sent
@@ -345,6 +385,11 @@
 ]
 
 
+BURST_S = 0.25
+# A quarter of the places, and one request of each gateway that may come at once.
+MAX_BURST = SLOTS * BURST_S + 4
+
+
 def play(turns, pause_s, gap_s, value, seed, **options):
     """Return a fleet after 14 s in which servers pause in turn."""
     fleet = PausingFleet(seed, **options)
@@ -362,6 +407,7 @@
 def test_pauses_are_kept_and_requests_end(turns, pause_s, gap_s, value, seed):
     fleet = play(turns, pause_s, gap_s, value, seed)
     assert fleet.count_excess()[0] <= ALLOWED_ARRIVALS
+    assert fleet.find_largest_burst(BURST_S) <= MAX_BURST
     assert all(not gateway.relays.open_count() for gateway in fleet.gateways.values())
     assert all(not gateway.pauses.waiting for gateway in fleet.gateways.values())
 
@@ -423,7 +469,7 @@
         ServerPauses,
         "_get",
         lambda self, entry: self.pauses.get(entry.name),
-        lambda: test_only_a_restart_ends_a_pause_early("l1", 2, True),
+        lambda: test_only_a_restart_ends_a_pause_early(2, read_snapshot, True),
     ),
     (
         "no-upper-bound",
@@ -439,6 +485,13 @@
         lambda *args: 0.0,
         lambda: test_end_of_a_pause_is_no_burst(None, 12, 0.2, 6),
     ),
+    (
+        "all-gateways-at-the-end-at-once",
+        ServerPauses,
+        "_find_interval",
+        lambda *args: 0.0,
+        lambda: test_pauses_are_kept_and_requests_end(*TURNS[4][1:], 0),
+    ),
     (
         "named-rate-ignored-after-a-pause",
         ServerLimits,
