Tell a waiting request its turn after a pause, and spread until none waits

All that still waited after a second were then sent together. The wait now follows the doubling rate, and the recovery goes on while requests wait.

--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -1,7 +1,7 @@
 """Pauses that backend servers ask this node for, and the requests that wait for their end."""
 
 from bisect import bisect_left, insort
-from math import inf
+from math import ceil, inf
 
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
@@ -16,9 +16,10 @@
 # of up to three minutes, and a value in a wrong unit costs a server a minute, not a day.
 MAX_PAUSE_S = 60.0
 # After a pause, the rate of all nodes begins at the requests that the server runs at once in a
-# second, and doubles in each step. At the end of the recovery it is above any that was seen.
+# second, and doubles in each step. The recovery goes on while requests wait.
 RECOVERY_S = 1.0
 RECOVERY_STEP_S = 0.25
+RECOVERY_STEPS = 4
 MAX_INTERVAL_S = 0.5  # between requests after a pause; a node must not wait longer for a turn
 MIN_WAIT_S = 0.001  # a shorter wait is below the resolution of the timers
 END_MARGIN_S = 0.01  # after the end of a pause, as the server reads its clock later than this node
@@ -44,6 +45,8 @@
         Value of that response as received.
     answers : int
         Number of responses that asked for a pause.
+    recover_at : float
+        Time (s) from which the recovery may end.
     refused : int
         Number of requests that were refused because of it.
     next_send_at : float
@@ -57,6 +60,7 @@
         "entry",
         "next_send_at",
         "queue",
+        "recover_at",
         "refused",
         "request_id",
         "since",
@@ -75,6 +79,7 @@
         self.answers = 0
         self.refused = 0
         self.next_send_at = now
+        self.recover_at = now
         self.queue = []
 
     def describe(self, now):
@@ -161,6 +166,7 @@
             pause.request_id = request_id
             pause.text = request.text
         pause.next_send_at = pause.until + END_MARGIN_S
+        pause.recover_at = pause.next_send_at + RECOVERY_S
         self.chart.fire(pause, "asked", self, now)
         if not was_paused:
             out.emit(
@@ -206,11 +212,28 @@
         if pause is None:
             return 0.0
         position = bisect_left(pause.queue, self._sort_key(relay))
-        interval_s = self._find_interval(pause, now) if position else 0.0
-        token_wait_s = self.node.limits.find_token_wait(entry.name, now)
-        wait_s = max(pause.next_send_at - now, token_wait_s) + position * interval_s
+        limits = self.node.limits
+        wait_s = max(pause.next_send_at, self._find_turn(pause, position, now)) - now
+        token_wait_s = limits.find_token_wait(entry.name, now)
+        if position:
+            token_wait_s += position * limits.find_interval(entry.name)
+        wait_s = max(wait_s, token_wait_s)
         return wait_s if wait_s >= MIN_WAIT_S else 0.0
 
+    def _find_turn(self, pause, position, now):
+        """Return the time (s) at which the request at a position in the queue may be sent."""
+        at = max(pause.next_send_at, now)
+        while position > 0:
+            interval_s = self._find_spread(pause, at)
+            step = self._count_steps(pause, at)
+            sends = position
+            if step < RECOVERY_STEPS:
+                step_end = pause.until + (step + 1) * RECOVERY_STEP_S
+                sends = min(position, max(1, ceil((step_end - at) / interval_s)))
+            at += sends * interval_s
+            position -= sends
+        return at
+
     def has_pause(self, entry):
         """Return whether `find_wait` decides when a backend server gets requests."""
         return self._get(entry) is not None
@@ -265,16 +288,22 @@
         return (relay.route.priority, relay.goal_at, relay.request.request_id)
 
     def _find_interval(self, pause, now):
-        """Return the time (s) between two requests of this node after a pause.
+        """Return the time (s) between two requests of this node; a named rate goes first."""
+        limit_s = self.node.limits.find_interval(pause.entry.name)
+        return max(self._find_spread(pause, now), limit_s)
+
+    def _find_spread(self, pause, now):
+        """Return the time (s) between two requests of this node in the recovery.
 
-        All nodes may have been asked for the pause, so they share the places of the server. A rate
-        that the server names goes first.
+        All nodes may have been asked for the pause, so they share the places of the server.
         """
-        entry = pause.entry
         nodes = max(1, len(self.node.fleet.nodes))
-        interval_s = min(MAX_INTERVAL_S, RECOVERY_S * nodes / max(1, entry.concurrency))
-        steps = max(0, int((now - pause.until) / RECOVERY_STEP_S))
-        return max(interval_s / 2**steps, self.node.limits.find_interval(entry.name))
+        interval_s = min(MAX_INTERVAL_S, RECOVERY_S * nodes / max(1, pause.entry.concurrency))
+        return interval_s / 2 ** self._count_steps(pause, now)
+
+    def _count_steps(self, pause, now):
+        """Return how often the rate of the recovery has doubled."""
+        return max(0, min(RECOVERY_STEPS, int((now - pause.until) / RECOVERY_STEP_S)))
 
     # The end of a pause
 
@@ -283,8 +312,8 @@
         return min((self._find_end(pause) for pause in self.pauses.values()), default=inf)
 
     def _find_end(self, pause):
-        end = pause.until + END_MARGIN_S
-        return end if self.chart.has_tag(pause, "paused") else end + RECOVERY_S
+        is_paused = self.chart.has_tag(pause, "paused")
+        return pause.until + END_MARGIN_S if is_paused else pause.recover_at
 
     def tick(self, now, out):
         """End the pauses and recoveries that are due."""
@@ -297,6 +326,7 @@
                 self._log_end(pause, "its time is over", now, out)
                 self.chart.fire(pause, "elapsed", self, now)
             else:
+                pause.recover_at = now + RECOVERY_STEP_S  # unless it ends now
                 self.chart.fire(pause, "recovered", self, now)
 
     def _end(self, pause, event, reason, now, out):
@@ -318,7 +348,11 @@
         """Return the number of backend servers that are paused."""
         return sum(1 for p in self.pauses.values() if now < p.until + END_MARGIN_S)
 
-    # Actions of the chart
+    # Guards and actions of the chart
+
+    def has_no_queue(self, pause, now):
+        """Return whether no request waits for the server."""
+        return not pause.queue
 
     def repeat_pause(self, pause, now):
         """Begin another pause after the one that has ended."""
