--- a/medlarbeam/gateway/tests/test_server_pauses.py
+++ b/medlarbeam/gateway/tests/test_server_pauses.py
@@ -42,6 +42,7 @@
     own_rights,
 )
 from medlarbeam.gateway.tests.pausing_fleet import ALLOWED_ARRIVALS, SLOTS, PausingFleet
+from medlarbeam.node.component import Outbox
 
 
 def refuse(run, pause_s, text=None):
@@ -188,6 +189,59 @@
     assert harness.gateway.pauses.is_paused(call.server, harness.now)
 
 
+def suspect(harness, name):
+    harness.gateway.health.record_outcome(name, "unreachable", harness.now, Outbox())
+
+
+def drain(harness, name):
+    harness.write_entry(f"servers/{name}", make_server(name, "ledger", draining=True))
+
+
+def spend_retry_budget(harness, name):
+    budget = harness.gateway.relays.retry_budget
+    budget.settings.retry_extra = 0
+    while budget.try_acquire("ledger", 1, harness.now):
+        pass
+
+
+COMBINATIONS = [
+    ("suspected-server-takes-what-cannot-wait", 10.0, [(suspect, "l2")], "l2", False),
+    ("request-waits-rather-than-for-a-suspected-server", 0.3, [(suspect, "l2")], "l1", False),
+    ("paused-server-is-suspected-too", 0.3, [(suspect, "l1"), (drain, "l2")], "l1", False),
+    ("leaving-server-does-not-take-it", 10.0, [(drain, "l2")], "", True),
+    ("pause-of-a-leaving-server-refuses-nobody", 10.0, [(drain, "l1")], "l2", False),
+    (
+        "server-that-leaves-in-its-pause-gets-nothing",
+        0.3,
+        [(drain, "l1"), (drain, "l2")],
+        "",
+        False,
+    ),
+    ("no-retry-without-budget", 0.3, [(drain, "l2"), (spend_retry_budget, "")], "", False),
+]
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "steps", "server", "is_refused_at_once"),
+    [c[1:] for c in COMBINATIONS],
+    ids=[c[0] for c in COMBINATIONS],
+)
+def test_pause_together_with_suspicion_drain_and_retry_budget(
+    pause_s, steps, server, is_refused_at_once
+):
+    """The table "which goes first" of docs/platform.md."""
+    harness = make_harness(servers=LEDGERS)
+    harness.gateway.health.open_run("l2", harness.now)  # so that l1 is selected first
+    harness.send_request("read")
+    (run,) = harness.find(StartFleetRun)
+    for step, name in steps:
+        step(harness, name)
+    effects = harness.deliver(refuse(run, pause_s))
+    assert bool(harness.find(RefuseRequest)) is is_refused_at_once
+    effects += harness.pass_time(1.0)
+    assert [run.server.name for run in find_runs(effects)] == ([server] if server else [])
+
+
 WEIGHED = [
     ("short-pause-is-awaited", 0.4, None),
     ("long-pause-is-worth-a-load-elsewhere", 2.0, "w2"),
