Ignore a pause that a refusal of an earlier start of a server asks for

A refusal that arrived after the restart of its server paused nothing of the old start but ended the pause that the new start had asked for. A rate of zero for this node would have put the next request off without end; the wait for a token covers named rates already.

--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -39,8 +39,8 @@
         The incarnation of the server that asked for the pause.
     since, until : float
         Start and end (s) of the pause.
-    request_id : str
-        Request whose response asked for the end that holds.
+    source : str
+        Request or call whose response asked for the end that holds, as text.
     text : str
         Value of that response as received.
     answers : int
@@ -62,8 +62,8 @@
         "queue",
         "recover_at",
         "refused",
-        "request_id",
         "since",
+        "source",
         "state",
         "text",
         "until",
@@ -74,7 +74,7 @@
         self.state = state
         self.since = now
         self.until = now
-        self.request_id = ""
+        self.source = ""
         self.text = ""
         self.answers = 0
         self.refused = 0
@@ -86,7 +86,7 @@
         """Return the pause as text for log lines and refusals."""
         return (
             f"server={self.entry.name} asked for a pause of {self.text} s in the response to "
-            f"request={self.request_id}, {max(0.0, self.until - now):.3f} s are left"
+            f"{self.source}, {max(0.0, self.until - now):.3f} s are left"
         )
 
 
@@ -147,8 +147,12 @@
         bool
             Whether the server is paused now.
         """
-        if request.pause_s is None:
-            detail = f"server={entry.name} value={request.text} {request.problem}"
+        problem = request.problem
+        known = self.node.fleet.servers.get(entry.name)
+        if known is not None and known.entry.started_at_ms != entry.started_at_ms:
+            problem = "the server has restarted since the request was sent"
+        if problem or request.pause_s is None:
+            detail = f"server={entry.name} value={request.text} {problem}"
             out.emit(LogEvent("pause_unread", detail, request_id))
             return self.is_paused(entry, now)
         pause_s = min(request.pause_s, MAX_PAUSE_S)
@@ -163,7 +167,7 @@
         until = self._find_end_of_answers(pause, now + pause_s)
         if until != pause.until:
             pause.until = until
-            pause.request_id = request_id
+            pause.source = f"request={request_id}" if request_id else f"the {source}"
             pause.text = request.text
         pause.next_send_at = pause.until + END_MARGIN_S
         pause.recover_at = pause.next_send_at + RECOVERY_S
@@ -206,7 +210,7 @@
     def find_wait(self, entry, relay, now):
         """Return the time (s) until a relay may be sent to a backend server.
 
-        After a pause the server gets one request in `interval_s`, the most urgent one first.
+        After a pause the server gets one request after the other, the most urgent ones first.
         """
         pause = self._get(entry)
         if pause is None:
@@ -281,17 +285,12 @@
         """Count a request that is sent to a backend server."""
         pause = self._get(entry)
         if pause is not None:
-            interval_s = self._find_interval(pause, now)
-            pause.next_send_at = max(pause.next_send_at, now + interval_s)
+            spread_s = self._find_spread(pause, now)
+            pause.next_send_at = max(pause.next_send_at, now + spread_s)
 
     def _sort_key(self, relay):
         return (relay.route.priority, relay.goal_at, relay.request.request_id)
 
-    def _find_interval(self, pause, now):
-        """Return the time (s) between two requests of this node; a named rate goes first."""
-        limit_s = self.node.limits.find_interval(pause.entry.name)
-        return max(self._find_spread(pause, now), limit_s)
-
     def _find_spread(self, pause, now):
         """Return the time (s) between two requests of this node in the recovery.
 
@@ -338,7 +337,7 @@
         out.emit(
             LogEvent(
                 "server_pause_ended",
-                f"server={pause.entry.name} request={pause.request_id} value={pause.text} "
+                f"server={pause.entry.name} {pause.source} value={pause.text} "
                 f"lasted_s={now - pause.since:.3f} answers={pause.answers} "
                 f"waiting={len(pause.queue)} refused={pause.refused} {reason}",
             )
--- a/medlarbeam/gateway/tests/test_server_pauses.py
+++ b/medlarbeam/gateway/tests/test_server_pauses.py
@@ -327,6 +327,20 @@
     assert bool(harness.find(RefuseRequest)) is not is_sent
 
 
+def test_refusal_of_an_earlier_start_is_no_pause_of_the_new_one():
+    """A late refusal took a restarted server away, or ended the pause of its new start."""
+    harness = make_harness(servers=LEDGERS[:1])
+    runs = [find_runs(harness.send_request("read", request_id=n))[0] for n in ("a", "b")]
+    restarted = make_server("l1", "ledger", started_at_ms=2)
+    write_entry(harness, restarted)
+    harness.deliver(refuse(runs[0], 9.0))
+    harness.send_request("read", request_id="c")
+    (run,) = harness.find(StartFleetRun)
+    harness.deliver(refuse(run, 9.0))
+    harness.deliver(refuse(runs[1], 1.0))
+    assert harness.gateway.pauses.is_paused(restarted, harness.now + 8.0)
+
+
 def test_runs_in_flight_are_unaffected_by_a_pause():
     """A run that had begun before the pause was cancelled, or its answer was lost."""
     harness = make_harness(servers=[make_server("w1", "llm")])
@@ -565,15 +579,15 @@
     (
         "all-requests-at-the-end-at-once",
         ServerPauses,
-        "_find_interval",
-        lambda *args: 0.0,
+        "_find_spread",
+        lambda *args: 1e-6,
         lambda: test_end_of_a_pause_is_no_burst(None, 12, 0.2, 6),
     ),
     (
         "all-gateways-at-the-end-at-once",
         ServerPauses,
-        "_find_interval",
-        lambda *args: 0.0,
+        "_find_spread",
+        lambda *args: 1e-6,
         lambda: test_pauses_are_kept_and_requests_end(*TURNS[4][1:], 0),
     ),
     (
