--- a/medlarbeam/algorithms/direct_routing.py
+++ b/medlarbeam/algorithms/direct_routing.py
@@ -40,6 +40,8 @@
     prompt_wait_s : float
         Time until the server can read the prompt without pausing its streams; counts only where
         no load is needed.
+    pause_wait_s : float
+        Time until the request may be sent to a server that has asked for a pause.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         "hash_position",
         "is_same_domain",
         "occupancy",
+        "pause_wait_s",
         "prompt_wait_s",
         "ready_in_s",
     )
@@ -63,7 +66,9 @@
         free_slots,
         hash_position=0,
         prompt_wait_s=0.0,
+        pause_wait_s=0.0,
     ):
+        self.pause_wait_s = pause_wait_s
         self.prompt_wait_s = prompt_wait_s
         self.hash_position = hash_position
         self.free_slots = free_slots
@@ -119,10 +124,11 @@
             if occupancy > 1.0:
                 cost += OVERLOAD_PENALTY_S * (occupancy - 1.0)
         if candidate.ready_in_s is not None:
-            cost += max(candidate.ready_in_s, candidate.prompt_wait_s)
+            cost += max(candidate.ready_in_s, candidate.prompt_wait_s, candidate.pause_wait_s)
             return cost if candidate.is_same_domain else cost + CROSS_DOMAIN_PENALTY_S
         cost += (
-            LOAD_PENALTY_S
+            candidate.pause_wait_s
+            + LOAD_PENALTY_S
             + HASH_POSITION_PENALTY_S * candidate.hash_position
             + QUEUED_DEMAND_PENALTY_S * max(0, 1 - candidate.free_slots)
         )
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -13,6 +13,7 @@
     "LeaseExpired",
     "LeaseRenewed",
     "NodeDatagram",
+    "PauseRequest",
     "ProbeResult",
     "RunCompleted",
     "RunErrorResponse",
@@ -157,6 +158,28 @@
         self.load = load
 
 
+class PauseRequest(Record):
+    """A pause that a backend server asks for when it refuses a request.
+
+    Parameters
+    ----------
+    text : str
+        The value as received, shortened and escaped for log lines.
+    pause_s : float or None
+        Seconds in which the server wants no requests of this node; None if the value cannot be
+        used. It may be infinite.
+    problem : str
+        Why the value cannot be used, "" if it can.
+    """
+
+    __slots__ = ("pause_s", "problem", "text")
+
+    def __init__(self, text, pause_s, problem=""):
+        self.text = text
+        self.pause_s = pause_s
+        self.problem = problem
+
+
 class RunRefused(Record):
     """The backend server reported that it did not run the request, or nothing was sent.
 
@@ -167,15 +190,18 @@
         0 if nothing was sent.
     reason : str
     load : ServerLoad or None
+    pause : PauseRequest or None
+        Pause that the backend server asks for in the refusal.
     """
 
-    __slots__ = ("load", "reason", "run_id", "status")
+    __slots__ = ("load", "pause", "reason", "run_id", "status")
 
-    def __init__(self, run_id, status, reason, load):
+    def __init__(self, run_id, status, reason, load, pause=None):
         self.run_id = run_id
         self.status = status
         self.reason = reason
         self.load = load
+        self.pause = pause
 
 
 class RunInterrupted(Record):
@@ -392,25 +418,39 @@
     status : int
         HTTP status, 0 if there was no response; the order may then still be carried out later.
     reason : str
+    pause : PauseRequest or None
+        Pause that the backend server asks for when it turns the order away.
     """
 
-    __slots__ = ("order", "reason", "status")
+    __slots__ = ("order", "pause", "reason", "status")
 
-    def __init__(self, order, status, reason):
+    def __init__(self, order, status, reason, pause=None):
         self.order = order
         self.status = status
         self.reason = reason
+        self.pause = pause
 
 
 class EngineStateResult(Record):
-    """Result of `FetchEngineState`; `state` is an `EngineState`, or None on failure."""
+    """Result of `FetchEngineState`.
+
+    Parameters
+    ----------
+    server : str
+    state : EngineState or None
+        None on failure.
+    reason : str
+    pause : PauseRequest or None
+        Pause that the backend server asks for when it turns the call away.
+    """
 
-    __slots__ = ("reason", "server", "state")
+    __slots__ = ("pause", "reason", "server", "state")
 
-    def __init__(self, server, state, reason):
+    def __init__(self, server, state, reason, pause=None):
         self.server = server
         self.state = state
         self.reason = reason
+        self.pause = pause
 
 
 class ProbeResult(Record):
--- a/medlarbeam/cli/explain.py
+++ b/medlarbeam/cli/explain.py
@@ -6,10 +6,13 @@
 
 from medlarbeam.exceptions import FormatError
 
-__all__ = ["Explanation", "explain_request", "read_lines"]
+__all__ = ["PAUSED_OUTCOME", "Explanation", "explain_request", "read_lines"]
 
 # Log lines without a request id that may explain the outcome of a request.
 LOOKBACK_S = 3.0  # a backend server stays suspect for several seconds
+PAUSE_LOOKBACK_S = 60.0  # longest pause of a backend server
+PAUSE_REASON = re.compile(r"asked for a pause|waited for the end of the pause")
+PAUSE_EVENTS = {"server_pause_ended", "server_paused"}
 SERVER_NAME = re.compile(r"\b(?:server|better)=(\S+)|\bon (\S+), ordered by (\S+)")
 LEAVING = re.compile(r"\ball \d+ backend servers of .* leave: ")
 ADAPTER = re.compile(r"\badapter=(\S+)|\bwaited for (\S+) on ")
@@ -35,6 +38,10 @@
     "answer_cut": "A started stream could not be completed; the gateway closed the connection.",
     "caller_left": "The caller disconnected first; the request was cancelled.",
 }
+PAUSED_OUTCOME = (
+    "The caller was refused because the backend servers that could run the request had asked "
+    "for a pause; the `server_paused` lines name the responses that did."
+)
 NO_OUTCOME = "The log does not show the outcome: the process exited or lines are missing."
 
 
@@ -109,7 +116,7 @@
     lines = list(lines)
     request_id = _find_request(requested_id, lines)
     own_lines = [line for line in lines if line.get("request_id") == request_id]
-    ends = [OUTCOMES[line["event"]] for line in own_lines if line["event"] in OUTCOMES]
+    ends = [_find_outcome(line) for line in own_lines if line["event"] in OUTCOMES]
     outcome = ends[-1] if ends else NO_OUTCOME
     context = _find_context(own_lines, lines)
     return Explanation(request_id, outcome, _find_cause(own_lines, context), own_lines, context)
@@ -129,6 +136,11 @@
     return "; ".join([LEAVING_CAUSE, *texts])
 
 
+def _find_outcome(line):
+    is_paused = line["event"] == "request_refused" and PAUSE_REASON.search(line["message"])
+    return PAUSED_OUTCOME if is_paused else OUTCOMES[line["event"]]
+
+
 def _find_request(requested_id, lines):
     attempt = f"attempt={requested_id}"
     for line in lines:
@@ -149,10 +161,11 @@
     first, last = own_lines[0]["time_s"] - LOOKBACK_S, own_lines[-1]["time_s"]
     context_lines = []
     for line in lines:
+        since = first + LOOKBACK_S - PAUSE_LOOKBACK_S if line["event"] in PAUSE_EVENTS else first
         if line["event"] in LEAVING_EVENTS:
             if line.get("time_s", 0.0) > last or line in own_lines:
                 continue
-        elif line.get("request_id") or not first <= line.get("time_s", 0.0) <= last:
+        elif line.get("request_id") or not since <= line.get("time_s", 0.0) <= last:
             continue
         mentioned_servers = _find_names(SERVER_NAME, [line]) | set(
             re.findall(r"\bnode=(\S+)", line["message"])
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -159,6 +159,7 @@
                 f"fence={order.fence} status={message.status} reason={message.reason}",
             )
         )
+        self._record_pause(order.server, message.pause, "order", now, out)
         scheduler = self.schedulers.get(order.server.name)
         if scheduler is not None:
             demand = scheduler.demands.get(order.key)
@@ -173,9 +174,14 @@
         if scheduler is not None:
             if message.state is None:
                 out.emit(LogEvent("state_unread", f"server={message.server} {message.reason}"))
+            self._record_pause(scheduler.entry, message.pause, "state read", now, out)
             scheduler.apply_state(message.state, now)
             self._send_next_order(scheduler, now, out)
 
+    def _record_pause(self, entry, pause, source, now, out):
+        if pause is not None:
+            self.node.pauses.record_request(entry, "", pause, now, out, source)
+
     def count_in_transit(self):
         """Return the number of adapters in transit to the backend servers of this holder."""
         return sum(scheduler.count_in_transit() for scheduler in self.schedulers.values())
@@ -190,7 +196,8 @@
             return  # neither orders nor requests for its state
         fence = self.node.rights.find_fence(scheduler.entry.name, now)
         engine = self.node.fleet.find_engine(scheduler.entry)
-        if fence == scheduler.fence and engine is not None:
+        is_paused = self.node.pauses.is_paused(scheduler.entry, now)
+        if fence == scheduler.fence and engine is not None and not is_paused:
             effect = scheduler.decide(
                 engine,
                 self.node.fleet.published_versions,
@@ -267,7 +274,8 @@
             due = inf
             for scheduler in self.schedulers.values():
                 self._send_next_order(scheduler, now, out)
-                due = min(due, scheduler.next_due())
+                if not self.node.pauses.is_paused(scheduler.entry, now):
+                    due = min(due, scheduler.next_due())
             self.review_at = min(now + REVIEW_INTERVAL_S, max(due, now + 0.005))
         if min(self.report_at, self.refresh_at) <= now:
             self._send_reports(now, out)
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -38,6 +38,10 @@
         Names of backend servers that must not get the request again.
     refused_by : set of str
         Names of backend servers that have refused the request.
+    paused_by : set of str
+        Names of backend servers that have refused the request and asked for a pause.
+    retry_after_s : float
+        Time (s) after which the caller of a refused request may return, 0 for the usual one.
     is_response_started : bool
         Whether the caller has received a part of the response.
     error_run_id : str
@@ -64,10 +68,12 @@
         "is_response_started",
         "next_check_at",
         "outcome",
+        "paused_by",
         "reason",
         "refused_by",
         "request",
         "response_started_at",
+        "retry_after_s",
         "route",
         "run_id",
         "runs",
@@ -93,6 +99,8 @@
         self.runs = 0
         self.excluded = set()
         self.refused_by = set()
+        self.paused_by = set()
+        self.retry_after_s = 0.0
         self.is_response_started = False
         self.error_run_id = ""
         self.reason = ""
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -70,7 +70,7 @@
         """Return the name of the backend server that should take over a stalled run, or ""."""
         server = relay.server.name
         choice = self.choose(relay, now, relay.excluded | {server})
-        if choice is None:
+        if choice is None or choice.pause_wait_s > 0.0:
             return ""
         is_ready = choice.ready_in_s is not None and choice.ready_in_s <= MAX_MOVE_WAIT_S
         if not is_ready and self.node.health.has_responded_since(server, relay.sent_at):
@@ -81,9 +81,15 @@
         """Return the best `Candidate` among `entries`, of which `preferred` are first, in order.
 
         Servers that need a load are rated only as long as one of them may be the best: most
-        requests find their adapter loaded.
+        requests find their adapter loaded. Paused servers keep their positions, so that a pause
+        moves no other adapter.
         """
         health, key = self.node.health, relay.request.key
+        waits = {}
+        if self.node.pauses.pauses:
+            limit_s = relay.find_wait_limit() - now
+            waits = {e.name: self.node.pauses.find_wait(e, relay, now) for e in entries}
+            entries = [entry for entry in entries if waits[entry.name] < limit_s]
         trusted = [
             e for e in entries if e.name not in health.suspects or health.may_use(e.name, now)
         ]
@@ -97,36 +103,45 @@
             if ready_in_s is None:
                 others.append(entry)
             else:
-                ready.append(self._build_ready_candidate(entry, relay, ready_in_s, now))
+                wait_s = waits.get(entry.name, 0.0)
+                ready.append(self._build_ready_candidate(entry, relay, ready_in_s, wait_s, now))
         best = self.routing.choose(ready)
         positions = {entry.name: index for index, entry in enumerate(preferred)}
         for entry in others:
             position = positions.get(entry.name, len(preferred))
             if best is not None and not self.routing.may_be_better(best, position):
                 break
-            candidate = self._build_load_candidate(entry, position, now)
+            wait_s = waits.get(entry.name, 0.0)
+            candidate = self._build_load_candidate(entry, position, wait_s, now)
             best = candidate if best is None else self.routing.choose([best, candidate])
         return best
 
+    def find_blocking_pause(self, relay, now):
+        """Return the `PauseRefusal` of a relay that no backend server takes in time, or None."""
+        entries = self.node.fleet.usable_servers(relay.service, now)
+        allowed = [entry for entry in entries if entry.name not in relay.excluded]
+        return self.node.pauses.find_blocking(allowed, relay, now)
+
     def _find_all(self, service, excluded, now):
         entries = self.node.fleet.usable_servers(service, now)
+        return [e for e in entries if e.name not in excluded and self._may_send(e, now)]
+
+    def _may_send(self, entry, now):
+        """Return whether a server's rate allows a request; for a paused one, the wait says when."""
         limits = self.node.limits
-        return [
-            entry
-            for entry in entries
-            if entry.name not in excluded
-            and (entry.name not in limits.limits or limits.may_send(entry.name, now))
-        ]
+        return (
+            entry.name not in limits.limits
+            or limits.may_send(entry.name, now)
+            or self.node.pauses.has_pause(entry)
+        )
 
     def _find_usable(self, names, service, excluded, now):
         """Return the entries of the named servers that accept requests of `service`, in order."""
-        servers, limits = self.node.fleet.servers, self.node.limits
+        servers = self.node.fleet.servers
         known = [
             servers[name]
             for name in names
-            if name in servers
-            and name not in excluded
-            and (name not in limits.limits or limits.may_send(name, now))
+            if name in servers and name not in excluded and self._may_send(servers[name].entry, now)
         ]
         return [k.entry for k in known if k.stop_at > now and k.entry.service == service]
 
@@ -151,7 +166,7 @@
             )
         return preferred
 
-    def _build_ready_candidate(self, entry, relay, ready_in_s, now):
+    def _build_ready_candidate(self, entry, relay, ready_in_s, pause_wait_s, now):
         node = self.node
         return Candidate(
             entry,
@@ -161,9 +176,10 @@
             has_right_holder=True,
             free_slots=0,
             prompt_wait_s=node.prompts.find_wait(entry.name, relay, now),
+            pause_wait_s=pause_wait_s,
         )
 
-    def _build_load_candidate(self, entry, hash_position, now):
+    def _build_load_candidate(self, entry, hash_position, pause_wait_s, now):
         node = self.node
         return Candidate(
             entry,
@@ -173,6 +189,7 @@
             self._has_holder(entry.name, now),
             node.holdings.find_spare(entry.name),
             hash_position,
+            pause_wait_s=pause_wait_s,
         )
 
     def _find_ready_s(self, entry, key, now):
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -52,6 +52,7 @@
     SIGNATURE,
     parse_leaving,
     parse_load,
+    parse_pause,
     response_headers,
     run_headers,
 )
@@ -194,7 +195,9 @@
                 self._report_leaving(effect.server, response, effect.request_id, source)
                 if refusal:
                     await discard_body(response)
-                    return RunRefused(effect.run_id, response.status, refusal, load)
+                    attempt_id = exchange.request.attempt_id
+                    pause = find_pause(response, attempt_id, effect.server.name)
+                    return RunRefused(effect.run_id, response.status, refusal, load, pause)
                 check_response(response, exchange)
                 if effect.is_stream and response.status == 200:
                     await self._relay_stream(effect, exchange, response, load, timer)
@@ -206,7 +209,9 @@
         if exchange.stream is not None and 200 <= response.status < 300:
             raise BadResponseError(f"HTTP {response.status} in place of the rest of a stream")
         buffered = Response(
-            status=response.status, body=body, headers=response_headers(response.headers)
+            status=response.status,
+            body=body,
+            headers=response_headers(response.headers, response.status),
         )
         if 200 <= response.status < 300:
             exchange.finish(buffered)
@@ -304,13 +309,15 @@
                     ) as response:
                         self._report_leaving(effect.server, response, "", "order")
                         await discard_body(response)
-            message = ServerOrderResult(effect, response.status, "")
+            pause = find_pause(response, "", effect.server.name)
+            message = ServerOrderResult(effect, response.status, "", pause)
         except Exception as error:  # every order must result in exactly one message
             message = ServerOrderResult(effect, 0, describe_error(error))
         self.driver.deliver(message)
 
     async def _fetch_state(self, effect):
         name = effect.server.name
+        pause = None
         try:
             with apply_send_guard(SendGuard(allow_resend=True)):
                 async with asyncio.timeout(REPORT_TIMEOUT_S):
@@ -321,11 +328,12 @@
                     ) as response:
                         self._report_leaving(effect.server, response, "", "report")
                         text = await read_body(response, MAX_RESPONSE_BYTES)
+            pause = find_pause(response, "", name)
             if response.status != 200:
                 raise FormatError(f"HTTP {response.status}")
             message = EngineStateResult(name, decode_engine_state(decode_object(text)), "")
         except Exception as error:  # every state request must result in exactly one message
-            message = EngineStateResult(name, None, describe_error(error))
+            message = EngineStateResult(name, None, describe_error(error), pause)
         self.driver.deliver(message)
 
 
@@ -362,6 +370,16 @@
     return "stream" if is_stream else "success"
 
 
+def find_pause(response, attempt_id, server):
+    """Return the `PauseRequest` of a backend server that turned a request away, or None.
+
+    Other statuses than 503 refuse one request, and a 503 without `NOT_RUN` may come from a run.
+    """
+    if response.status != 503 or NOT_RUN not in response.headers:
+        return None
+    return parse_pause(response.headers, attempt_id, server)
+
+
 def check_response(response, exchange):
     """Raise BadResponseError unless the headers show a signed response to this request."""
     if response.headers.get(ATTEMPT_ID, "") != exchange.request.attempt_id:
--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -25,6 +25,8 @@
 CONTACT_S = 3.0  # within which all gateways have to know of crashes and limits
 MAX_CRASHES = 5  # after which no more than `MAX_LATE_RUNS` harmful requests may reach workers
 MAX_LATE_RUNS = 3
+PAUSE_KNOWN_S = 0.5  # after which requests in a pause count
+MAX_PAUSE_ARRIVALS = 2  # in one pause, from one gateway
 RATE_WINDOW_S = 4.0
 RATE_OVERSHOOT = 1.5
 RATE_EXTRA = 5
@@ -49,6 +51,7 @@
     crashed_at : list of float
         Times (s) of the crashes.
     arrivals : list of ArrivalRecord
+        Requests that reached workers, also those that were refused.
     """
 
     __slots__ = (
@@ -178,7 +181,7 @@
     restart or a freeze of the gateway. Faults of the store are no excuse.
     """
     requests = {r.attempt: r for r in [*history.requests, *history.harmful_requests]}
-    arrivals = [a for a in history.arrivals if a.attempt in requests]
+    arrivals = [a for a in history.arrivals if a.attempt in requests and a.is_loaded]
     sends = Counter(a.attempt for a in arrivals)
     passed_on = {}
     for arrival in arrivals:
@@ -260,6 +263,37 @@
                 break
 
 
+def check_pauses(history):
+    """Yield pauses in which a gateway goes on to send requests to the worker that asked for it."""
+    gateways = {r.attempt: r.gateway for r in [*history.requests, *history.harmful_requests]}
+    times = defaultdict(list)
+    for arrival in history.arrivals:
+        gateway = gateways.get(arrival.attempt)
+        times[arrival.worker, gateway].append(arrival.at)
+    for answer in history.arrivals:
+        since, until = answer.at + PAUSE_KNOWN_S, answer.paused_until
+        gateway = gateways.get(answer.attempt)
+        late = [at for at in times[answer.worker, gateway] if since < at < until]
+        if len(late) <= MAX_PAUSE_ARRIVALS:
+            continue
+        # A gateway that restarts forgets the pause, and one that is cut off does not learn of it.
+        # A worker that restarts asks for none until it says so again.
+        gateway_kinds = {"kill", "terminate", "freeze"}
+        worker_kinds = {"worker_link", "worker_leave"}
+        period = (answer.at - FAULT_FREE_S, until)
+        if (
+            history.overlaps_fault(*period, gateway_kinds, {gateway})
+            or history.overlaps_fault(*period, worker_kinds, {answer.worker})
+            or history.overlaps_fault(*period, {"harmful_part"})
+        ):
+            continue
+        yield (
+            f"BUDGET {len(late)} requests of {gateway} reached {answer.worker} in a pause of "
+            f"{until - answer.at:.2f} s that it asked for in the response to "
+            f"{answer.attempt}"
+        )
+
+
 def check_response_times(history):
     """Yield requests that waited for a response longer than `RESPONSE_LIMIT_S`."""
     for request in history.requests:
@@ -289,6 +323,7 @@
     check_planned_stops,
     check_harmful_requests,
     check_rate_limits,
+    check_pauses,
     check_response_times,
     check_recovery,
 ]
--- a/medlarbeam/soak/tests/test_checker.py
+++ b/medlarbeam/soak/tests/test_checker.py
@@ -51,6 +51,15 @@
     )
 
 
+def arrive(times, pause_s=4.0, since=50.0, worker="ledger-0"):
+    """Return a refusal with a pause at `since` (s), and arrivals at `times` (s)."""
+    answer = ArrivalRecord("p0", worker, 1, since, paused_until=since + pause_s)
+    return [answer, *(ArrivalRecord(f"p{n + 1}", worker, 1, at) for n, at in enumerate(times))]
+
+
+ASKING = [request(f"p{number}", "read", 503) for number in range(9)]
+
+
 STREAM = expected_body("a", True)
 STOP = FaultInterval("terminate", "gw-0", 49.0, 55.0)
 DRAIN = FaultInterval("worker_drain", "ledger-0", 40.0, 46.0)
@@ -86,6 +95,20 @@
             "fault_intervals": [FaultInterval("store", "store", 39.0, 44.0)],
         },
     ),
+    (
+        "requests-go-on-to-reach-a-pausing-worker",
+        "BUDGET",
+        {"requests": ASKING, "arrivals": arrive([51.0, 52.0, 53.0])},
+    ),
+    (
+        "fault-of-another-gateway-excuses-no-requests-in-a-pause",
+        "BUDGET",
+        {
+            "requests": ASKING,
+            "arrivals": arrive([51.0, 52.0, 53.0]),
+            "fault_intervals": [FaultInterval("kill", "gw-1", 50.0, 51.0)],
+        },
+    ),
     (
         "harmful-requests-go-on-to-run",
         "BUDGET",
@@ -274,6 +297,36 @@
             "fault_intervals": [STOP],
         },
     ),
+    ("two-requests-in-a-pause", {"requests": ASKING, "arrivals": arrive([51.0, 52.0])}),
+    (
+        "requests-in-the-first-half-second-and-after-a-pause",
+        {"requests": ASKING, "arrivals": arrive([50.1, 50.2, 50.4, 54.1, 54.2, 54.3])},
+    ),
+    (
+        "requests-of-another-gateway-in-a-pause",
+        {
+            "requests": [
+                ASKING[0],
+                *(
+                    RequestRecord(f"p{n}", "read", "gw-1", 51.0, 51.1, 503, b"", True)
+                    for n in range(1, 4)
+                ),
+            ],
+            "arrivals": arrive([51.0, 52.0, 53.0]),
+        },
+    ),
+    (
+        "value-that-is-no-time",
+        {"requests": ASKING, "arrivals": arrive([51.0, 52.0, 53.0], 0.0)},
+    ),
+    (
+        "pause-that-a-gateway-forgot-in-its-restart",
+        {
+            "requests": ASKING,
+            "arrivals": arrive([51.0, 52.0, 53.0]),
+            "fault_intervals": [FaultInterval("kill", "gw-0", 50.0, 51.0)],
+        },
+    ),
 ]
 
 
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -43,16 +43,33 @@
         Time (s).
     is_leaving : bool
         Whether the answer states that the worker leaves.
+    paused_until : float
+        End (s) of the pause in its refusal, 0 for none.
+
+    Attributes
+    ----------
+    is_loaded : bool
+        Whether the worker has the adapter of the request.
     """
 
-    __slots__ = ("at", "attempt", "incarnation", "is_leaving", "worker")
+    __slots__ = (
+        "at",
+        "attempt",
+        "incarnation",
+        "is_leaving",
+        "is_loaded",
+        "paused_until",
+        "worker",
+    )
 
-    def __init__(self, attempt, worker, incarnation, at, is_leaving):
+    def __init__(self, attempt, worker, incarnation, at, is_leaving=False, paused_until=0.0):
         self.attempt = attempt
         self.worker = worker
         self.incarnation = incarnation
         self.at = at
         self.is_leaving = is_leaving
+        self.paused_until = paused_until
+        self.is_loaded = True
 
 
 class OrderRecord(Record):
@@ -129,13 +146,12 @@
         if headers.get("x-expect-instance") != self.name:
             return self.write_response(writer, 421, b"", b"")
         attempt = headers["x-attempt-id"]
+        now = asyncio.get_running_loop().time()
+        arrival = self._record_arrival(attempt, now)
         adapter = headers.get("x-model", "").partition("/")[2]
         if adapter and adapter not in self.adapters:
+            arrival.is_loaded = False
             return self.write_response(writer, 421, b"", b"")
-        now = asyncio.get_running_loop().time()
-        self.arrivals.append(
-            ArrivalRecord(attempt, self.name, self.incarnation, now, bool(self.leaving_header))
-        )
         fault = self.rng.choice(FAULTS) if self.rng.random() < self.fault_probability else "good"
         if fault == "refuse":
             return self.write_response(writer, 503, b"X-Not-Executed: 1\r\n", b"")
@@ -152,6 +168,22 @@
             await asyncio.sleep(EVENT_PAUSE_S * len(pieces))
         return await RESPONDERS[fault](self, writer, attempt, pieces or [b""])
 
+    def _record_arrival(self, attempt, now, paused_until=0.0):
+        is_leaving = bool(self.leaving_header)
+        arrival = ArrivalRecord(attempt, self.name, self.incarnation, now, is_leaving, paused_until)
+        self.arrivals.append(arrival)
+        return arrival
+
+    def refuse_paused(self, writer, headers, left_s):
+        """Turn a request away, and record the pause; see `PlatformWorker.refuse_paused`."""
+        now = asyncio.get_running_loop().time()
+        text = self.pause_values[0] if len(self.pause_values) == 1 else ""
+        is_number = text.replace(".", "", 1).isdigit()
+        pause_s = float(text) if is_number else 0.0 if self.pause_values else left_s
+        attempt = headers["x-attempt-id"]
+        self._record_arrival(attempt, now, now + pause_s)
+        return super().refuse_paused(writer, headers, left_s)
+
     def handle_order(self, order):
         """Execute an order and record its sender, the holder of the order right, and its token."""
         status = super().handle_order(order)
