--- a/medlarbeam/gateway/tests/leaving_schedule.py
+++ b/medlarbeam/gateway/tests/leaving_schedule.py
@@ -28,6 +28,7 @@
     ServerLeaving,
     ServerOrderResult,
     StoreSnapshot,
+    StoreSynced,
     StoreUnavailable,
 )
 from medlarbeam.classes.peer_messages import (
@@ -179,6 +180,7 @@
         """Advance the clock; the store renews the lease unless it is away for long."""
         self.check(self.harness.pass_time(seconds))
         self.deliver(LeaseRenewed(self.harness.now, False, 0))
+        self.deliver(StoreSynced(self.harness.now))
 
 
 RUN_ENDS = [
--- a/medlarbeam/gateway/tests/pausing_fleet.py
+++ b/medlarbeam/gateway/tests/pausing_fleet.py
@@ -14,6 +14,7 @@
     RunRefused,
     RunStarted,
     ServerOrderResult,
+    StoreSynced,
 )
 from medlarbeam.gateway.tests.crash_fleet import FIRST_EVENT_S, RUN_S, CrashFleet
 from medlarbeam.gateway.tests.fleet_samples import make_config, make_engine, make_server
@@ -150,6 +151,7 @@
 
     def _renew_lease(self, name, effect):
         self.call_at(self.now + RESPONSE_S, self.deliver, name, LeaseRenewed(self.now, False, 0))
+        self.call_at(self.now + RESPONSE_S, self.deliver, name, StoreSynced(self.now))
 
     # Engines
 
--- a/medlarbeam/gateway/tests/test_server_pauses.py
+++ b/medlarbeam/gateway/tests/test_server_pauses.py
@@ -211,7 +211,7 @@
         0.3,
         [(drain, "l1"), (drain, "l2")],
         "",
-        False,
+        True,
     ),
     ("no-retry-without-budget", 0.3, [(drain, "l2"), (spend_retry_budget, "")], "", False),
 ]
