Search all orders of events around rights, leases and eras of the store

`python -m medlarbeam.checking` drives OrderRights and FleetState themselves against a model of the store and of its client: explicit states, breadth first, states seen kept by a hash. Promises of ONE, CONFIG, DRAIN and recovery are checked after each event; a violation prints its shortest trace as a table and as a row of a test table.

--- /dev/null
+++ b/medlarbeam/checking/__init__.py
@@ -0,0 +1,1 @@
+"""Exhaustive exploration of the orders of events around rights, leases and eras of the store."""
--- /dev/null
+++ b/medlarbeam/checking/gateway_model.py
@@ -0,0 +1,339 @@
+"""A gateway under check: the real decision code, and a model of its client of the store."""
+
+from random import Random
+
+from medlarbeam.checking.store_model import Transaction
+from medlarbeam.classes.fleet import NodeRegistration, OrderRight
+from medlarbeam.classes.gateway_effects import AcquireRight, RenewLease
+from medlarbeam.classes.gateway_messages import (
+    AcquireRightResult,
+    LeaseExpired,
+    LeaseRenewed,
+    StoreSetBack,
+    StoreSnapshot,
+    StoreUnavailable,
+)
+from medlarbeam.gateway.fleet_state import FleetState, KnownServer
+from medlarbeam.gateway.order_rights import OrderRights
+from medlarbeam.gateway.settings import GatewaySettings
+from medlarbeam.node.component import Outbox
+
+__all__ = ["ORDER_GAP_S", "CheckedGateway", "StoreSession", "node_key", "right_key", "server_key"]
+
+ORDER_GAP_S = 3.0  # as on the sites of the milestone
+FLEET_PLAIN = (
+    "config",
+    "era",
+    "is_set_back",
+    "membership_version",
+    "revision",
+    "routes",
+    "store_unavailable_at",
+    "store_unavailable_since",
+)
+FLEET_MAPS = (
+    "doubtful_until",
+    "keys",
+    "node_missing_since",
+    "nodes",
+    "published_versions",
+    "right_seen_at",
+    "rights",
+)
+RIGHTS_PLAIN = ("check_at", "confirmed_at", "registered_revision", "renew_at", "settled_at")
+RIGHTS_CONTAINERS = ("acquire_after", "acquiring", "carried", "holders", "usable_at")
+# Copied above, apart from the servers, which are changed in place. A test compares them with the
+# slots of the components, so that a new attribute is not left out.
+
+
+def node_key(name):
+    """Return the key of a node's registration."""
+    return f"node/{name}"
+
+
+def right_key(server):
+    """Return the key of the right to order `server`."""
+    return f"right/{server}"
+
+
+def server_key(server):
+    """Return the key of the registration of `server`."""
+    return f"servers/{server}"
+
+
+class RunningLifecycle:
+    """Stands in for the lifecycle of a gateway that is not shutting down."""
+
+    __slots__ = ()
+
+    def is_leaving(self):
+        """Return whether the node is shutting down."""
+        return False
+
+
+class StoreSession:
+    """Model of `StoreClient`: what it remembers between calls.
+
+    Attributes
+    ----------
+    late_answer : LeaseRenewed or None
+        Response to a renewal that has not arrived yet; no other renewal is sent meanwhile.
+    """
+
+    __slots__ = (
+        "era",
+        "is_registered",
+        "known_revision",
+        "late_answer",
+        "lease",
+        "registration_revision",
+    )
+
+    def __init__(self):
+        self.era = 0
+        self.known_revision = 0
+        self.lease = 0
+        self.is_registered = False
+        self.registration_revision = 0
+        self.late_answer = None
+
+    def copy(self):
+        """Return an independent copy."""
+        new = StoreSession.__new__(StoreSession)
+        for slot in StoreSession.__slots__:
+            setattr(new, slot, getattr(self, slot))
+        return new
+
+
+class CheckedGateway:
+    """The components of a gateway that decide on orders, and their connection to the store.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    fleet_class, rights_class : type
+        `FleetState` and `OrderRights`, or mutants of them.
+
+    Attributes
+    ----------
+    is_cut : bool
+        Whether the store does not respond to this node.
+    is_frozen : bool
+        Whether the process does not run.
+    """
+
+    __slots__ = (
+        "fleet",
+        "is_cut",
+        "is_frozen",
+        "lifecycle",
+        "rights",
+        "rng",
+        "session",
+        "settings",
+    )
+
+    def __init__(self, settings, fleet_class=FleetState, rights_class=OrderRights):
+        self.settings = settings
+        self.rng = Random(1)
+        self.lifecycle = RunningLifecycle()
+        self.fleet = fleet_class(self)
+        self.rights = rights_class(self)
+        self.session = StoreSession()
+        self.is_cut = False
+        self.is_frozen = False
+
+    def copy(self):
+        """Return an independent copy; settings and messages are shared."""
+        new = CheckedGateway.__new__(CheckedGateway)
+        new.settings = self.settings
+        new.rng = self.rng
+        new.lifecycle = self.lifecycle
+        new.session = self.session.copy()
+        new.is_cut = self.is_cut
+        new.is_frozen = self.is_frozen
+        fleet = new.fleet = type(self.fleet).__new__(type(self.fleet))
+        fleet.node = new
+        for name in FLEET_PLAIN:
+            setattr(fleet, name, getattr(self.fleet, name))
+        for name in FLEET_MAPS:
+            setattr(fleet, name, dict(getattr(self.fleet, name)))
+        fleet.servers = {name: copy_server(k) for name, k in self.fleet.servers.items()}
+        rights = new.rights = type(self.rights).__new__(type(self.rights))
+        rights.node = new
+        for name in RIGHTS_PLAIN:
+            setattr(rights, name, getattr(self.rights, name))
+        for name in RIGHTS_CONTAINERS:
+            setattr(rights, name, getattr(self.rights, name).copy())
+        return new
+
+    def restart(self):
+        """Return the gateway after its process was killed and started again."""
+        old = self.settings
+        settings = make_settings(old.name, old.incarnation + 1)
+        new = CheckedGateway(settings, type(self.fleet), type(self.rights))
+        new.is_cut = self.is_cut
+        return new
+
+    @property
+    def name(self):
+        """Name of the node."""
+        return self.settings.name
+
+    def is_in_touch(self):
+        """Return whether the process runs and the store responds to it."""
+        return not self.is_cut and not self.is_frozen
+
+    def deliver(self, message, now):
+        """Pass a message to the components, in the order of `Gateway`."""
+        out = Outbox()
+        for component in (self.fleet, self.rights):
+            method = component.handlers().get(type(message))
+            if method is not None:
+                method(message, now, out)
+
+    def find_fence(self, server, now):
+        """Return the fencing token with which this node orders `server`, 0 if it does not."""
+        known = self.fleet.servers.get(server)
+        if self.is_frozen or known is None or known.stop_at <= now:
+            return 0
+        return self.rights.find_fence(server, now)
+
+    # Calls to the store
+
+    def meet_store(self, store, now):
+        """Process the era of a response; return False if the store was set back."""
+        session = self.session
+        if not session.era:
+            session.era = store.era
+        if session.era == store.era:
+            return True
+        session.era = store.era
+        session.is_registered = False
+        session.lease = 0
+        session.known_revision = 0
+        session.late_answer = None
+        self.deliver(StoreSetBack(store.era), now)
+        return False
+
+    def decide_renewal(self, now):
+        """Return the `RenewLease` that the rights request."""
+        out = Outbox()
+        self.rights.renew_at = now
+        self.rights.check_at = now + 1.0
+        self.rights.tick(now, out)
+        return next(effect for effect in out.effects if isinstance(effect, RenewLease))
+
+    def prepare_registration(self, store, now, ttl_s):
+        """Obtain a lease if there is none; return the `Transaction` of the registration."""
+        session = self.session
+        if not session.lease:
+            session.lease = store.grant_lease(now + ttl_s)
+        own = self.settings
+        value = NodeRegistration(own.name, own.failure_domain, own.address, own.incarnation)
+        return Transaction({}, node_key(own.name), value, session.lease)
+
+    def renew(self, store, now, is_late=False):
+        """Renew the lease or register; the response arrives at once unless `is_late`."""
+        session = self.session
+        effect = self.decide_renewal(now)
+        if session.late_answer is not None or not self.meet_store(store, now):
+            return
+        if effect.must_register:
+            session.is_registered = False
+            session.lease = 0
+        is_new = not session.is_registered
+        if is_new:
+            revision = store.write(self.prepare_registration(store, now, effect.ttl_s))
+            is_alive = revision > 0
+            if is_alive:
+                session.registration_revision = revision
+                session.is_registered = True
+        else:
+            is_alive = store.renew_lease(session.lease, now + effect.ttl_s)
+        if not is_alive:
+            session.is_registered = False
+            session.lease = 0
+            self.deliver(LeaseExpired(), now)
+            return
+        answer = LeaseRenewed(now, is_new, session.registration_revision)
+        if is_late:
+            session.late_answer = answer
+        else:
+            self.deliver(answer, now)
+
+    def watch(self, store, now):
+        """Apply the changes of the store, or all entries where there is no history."""
+        session = self.session
+        changes = None
+        if self.meet_store(store, now) and session.known_revision:
+            changes = store.list_changes(session.known_revision)
+        if changes is None:
+            self.renew(store, now)
+            entries = list(store.entries.values())
+            self.deliver(StoreSnapshot(entries, store.revision, store.era), now)
+        else:
+            for message in changes:
+                self.deliver(message, now)
+        session.known_revision = store.revision
+
+    def decide_acquisitions(self, now):
+        """Return the transactions by which the rights acquire backend servers, by server."""
+        out = Outbox()
+        self.fleet.tick(now, out)
+        self.rights.check_at = now
+        self.rights.renew_at = now + 1.0
+        self.rights.tick(now, out)
+        return {
+            effect.server: self.encode_acquisition(effect)
+            for effect in out.effects
+            if isinstance(effect, AcquireRight)
+        }
+
+    def encode_acquisition(self, effect):
+        """Return the `Transaction` of an `AcquireRight`, as `StoreClient` writes it."""
+        expected = {
+            right_key(effect.server): effect.revision,
+            node_key(self.name): self.session.registration_revision,
+        }
+        if effect.missing_node:
+            expected[node_key(effect.missing_node)] = 0
+        right = OrderRight(effect.server, self.name, 0, self.session.era)
+        return Transaction(expected, right_key(effect.server), right)
+
+    def acquire(self, store, now):
+        """Acquire free rights."""
+        for server, transaction in self.decide_acquisitions(now).items():
+            revision = store.write(transaction) if self.meet_store(store, now) else 0
+            self.deliver(AcquireRightResult(server, revision), now)
+
+    def lose_calls(self, now):
+        """Process that the store does not respond."""
+        self.session.late_answer = None
+        self.deliver(StoreUnavailable("no response"), now)
+
+
+def make_settings(name, incarnation=1):
+    """Return the settings of a checked gateway."""
+    return GatewaySettings(
+        name,
+        "z1",
+        f"{name}:7000",
+        incarnation,
+        order_gap_s=ORDER_GAP_S,
+        drain_s=2.0,
+        max_store_lag_s=1.1,
+        grace_s=8.0,
+        retry_ratio=0.2,
+        retry_window_s=10.0,
+        retry_extra=60.0,
+    )
+
+
+def copy_server(known):
+    """Return a copy of a `KnownServer`."""
+    new = KnownServer(known.entry)
+    new.stop_at = known.stop_at
+    new.missing_since = known.missing_since
+    new.draining = known.draining
+    return new
--- /dev/null
+++ b/medlarbeam/checking/tests/trace_cases.py
@@ -0,0 +1,58 @@
+"""Traces that once broke a promise, as the checker wrote them."""
+
+__all__ = ["TRACE_CASES", "TraceCase"]
+
+
+class TraceCase:
+    """A trace from the initial state.
+
+    Parameters
+    ----------
+    name : str
+        Failure that the trace guards against.
+    nodes, servers : int
+    events : list of str
+    """
+
+    __slots__ = ("events", "name", "nodes", "servers")
+
+    def __init__(self, name, nodes, servers, events):
+        self.name = name
+        self.nodes = nodes
+        self.servers = servers
+        self.events = events
+
+
+TRACE_CASES = [
+    TraceCase(
+        "right-that-was-taken-over-is-used-after-the-store-is-back",
+        2,
+        1,
+        [
+            "LoseStore n2",
+            "Wait",
+            "Wait",
+            "Wait",
+            "Wait",
+            "Wait",
+            "Wait",
+            "Wait",
+            "FindStore n2",
+            "Renew n2",
+            "Renew n2",
+        ],
+    ),
+    TraceCase(
+        "configuration-after-set-back-is-taken-for-an-old-one",
+        2,
+        1,
+        [
+            "SaveCopy",
+            "Configure",
+            "Wait",
+            "SetBack",
+            "Configure",
+            "Wait",
+        ],
+    ),
+]
