--- a/medlarbeam/checking/__main__.py
+++ b/medlarbeam/checking/__main__.py
@@ -125,6 +125,7 @@
     compactions: Annotated[int, count_option("Losses of the store's history.")] = 0,
     configs: Annotated[int, count_option("Configurations that the operator writes.")] = 0,
     leaves: Annotated[int, count_option("Backend servers that leave.")] = 0,
+    mutes: Annotated[int, count_option("Losses of the watch of a node only.")] = 0,
     steps: Annotated[int, count_option("Pauses of 1 s between deadlines.")] = 0,
     seconds: Annotated[float, cappa.Arg(long=True, help="Longest duration, s.")] = 1800.0,
     memory: Annotated[float, cappa.Arg(long=True, help="Largest size, MB.")] = 4000.0,
@@ -145,6 +146,7 @@
         "compactions": compactions,
         "configs": configs,
         "leaves": leaves,
+        "mutes": mutes,
         "steps": steps,
     }
     reason = check_bounds(nodes, servers, depth, faults)
--- a/medlarbeam/checking/canonical.py
+++ b/medlarbeam/checking/canonical.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+from orjson import dumps
 from xxhash import xxh3_128_intdigest
 
 from medlarbeam.checking.world import TAKEOVER_WAIT_S
@@ -21,7 +22,7 @@
 
 def hash_state(world):
     """Return a 128-bit hash of the canonical encoding of a `World`."""
-    return xxh3_128_intdigest(repr(describe_state(world)).encode())
+    return xxh3_128_intdigest(dumps(describe_state(world)))
 
 
 def describe_state(world):
@@ -41,7 +42,7 @@
             for log in world.logs.values()
         ],
         list(world.faults.values()),
-        sorted(repr(encoder.encode_write(write)) for write in world.late_writes),
+        sorted(dumps(encoder.encode_write(write)).decode() for write in world.late_writes),
     ]
 
 
@@ -127,6 +128,7 @@
         return [
             gateway.is_cut,
             gateway.is_frozen,
+            gateway.is_mute,
             gateway.settings.incarnation,
             self.encode_session(gateway.session),
             self.encode_fleet(gateway.fleet),
--- a/medlarbeam/checking/events.py
+++ b/medlarbeam/checking/events.py
@@ -13,7 +13,6 @@
 __all__ = ["EVENT_KINDS", "Event", "find_event", "list_events", "play"]
 
 STEP_S = 1.0  # a pause that usually ends before the next deadline
-LONGEST_WAIT_S = 2.5  # pause without any deadline
 
 
 class Event(Record, ABC):
@@ -232,6 +231,36 @@
         world.own_gateway(self.subject).is_cut = False
 
 
+class LoseWatch(NodeEvent):
+    """The store stops responding to watches and reads of a node, but not to its other calls."""
+
+    __slots__ = ()
+
+    fault = "mutes"
+
+    def is_enabled(self, world):
+        """Return whether the store responds to watches of the node."""
+        return not world.gateways[self.subject].is_mute
+
+    def apply(self, world):
+        """Change `world`."""
+        world.own_gateway(self.subject).is_mute = True
+
+
+class FindWatch(NodeEvent):
+    """The store responds to watches and reads of a node again."""
+
+    __slots__ = ()
+
+    def is_enabled(self, world):
+        """Return whether the store does not respond to watches of the node."""
+        return world.gateways[self.subject].is_mute
+
+    def apply(self, world):
+        """Change `world`."""
+        world.own_gateway(self.subject).is_mute = False
+
+
 class Freeze(NodeEvent):
     """A process stops running."""
 
@@ -394,7 +423,7 @@
 
     def apply(self, world):
         """Change `world`."""
-        world.pass_time(LONGEST_WAIT_S)
+        world.pass_time(inf)
 
 
 class Step(GlobalEvent):
@@ -420,6 +449,8 @@
     Acquire,
     LoseStore,
     FindStore,
+    LoseWatch,
+    FindWatch,
     Lapse,
     SaveCopy,
     SetBack,
--- a/medlarbeam/checking/gateway_model.py
+++ b/medlarbeam/checking/gateway_model.py
@@ -46,6 +46,22 @@
 # slots of the components, so that a new attribute is not left out.
 
 
+handler_names = {}
+
+
+def find_handler(component_class, message_class, component):
+    """Return the name of the method that handles a message class, "" for none.
+
+    Building the dict of handlers for each message took a tenth of the time of a search.
+    """
+    names = handler_names.get(component_class)
+    if names is None:
+        handlers = component.handlers()
+        names = {kind: method.__name__ for kind, method in handlers.items()}
+        handler_names[component_class] = names
+    return names.get(message_class, "")
+
+
 def node_key(name):
     """Return the key of a node's registration."""
     return f"node/{name}"
@@ -100,8 +116,12 @@
     def copy(self):
         """Return an independent copy."""
         new = StoreSession.__new__(StoreSession)
-        for slot in StoreSession.__slots__:
-            setattr(new, slot, getattr(self, slot))
+        new.era = self.era
+        new.is_registered = self.is_registered
+        new.known_revision = self.known_revision
+        new.late_answer = self.late_answer
+        new.lease = self.lease
+        new.registration_revision = self.registration_revision
         return new
 
 
@@ -120,12 +140,15 @@
         Whether the store does not respond to this node.
     is_frozen : bool
         Whether the process does not run.
+    is_mute : bool
+        Whether its watches and reads get no response, though renewals and writes do.
     """
 
     __slots__ = (
         "fleet",
         "is_cut",
         "is_frozen",
+        "is_mute",
         "lifecycle",
         "rights",
         "rng",
@@ -142,6 +165,7 @@
         self.session = StoreSession()
         self.is_cut = False
         self.is_frozen = False
+        self.is_mute = False
 
     def copy(self):
         """Return an independent copy; settings and messages are shared."""
@@ -152,6 +176,7 @@
         new.session = self.session.copy()
         new.is_cut = self.is_cut
         new.is_frozen = self.is_frozen
+        new.is_mute = self.is_mute
         fleet = new.fleet = type(self.fleet).__new__(type(self.fleet))
         fleet.node = new
         for name in FLEET_PLAIN:
@@ -173,6 +198,7 @@
         settings = make_settings(old.name, old.incarnation + 1)
         new = CheckedGateway(settings, type(self.fleet), type(self.rights))
         new.is_cut = self.is_cut
+        new.is_mute = self.is_mute
         return new
 
     @property
@@ -188,9 +214,9 @@
         """Pass a message to the components, in the order of `Gateway`."""
         out = Outbox()
         for component in (self.fleet, self.rights):
-            method = component.handlers().get(type(message))
-            if method is not None:
-                method(message, now, out)
+            name = find_handler(type(component), type(message), component)
+            if name:
+                getattr(component, name)(message, now, out)
 
     def find_fence(self, server, now):
         """Return the fencing token with which this node orders `server`, 0 if it does not."""
@@ -264,6 +290,9 @@
 
     def watch(self, store, now):
         """Apply the changes of the store, or all entries where there is no history."""
+        if self.is_mute:
+            self.lose_calls(now)
+            return
         session = self.session
         changes = None
         if self.meet_store(store, now) and session.known_revision:
@@ -309,7 +338,6 @@
 
     def lose_calls(self, now):
         """Process that the store does not respond."""
-        self.session.late_answer = None
         self.deliver(StoreUnavailable("no response"), now)
 
 
--- a/medlarbeam/checking/promises.py
+++ b/medlarbeam/checking/promises.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from medlarbeam.checking.canonical import hash_state
-from medlarbeam.checking.events import FindStore, Thaw, Wait, play
+from medlarbeam.checking.events import FindStore, FindWatch, Thaw, Wait, play
 from medlarbeam.checking.gateway_model import ORDER_GAP_S, right_key, server_key
 from medlarbeam.checking.world import CONFIG_KEY
 
@@ -175,7 +175,7 @@
     def find_stuck(self, world):
         """Return what is not restored after `RECOVERY_WAITS` waits without faults."""
         for name in world.gateways:
-            for kind in (FindStore, Thaw):
+            for kind in (FindStore, FindWatch, Thaw):
                 event = kind(name)
                 if event.is_enabled(world):
                     world = play(world, event)
--- a/medlarbeam/checking/search.py
+++ b/medlarbeam/checking/search.py
@@ -12,6 +12,7 @@
 __all__ = ["Search", "SearchResult", "Violation", "measure_memory_mb", "replay"]
 
 PROGRESS_STATES = 20000
+CHECK_STATES = 500  # between two checks of the limits; less than a second
 GC_THRESHOLD = 100000  # states hold cycles; collecting them less often saves a third of the time
 
 
@@ -69,8 +70,8 @@
     report : callable
         Called as ``report(search)`` every `PROGRESS_STATES` states.
     should_stop : callable
-        Called as ``should_stop(search)`` with the same frequency; returns the reason to stop, or
-        "".
+        Called as ``should_stop(search)`` every `CHECK_STATES` states; returns the reason to stop,
+        or "".
 
     Attributes
     ----------
@@ -153,6 +154,7 @@
                         following.append(after)
                     if len(self.parents) % PROGRESS_STATES == 0:
                         self.report(self)
+                    if len(self.parents) % CHECK_STATES == 0:
                         stopped_by = self.should_stop(self)
                         if stopped_by:
                             return self._conclude(None, stopped_by)
--- a/medlarbeam/checking/trace.py
+++ b/medlarbeam/checking/trace.py
@@ -19,7 +19,8 @@
     age = "none" if isinf(age_s) else f"{age_s:.2f}"
     version = gateway.fleet.config.version if gateway.fleet.config else 0
     return (
-        f"{gateway.name}{' cut' * gateway.is_cut}{' frozen' * gateway.is_frozen}: "
+        f"{gateway.name}{' cut' * gateway.is_cut}{' frozen' * gateway.is_frozen}"
+        f"{' mute' * gateway.is_mute}: "
         f"known {gateway.fleet.era}.{gateway.fleet.revision} lease age {age} "
         f"registered {gateway.rights.registered_revision} rights {rights or '-'} config {version}"
     )
--- a/medlarbeam/checking/world.py
+++ b/medlarbeam/checking/world.py
@@ -156,9 +156,6 @@
         calm = [name for name, gateway in self.gateways.items() if gateway.is_in_touch()]
         for name in calm:
             gateway = self.own_gateway(name)
-            answer = gateway.session.late_answer
-            if answer is not None and self.now > answer.sent_at + CALL_TIMEOUT_S:
-                gateway.lose_calls(self.now)
             gateway.renew(store, self.now)
             gateway.watch(store, self.now)
         for name in calm:
@@ -173,10 +170,20 @@
         Parameters
         ----------
         longest_s : float
-            Time (s) by which to advance if no deadline comes earlier.
+            Time (s) by which to advance at most.
         """
+        for name, gateway in self.gateways.items():
+            answer = gateway.session.late_answer
+            is_overdue = answer is not None and self.now >= answer.sent_at + CALL_TIMEOUT_S
+            if is_overdue and not gateway.is_frozen:
+                gateway = self.own_gateway(name)
+                gateway.session.late_answer = None
+                gateway.lose_calls(self.now)
         self.settle_calm_nodes()
-        until = min(self.find_deadline(), self.now + longest_s)
+        deadline = self.find_deadline()
+        if deadline == inf:
+            deadline = self.now + LEASE_TTL_S
+        until = min(deadline, self.now + longest_s)
         self.send_orders()
         for order in list(self.orders):
             gateway = self.gateways[order.node]
@@ -206,11 +213,15 @@
             else:
                 times.append(rights.confirmed_at + RIGHT_VALIDITY_S)
             if answer is not None:
-                times.append(answer.sent_at + CALL_TIMEOUT_S + INSTANT_S)
+                times.append(answer.sent_at + CALL_TIMEOUT_S)
             wait_s = rights._takeover_wait_s() + INSTANT_S  # mutants change it
             times += [t + wait_s for t in fleet.node_missing_since.values()]
             times += rights.usable_at.values()
-            times += rights.acquire_after.values()
+            times += [
+                time
+                for server, time in rights.acquire_after.items()
+                if fleet.rights.get(server) is None or fleet.rights[server].node != gateway.name
+            ]
             times += fleet.doubtful_until.values()
             times += [known.stop_at for known in fleet.servers.values()]
             if rights.settled_at is not None:
