--- a/medlarbeam/checking/tests/mutants.py
+++ b/medlarbeam/checking/tests/mutants.py
@@ -14,6 +14,7 @@
     "KeepsVanished",
     "ShortTakeover",
     "TakesWithoutCheck",
+    "TakesWithoutCheckOrDelay",
     "UsesRightsAtOnce",
     "UsesRightsOnceRenewed",
 ]
@@ -71,6 +72,15 @@
         super()._acquire(server, revision, "", out)
 
 
+class TakesWithoutCheckOrDelay(TakesWithoutCheck):
+    """Neither the transaction nor the delay after an acquisition guards against a late one."""
+
+    __slots__ = ()
+
+    def _record_holder(self, right, former_missing_since):
+        self.holders[right.server] = right.node
+
+
 class KeepsVanished(FleetState):
     """A snapshot does not remove entries that it does not list."""
 
--- a/medlarbeam/checking/tests/test_search.py
+++ b/medlarbeam/checking/tests/test_search.py
@@ -29,10 +29,12 @@
 
 # Mutant, the rule that it breaks, depth and bounds with which the search finds it.
 MUTANTS = [
-    (mutants.UsesRightsOnceRenewed, "ONE fence", 11, {"losses": 1}),
-    (mutants.UsesRightsAtOnce, "ONE fence", 11, {"losses": 1}),
+    (mutants.UsesRightsOnceRenewed, "ONE fence", 8, {"losses": 1}),
+    (mutants.UsesRightsAtOnce, "ONE fence", 8, {"losses": 1}),
     (mutants.KeepsRevisions, "CONFIG", 6, {"set_backs": 1, "configs": 2}),
-    (mutants.ShortTakeover, "ONE gap", 8, {"losses": 1, "lapses": 1}),
+    (mutants.ShortTakeover, "ONE gap", 5, {"losses": 1, "lapses": 1}),
+    (mutants.KeepsVanished, "ONE lost", 4, {"losses": 1, "compactions": 1}),
+    (mutants.TakesWithoutCheckOrDelay, "ONE gap", 9, {"losses": 1, "late": 1}),
 ]
 
 
@@ -48,11 +50,29 @@
     assert replay(make_mutant_world(mutant, faults), result.violation.events)
 
 
-# Depth and bounds of searches that find nothing, each within some seconds.
+# Mutants that a search of a few seconds does not reach, and the trace that shows each.
+DEEP_MUTANTS = [
+    (mutants.CountsFromArrival, "late-answer-to-a-renewal-counts-from-its-arrival"),
+    (mutants.CountsAnyIncarnation, "registration-of-an-earlier-process-counts"),
+]
+
+
+@pytest.mark.parametrize(
+    ("mutant", "name"), DEEP_MUTANTS, ids=[row[0].__name__ for row in DEEP_MUTANTS]
+)
+def test_trace_shows_mutant(mutant, name):
+    case = next(case for case in TRACE_CASES if case.name == name)
+    world = make_mutant_world(mutant, dict.fromkeys(KINDS, 9))
+    assert replay(world, case.events).startswith("ONE")
+
+
+# Nodes, depth and bounds of searches that find nothing, each within some seconds.
 SOUND = [
-    (2, 12, {"losses": 1}),
+    (2, 40, {"losses": 1}),
+    (2, 40, {"losses": 1, "restarts": 1}),
     (2, 7, {"losses": 1, "set_backs": 1}),
-    (2, 7, {"set_backs": 1, "configs": 2, "leaves": 1}),
+    (2, 6, {"set_backs": 1, "configs": 2, "leaves": 1}),
+    (3, 6, {"losses": 1, "late": 1}),
 ]
 
 
@@ -122,7 +142,7 @@
 
 def test_violation_is_shown_as_table_and_test_case():
     faults = make_faults(losses=1, lapses=1)
-    result = Search(make_mutant_world(mutants.ShortTakeover, faults)).run(8)
+    result = Search(make_mutant_world(mutants.ShortTakeover, faults)).run(5)
     world = make_mutant_world(mutants.ShortTakeover, faults)
     assert "BROKEN ONE gap" in render_table(world, result.violation.events)
     case = render_case("short-takeover", 2, 1, result.violation)
--- a/medlarbeam/checking/world.py
+++ b/medlarbeam/checking/world.py
@@ -157,6 +157,8 @@
         for name in calm:
             gateway = self.own_gateway(name)
             gateway.renew(store, self.now)
+            if not gateway.session.is_registered:
+                gateway.renew(store, self.now)  # registers after an expired lease at once
             gateway.watch(store, self.now)
         for name in calm:
             self.gateways[name].watch(store, self.now)
