--- a/medlarbeam/checking/events.py
+++ b/medlarbeam/checking/events.py
@@ -35,9 +35,9 @@
         """Return the event as text; `find_event` is the inverse."""
         return f"{type(self).__name__} {self.subject}".strip()
 
-    @abstractmethod
     def is_enabled(self, world):
         """Return whether the event may occur in `world`."""
+        return True
 
     @abstractmethod
     def apply(self, world):
@@ -380,10 +380,6 @@
 
     fault = "configs"
 
-    def is_enabled(self, world):
-        """Return True."""
-        return True
-
     def apply(self, world):
         """Change `world`."""
         version = 10 - world.faults["configs"]  # rises with each one, also after a set-back
@@ -417,10 +413,6 @@
 
     __slots__ = ()
 
-    def is_enabled(self, world):
-        """Return True."""
-        return True
-
     def apply(self, world):
         """Change `world`."""
         world.pass_time(inf)
@@ -433,10 +425,6 @@
 
     fault = "steps"
 
-    def is_enabled(self, world):
-        """Return True."""
-        return True
-
     def apply(self, world):
         """Change `world`."""
         world.pass_time(STEP_S)
