--- a/medlarbeam/checking/tests/mutants.py
+++ b/medlarbeam/checking/tests/mutants.py
@@ -60,7 +60,7 @@
 
     __slots__ = ()
 
-    def _takeover_wait_s(self):
+    def find_takeover_wait(self):
         return RIGHT_VALIDITY_S + ORDER_GAP_S + ORDER_MARGIN_S - 1.0
 
 
--- a/medlarbeam/checking/world.py
+++ b/medlarbeam/checking/world.py
@@ -218,7 +218,7 @@
                 times.append(rights.find_confirmed_at() + RIGHT_VALIDITY_S)
             if answer is not None:
                 times.append(answer.sent_at + CALL_TIMEOUT_S)
-            wait_s = rights._takeover_wait_s() + INSTANT_S  # mutants change it
+            wait_s = rights.find_takeover_wait() + INSTANT_S  # mutants change it
             times += [t + wait_s for t in fleet.node_missing_since.values()]
             times += rights.usable_at.values()
             times += [
--- a/medlarbeam/gateway/order_rights.py
+++ b/medlarbeam/gateway/order_rights.py
@@ -111,7 +111,7 @@
     def begin_era(self, now):
         """Keep the rights that can be used, before the fleet state forgets the earlier era."""
         self.carried = {name for name in self.node.fleet.rights if self.find_fence(name, now)}
-        self.settled_at = now + self._takeover_wait_s()
+        self.settled_at = now + self.find_takeover_wait()
         self.confirmed_at = -inf
         self.synced_at = -inf
 
@@ -120,7 +120,7 @@
         rights = self.node.fleet.rights.values()
         if self.settled_at is None:
             is_new_deployment = self.node.settings.is_first_start and not rights
-            self.settled_at = -inf if is_new_deployment else now + self._takeover_wait_s()
+            self.settled_at = -inf if is_new_deployment else now + self.find_takeover_wait()
         for right in rights:
             # It is unknown whether the former holder was registered since the last snapshot.
             self._record_holder(right, now)
@@ -141,9 +141,10 @@
         former = self.holders.get(right.server)
         self.holders[right.server] = right.node
         if right.node == self.node.settings.name and former not in (None, "", right.node):
-            self.usable_at[right.server] = former_missing_since + self._takeover_wait_s()
+            self.usable_at[right.server] = former_missing_since + self.find_takeover_wait()
 
-    def _takeover_wait_s(self):
+    def find_takeover_wait(self):
+        """Return the time (s) after which a node that is gone can no longer send orders."""
         return RIGHT_VALIDITY_S + self.node.settings.order_gap_s + ORDER_MARGIN_S
 
     def handle_lease_renewed(self, message, now, out):
@@ -300,7 +301,7 @@
         if not right.node:
             return now - fleet.right_seen_at[server] > required_gap_s
         missing_since = fleet.node_missing_since.get(right.node)
-        return missing_since is not None and now - missing_since > self._takeover_wait_s()
+        return missing_since is not None and now - missing_since > self.find_takeover_wait()
 
     def _is_preferred_holder(self, entry):
         """Return whether this node is first in the rendezvous order for `entry`."""
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -338,31 +338,37 @@
     gateway.harness.deliver(EntryDeleted("q/1", gateway.harness.revision + 1))
 
 
+def publish_quarantine_again(gateway):
+    delete_quarantine(gateway)
+    gateway.harness.revision += 1
+    read_published_quarantine(gateway)
+
+
+def keep_quarantine(gateway):
+    pass
+
+
 PUBLISHED = Quarantine("part:bad", "n2")
-# Whether the quarantine was lifted, whether the copy has it, and what follows.
+# What happens before the set-back, whether the copy has the quarantine, and what follows.
 COPIES = [
-    ("quarantine-that-the-copy-lacks-is-published-again", False, False, PublishQuarantine, True),
-    ("quarantine-that-the-copy-has-is-kept", False, True, None, True),
-    ("quarantine-that-was-lifted-is-withdrawn-again", True, True, WithdrawQuarantine, False),
-    ("quarantine-that-was-lifted-and-is-not-in-the-copy", True, False, None, False),
-    ("quarantine-that-was-lifted-and-published-again-is-kept", "republished", True, None, True),
+    ("one-that-the-copy-lacks-is-published-again", keep_quarantine, False, PublishQuarantine, True),
+    ("one-that-the-copy-has-is-kept", keep_quarantine, True, None, True),
+    ("lifted-one-is-withdrawn-again", delete_quarantine, True, WithdrawQuarantine, False),
+    ("lifted-one-that-the-copy-lacks", delete_quarantine, False, None, False),
+    ("lifted-one-that-was-published-again-is-kept", publish_quarantine_again, True, None, True),
 ]
 
 
 @pytest.mark.parametrize(
-    ("is_lifted", "is_in_copy", "kind", "is_refused"),
+    ("change", "is_in_copy", "kind", "is_refused"),
     [c[1:] for c in COPIES],
     ids=[c[0] for c in COPIES],
 )
-def test_quarantine_survives_a_set_back_of_the_store(is_lifted, is_in_copy, kind, is_refused):
+def test_quarantine_survives_a_set_back_of_the_store(change, is_in_copy, kind, is_refused):
     """Otherwise the request crashes more backend servers before it is refused again."""
     gateway = Gateway()
     read_published_quarantine(gateway)
-    if is_lifted:
-        delete_quarantine(gateway)
-    if is_lifted == "republished":
-        gateway.harness.revision += 1
-        read_published_quarantine(gateway)
+    change(gateway)
     entries = [EntryUpdated("q/1", PUBLISHED, 5)] if is_in_copy else []
     gateway.harness.deliver(StoreSetBack(1))
     effects = gateway.harness.deliver(StoreSnapshot(entries, 6, 1))
