Keep a doubtful backend server out that says that it leaves

After a set-back of the store a backend server that had left is used again when its entry has not expired for 4.5 s, also if a stream that still ran had stated in the meantime that the server leaves. Found when the diff was read; the new case failed before.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -384,8 +384,10 @@
             self._forget_gone(now)
         for name in [name for name, due in self.doubtful_until.items() if due <= now]:
             del self.doubtful_until[name]
-            self.servers[name].stop_at = inf
-            out.emit(LogEvent("server_known", describe_server(self.servers[name].entry)))
+            known = self.servers[name]
+            if not known.draining:
+                known.stop_at = inf
+                out.emit(LogEvent("server_known", describe_server(known.entry)))
 
     def _forget_gone(self, now):
         for known in list(self.servers.values()):
--- a/medlarbeam/gateway/tests/test_fleet_state.py
+++ b/medlarbeam/gateway/tests/test_fleet_state.py
@@ -7,6 +7,7 @@
     EntryDeleted,
     EntryUpdated,
     LeaseRenewed,
+    ServerLeaving,
     StoreSetBack,
     StoreSnapshot,
     StoreUnavailable,
@@ -129,6 +130,16 @@
         0.0,
         True,
     ),
+    (
+        "removed-server-that-says-that-it-leaves-is-not-used",
+        [
+            EntryDeleted("servers/l1", 20),
+            *set_back(make_update(READY, 5)),
+            ServerLeaving("l1", 1, "r1", "stream", "1"),
+        ],
+        STALE_ENTRY_S + 0.1,
+        False,
+    ),
     (
         "drain-is-not-cancelled",
         [make_update(DRAINING, 20), *set_back(make_update(READY, 5))],
