--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -294,10 +294,13 @@
         if is_first and self.refuses_first:
             worker.executed_attempts.remove(attempt)
             headers = b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            response = build_head(attempt, 503, headers, stamp=b"")
+            response = build_head(worker, attempt, 503, headers, stamp=b"")
         else:
             body = b"".join(body_parts)
-            response = build_head(attempt, headers=b"Content-Length: %d\r\n\r\n" % len(body)) + body
+            response = (
+                build_head(worker, attempt, headers=b"Content-Length: %d\r\n\r\n" % len(body))
+                + body
+            )
         writer.write(self.previous.get(writer, b"") + response)
         self.previous.setdefault(writer, response)
         return True
@@ -305,19 +308,19 @@
 
 async def send_empty_success(worker, writer, attempt, body_parts):
     """Send a signed response with a status of success and no body."""
-    writer.write(build_head(attempt, 204, b"\r\n"))
+    writer.write(build_head(worker, attempt, 204, b"\r\n"))
     return True
 
 
 async def send_partial_content(worker, writer, attempt, body_parts):
     """Send a signed response with a status of success that is not 200."""
-    writer.write(build_head(attempt, 206, b"Content-Length: 4\r\n\r\n") + b"part")
+    writer.write(build_head(worker, attempt, 206, b"Content-Length: 4\r\n\r\n") + b"part")
     return True
 
 
 async def send_trickle(worker, writer, attempt, body_parts):
     """Send a byte now and then, and never a complete event or body."""
-    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    writer.write(build_head(worker, attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
     try:
         while not writer.is_closing():
             writer.write(encode_chunk(b"i"))
@@ -330,7 +333,7 @@
 
 async def send_paced(worker, writer, attempt, body_parts):
     """Send a complete response with a pause before each piece."""
-    writer.write(build_head(attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
+    writer.write(build_head(worker, attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
     for piece in body_parts:
         await asyncio.sleep(PIECE_PAUSE_S)
         writer.write(encode_chunk(piece))
