--- a/medlarbeam/bench/gateway_fleet.py
+++ b/medlarbeam/bench/gateway_fleet.py
@@ -201,7 +201,7 @@
         self.adapters = [AdapterKey("m0", f"a{i}") for i in range(size.adapters)]
         self.weights = list(accumulate((i + 1) ** -size.skew for i in range(size.adapters)))
         self.hosts = {}
-        self.store = {"op/config": make_site_config(size)}
+        self.store = {"config": make_site_config(size)}
         self.gateways = {f"n{i}": None for i in range(size.gateways)}
         self._register_servers()
         for name in self.gateways:
--- a/medlarbeam/checking/world.py
+++ b/medlarbeam/checking/world.py
@@ -27,7 +27,7 @@
 
 __all__ = ["CONFIG_KEY", "Order", "OrderLog", "World", "make_config", "make_server", "make_world"]
 
-CONFIG_KEY = "op/config"
+CONFIG_KEY = "config"
 CALL_TIMEOUT_S = 1.0  # after this time the client gives up a call; as in the store's client
 START_S = 100.0  # time of the initial state
 # The rights compare some times strictly, so a decision falls due just after the deadline.
