Derive the expiry of a stale entry from the heartbeat of the deployment

The wait before a backend server is used again, which a set-back of the store lists although it had left, was 4.5 s, which fits the heartbeat of 1.2 s of the known sites only. With a longer heartbeat a server that has left would get requests again before its entry expires.

It is three heartbeats, by the settings, and 0.9 s. The table of set-backs now runs with a heartbeat of 2 s: with the constant, the case removed-server-is-not-used-again would be given 2.4 s too little.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -35,8 +35,9 @@
 # three failed heartbeats at intervals of about 1.2 s.
 OUTAGE_RELEVANCE_S = 5.0
 # An older copy of the store may list a backend server that has left since. Its entry expires after
-# three heartbeats that fail, at intervals of about 1.2 s.
-STALE_ENTRY_S = 4.5
+# this many failed heartbeats and some time for the event to be read.
+EXPIRY_HEARTBEATS = 3
+EXPIRY_MARGIN_S = 0.9
 # A backend server whose entry is missing is remembered for this long, so that a store that is set
 # back to a copy from a few seconds before does not bring it back.
 GONE_RETENTION_S = 60.0
@@ -284,7 +285,8 @@
             if self.take_out(entry.name, entry.started_at_ms, "in its entry", now):
                 out.emit(LogEvent("server_draining", describe_server(entry)))
         elif is_stale and had_left and not known.draining:
-            self.doubtful_until[entry.name] = now + STALE_ENTRY_S
+            heartbeats_s = EXPIRY_HEARTBEATS * self.node.settings.heartbeat_s
+            self.doubtful_until[entry.name] = now + heartbeats_s + EXPIRY_MARGIN_S
             out.emit(LogEvent("server_doubtful", describe_server(entry)))
         elif not known.draining:
             known.stop_at = inf
--- a/medlarbeam/gateway/settings.py
+++ b/medlarbeam/gateway/settings.py
@@ -23,6 +23,8 @@
         Maximum time from a change in the store until this node applies it, if the store responds.
     grace_s : float
         Time from the stop signal until the process is killed.
+    heartbeat_s : float
+        Interval at which backend servers renew their entries in the store.
     is_first_start : bool
         Whether the whole deployment starts for the first time.
     retry_ratio, retry_window_s, retry_extra : float
@@ -34,6 +36,7 @@
         "drain_s",
         "failure_domain",
         "grace_s",
+        "heartbeat_s",
         "incarnation",
         "is_first_start",
         "max_store_lag_s",
@@ -58,12 +61,14 @@
         retry_ratio,
         retry_window_s,
         retry_extra,
+        heartbeat_s=1.2,
         is_first_start=False,
     ):
         self.name = name
         self.failure_domain = failure_domain
         self.address = address
         self.incarnation = incarnation
+        self.heartbeat_s = heartbeat_s
         self.is_first_start = is_first_start
         self.order_gap_s = order_gap_s
         self.drain_s = drain_s
--- a/medlarbeam/gateway/tests/test_fleet_state.py
+++ b/medlarbeam/gateway/tests/test_fleet_state.py
@@ -12,7 +12,7 @@
     StoreSnapshot,
     StoreUnavailable,
 )
-from medlarbeam.gateway.fleet_state import STALE_ENTRY_S
+from medlarbeam.gateway.fleet_state import EXPIRY_HEARTBEATS, EXPIRY_MARGIN_S
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.gateway.tests.fleet_samples import (
     ROUTES,
@@ -91,6 +91,10 @@
     assert ("l1" in names) is is_usable
 
 
+HEARTBEAT_S = 2.0
+STALE_ENTRY_S = EXPIRY_HEARTBEATS * HEARTBEAT_S + EXPIRY_MARGIN_S
+
+
 def set_back(*entries):
     """Return the messages of a store that is set back to a copy with `entries` of ``l1``."""
     config = EntryUpdated("op/config", make_config(), 1)
@@ -183,6 +187,7 @@
 )
 def test_server_known_to_have_left_is_not_used_after_a_set_back(messages, wait_s, is_usable):
     harness = make_harness()
+    harness.gateway.settings.heartbeat_s = HEARTBEAT_S
     for message in messages:
         harness.deliver(message)
     harness.pass_time(wait_s)
--- a/medlarbeam/platform/settings.py
+++ b/medlarbeam/platform/settings.py
@@ -112,6 +112,7 @@
         retry_ratio=read_bound("retryBudgetRatio", 0.2),
         retry_window_s=read_bound("budgetWindowS", 10),
         retry_extra=read_bound("retryBudgetExtra", 0),
+        heartbeat_s=read_field(document, "heartbeatMs", float, 1200) / 1000.0,
         is_first_start=read_field(document, "bootstrap", bool, False),
     )
     return PlatformSettings(
