Give two tests of the incidents a control

The test of the takeover also passed if no order is given for another reason; it now has the case of a kept right, which must lead to an order. The test that an older configuration does not come back passed although the set-back was not noticed; it now checks that the copy was read.

--- a/medlarbeam/platform/tests/test_store_set_back.py
+++ b/medlarbeam/platform/tests/test_store_set_back.py
@@ -137,6 +137,8 @@
         write_config(store, 4, [ADDED_ROUTE])
         await wait_until(lambda: has_version(4)(deployment))
         store.set_back(copy)
-        return await _call_added_route(deployment, session, 2.0)
+        statuses = await _call_added_route(deployment, session, 2.0)
+        assert deployment.shell.node.fleet.era == store.era  # the copy has been read
+        return statuses
 
     assert run(scenario) == {200}
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -538,19 +538,31 @@
     assert run(scenario) == holder
 
 
-def test_right_that_another_node_took_in_an_outage_is_not_used_before_the_store_is_read():
+TAKEOVERS = [
+    ("right-that-another-node-took-is-not-used-before-the-store-is-read", True, False),
+    ("right-that-was-kept-is-used-once-the-store-is-read", False, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("is_taken", "is_used"), [t[1:] for t in TAKEOVERS], ids=[t[0] for t in TAKEOVERS]
+)
+def test_rights_after_an_outage_that_ended_the_lease(is_taken, is_used):
     async def scenario(deployment, session):
         store = deployment.store
-        store.silent_paths.add("/kv-watch")
-        for engine in ("w1", "w2"):
-            store.put(f"medlarbeam/right/{engine}", dumps({"node": "n2"}))
+        if is_taken:
+            store.silent_paths.add("/kv-watch")
+            for engine in ("w1", "w2"):
+                store.put(f"medlarbeam/right/{engine}", dumps({"node": "n2"}))
         store.revoke_all_leases()
         await wait_until(lambda: "medlarbeam/node/n1" in store.items)
+        if not is_taken:
+            rights, clock = deployment.shell.node.rights, deployment.shell.read_clock
+            await wait_until(lambda: rights.find_fence("w1", clock()))
         await deployment.call(session, "chat", "id-1", {"X-Deadline-Ms": "500"})
-        orders = sum(worker.order_count for worker in deployment.workers.values())
-        return orders
+        return sum(worker.order_count for worker in deployment.workers.values())
 
-    assert run(scenario) == 0
+    assert bool(run(scenario)) is is_used
 
 
 BODIES = [
