Bind streams to the software version that began them

Cause: the identity of what began a stream was recorded nowhere. A gateway that resumed a broken stream, a gateway at which a caller took one up, and a gateway that had just started each chose among all servers. Neither the version in the entry of a server nor the header Resumes was read.

Change: a relay goes on only at the version of its first event. Gateways tell one another, and the store, which version began each stream while there are several, also of servers that have left. A gateway that cannot know it refuses the take-up at once, as not run. On a route with several services a take-up also goes to the service that began the stream.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -20,6 +20,9 @@
     "Service",
     "ServiceRoute",
     "SettledEra",
+    "SoftwareVersion",
+    "StreamReport",
+    "VersionStreams",
 ]
 
 
@@ -252,6 +255,8 @@
         Resident base models.
     adapters : dict of AdapterKey to int
         Versions of the adapters that were resident when the entry was written.
+    software : str
+        Version of the software that it runs, "" if it states none.
     """
 
     __slots__ = (
@@ -263,6 +268,7 @@
         "models",
         "name",
         "service",
+        "software",
         "started_at_ms",
     )
 
@@ -277,8 +283,10 @@
         started_at_ms,
         models,
         adapters,
+        software="",
     ):
         self.adapters = adapters
+        self.software = software
         self.name = name
         self.service = service
         self.address = address
@@ -377,6 +385,54 @@
         self.era = era
 
 
+class SoftwareVersion(HashedRecord):
+    """A version of the software of a service's backend servers; hashable.
+
+    Streams of two versions do not fit together, so a stream continues only at the version that has
+    begun it.
+    """
+
+    __slots__ = ("service", "software")
+
+    def __init__(self, service, software):
+        self.service = service
+        self.software = software
+        self.hash_value = hash((service, software))
+
+    def __eq__(self, other):
+        return (
+            type(other) is SoftwareVersion
+            and self.service == other.service
+            and self.software == other.software
+        )
+
+    # A class that defines `__eq__` does not inherit `__hash__`.
+    __hash__ = HashedRecord.__hash__
+
+    def __str__(self):
+        return f"{self.service}@{self.software}"
+
+
+class VersionStreams(Record):
+    """Attempt ids (list of str) of streams that the `SoftwareVersion` `version` has begun."""
+
+    __slots__ = ("attempts", "version")
+
+    def __init__(self, version, attempts):
+        self.version = version
+        self.attempts = attempts
+
+
+class StreamReport(Record):
+    """Streams of the callers of `node`, as a list of `VersionStreams`."""
+
+    __slots__ = ("node", "streams")
+
+    def __init__(self, node, streams):
+        self.node = node
+        self.streams = streams
+
+
 class Quarantine(Record):
     """Requests with `fingerprint` crash backend servers; `node` found this out."""
 
--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -11,6 +11,8 @@
     "PassErrorResponse",
     "ProbeServer",
     "PublishQuarantine",
+    "PublishSoftwareVersion",
+    "PublishStreams",
     "RecordRequestMetrics",
     "RecordSettledEra",
     "RefuseRequest",
@@ -22,6 +24,7 @@
     "StartFleetRun",
     "StopListening",
     "WithdrawQuarantine",
+    "WithdrawSoftwareVersion",
 ]
 
 
@@ -349,3 +352,38 @@
 
     def __init__(self, fingerprint):
         self.fingerprint = fingerprint
+
+
+class PublishSoftwareVersion(Record):
+    """Write to the store that servers with the `SoftwareVersion` `version` are in service."""
+
+    __slots__ = ("version",)
+
+    def __init__(self, version):
+        self.version = version
+
+
+class WithdrawSoftwareVersion(Record):
+    """Delete the entry of the `SoftwareVersion` `version` from the store.
+
+    The entry must have the revision `revision`.
+    """
+
+    __slots__ = ("revision", "version")
+
+    def __init__(self, version, revision):
+        self.version = version
+        self.revision = revision
+
+
+class PublishStreams(Record):
+    """Write the `StreamReport` of this node to the store, in place of the last one.
+
+    The store may delete the entry after `ttl_s` (s).
+    """
+
+    __slots__ = ("report", "ttl_s")
+
+    def __init__(self, report, ttl_s):
+        self.report = report
+        self.ttl_s = ttl_s
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -52,6 +52,10 @@
         Digest of the path, prompt and body of the request, the same for every attempt.
     shared_parts : tuple of str
         Ids of the prompt parts that other requests may share, in the order of the prompt.
+    last_event : int
+        Id of the last event that the caller has of a stream that it takes up again, 0 for none.
+    resumed_attempt : str
+        Id of the attempt that brought the first event of that stream, "" if it names none.
     """
 
     __slots__ = (
@@ -60,9 +64,11 @@
         "fingerprint",
         "host",
         "key",
+        "last_event",
         "path",
         "prompt_tokens",
         "request_id",
+        "resumed_attempt",
         "shared_parts",
         "tokens",
     )
@@ -79,7 +85,11 @@
         fingerprint,
         shared_parts=(),
         prompt_tokens=0,
+        last_event=0,
+        resumed_attempt="",
     ):
+        self.last_event = last_event
+        self.resumed_attempt = resumed_attempt
         self.request_id = request_id
         self.attempt_id = attempt_id
         self.host = host
--- a/medlarbeam/exceptions.py
+++ b/medlarbeam/exceptions.py
@@ -43,6 +43,7 @@
     SERVER_ERROR = "server_error"
     WRONG_MODEL = "wrong_model"
     STREAM_BROKEN = "stream_broken"
+    STREAM_ORIGIN_LOST = "stream_origin_lost"
     PEER_LOST = "peer_lost"
     CANCELLED = "cancelled"
     CRASH_SUSPECT = "crash_suspect"
@@ -96,6 +97,7 @@
     ErrorKind.SERVER_ERROR: ErrorResponse(502, RunState.RAN, False),
     ErrorKind.WRONG_MODEL: ErrorResponse(502, RunState.MAY_HAVE_RUN, True),
     ErrorKind.STREAM_BROKEN: ErrorResponse(502, RunState.MAY_HAVE_RUN, True),
+    ErrorKind.STREAM_ORIGIN_LOST: ErrorResponse(503, RunState.NOT_RUN, False),
     ErrorKind.PEER_LOST: ErrorResponse(502, RunState.MAY_HAVE_RUN, True),
     ErrorKind.CANCELLED: ErrorResponse(499, RunState.MAY_HAVE_RUN, False),
     ErrorKind.CRASH_SUSPECT: ErrorResponse(422, RunState.NOT_RUN, False),
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -278,6 +278,8 @@
             self.membership_version += 1
             out.emit(LogEvent("server_known", describe_server(entry)))
         had_left = known.missing_since <= now and known.stop_at <= now
+        if known.entry.software != entry.software:
+            self.membership_version += 1
         known.entry = entry
         known.missing_since = inf
         self.doubtful_until.pop(entry.name, None)
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -14,6 +14,7 @@
 from medlarbeam.gateway.server_health import ServerHealth
 from medlarbeam.gateway.server_limits import ServerLimits
 from medlarbeam.gateway.server_pauses import ServerPauses
+from medlarbeam.gateway.stream_origins import StreamOrigins
 from medlarbeam.node.component import ComponentHost
 
 __all__ = ["Gateway"]
@@ -45,6 +46,7 @@
         "lifecycle",
         "limits",
         "orders",
+        "origins",
         "pauses",
         "prompts",
         "reachability",
@@ -59,6 +61,7 @@
         self.settings = settings
         self.rng = rng
         self.fleet = FleetState(self)
+        self.origins = StreamOrigins(self)
         self.leaving = LeavingServers(self)
         self.reachability = NodeReachability(self)
         self.health = ServerHealth(self)
@@ -76,6 +79,7 @@
         super().__init__(
             [
                 self.fleet,
+                self.origins,
                 self.leaving,
                 self.reachability,
                 self.health,
--- a/medlarbeam/gateway/node_reachability.py
+++ b/medlarbeam/gateway/node_reachability.py
@@ -19,13 +19,16 @@
     ----------
     demanded_at : dict of str to float
         Time (s) of the first demand to a node since its last datagram.
+    heard_at : float
+        Time (s) of the last datagram of any other node.
     """
 
-    __slots__ = ("cleanup_at", "demanded_at")
+    __slots__ = ("cleanup_at", "demanded_at", "heard_at")
 
     def __init__(self, node):
         super().__init__(node)
         self.demanded_at = {}
+        self.heard_at = -inf
         self.cleanup_at = 0.0
 
     def handlers(self):
@@ -34,6 +37,7 @@
 
     def handle_datagram(self, message, now, out):
         """Record that a datagram of a node has arrived."""
+        self.heard_at = now
         demanded_at = self.demanded_at.pop(message.body.node, inf)
         if now - demanded_at > RESPONSE_TIMEOUT_S:
             out.emit(LogEvent("node_heard", f"node={message.body.node}"))
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -5,8 +5,9 @@
 
 from medlarbeam.classes.gateway_effects import RecordRequestMetrics
 
-__all__ = ["ElapsedTimes", "Relay", "RelayTimers"]
+__all__ = ["RETRY_AFTER_S", "ElapsedTimes", "Relay", "RelayTimers"]
 
+RETRY_AFTER_S = 0.2  # until the caller of a refused request should return
 MAX_WAIT_SHARE = 0.5  # of the time to the deadline; a late request that waits longer is refused
 
 
@@ -30,6 +31,9 @@
         Time (s) at which the caller gets a final response in any case.
     run_id : str
         Id of the current run, "" for none.
+    software : str or None
+        Software version of the backend servers that may run the request, None for any; a stream
+        goes on only at the version that has begun it.
     server : ServerRegistration or None
         Backend server of the current or the last run.
     sends, runs : int
@@ -41,7 +45,7 @@
     paused_by : set of str
         Names of backend servers that have refused the request and asked for a pause.
     retry_after_s : float
-        Time (s) after which the caller of a refused request may return, 0 for the usual one.
+        Time (s) after which the caller of a refused request may return, 0 to name none.
     is_response_started : bool
         Whether the caller has received a part of the response.
     error_run_id : str
@@ -81,6 +85,7 @@
         "sent_at",
         "server",
         "service",
+        "software",
         "state",
         "timing",
     )
@@ -95,12 +100,13 @@
         self.goal_at = now + route.latency_goal_s
         self.run_id = ""
         self.server = None
+        self.software = None
         self.sends = 0
         self.runs = 0
         self.excluded = set()
         self.refused_by = set()
         self.paused_by = set()
-        self.retry_after_s = 0.0
+        self.retry_after_s = RETRY_AFTER_S
         self.is_response_started = False
         self.error_run_id = ""
         self.reason = ""
@@ -123,6 +129,25 @@
         if self.response_started_at is None:
             self.response_started_at = now
 
+    def may_use(self, entry):
+        """Return whether the backend server of a `ServerRegistration` may run the request."""
+        return self.software is None or entry.software == self.software
+
+    def describe_service(self, message, now):
+        """Return the fields of a request that was served as text for a log line.
+
+        Parameters
+        ----------
+        message : RunCompleted
+        now : float
+        """
+        timing = f" {message.timing.describe()}" if message.timing is not None else ""
+        return (
+            f"run={self.run_id} server={self.server.name} software={self.server.software} "
+            f"status={message.status} sends={self.sends} "
+            f"total_s={now - self.arrived_at:.3f}{timing}"
+        )
+
     def measure(self, now):
         """Return the `RecordRequestMetrics` of a request that ends at `now` (s)."""
         started_at, sent_at = self.response_started_at, self.first_sent_at
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -24,7 +24,7 @@
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
 from medlarbeam.gateway.crash_evidence import list_request_fingerprints
 from medlarbeam.gateway.load_requests import LoadRequests
-from medlarbeam.gateway.relay import ElapsedTimes, Relay, RelayTimers
+from medlarbeam.gateway.relay import RETRY_AFTER_S, ElapsedTimes, Relay, RelayTimers
 from medlarbeam.gateway.route_table import choose_service
 from medlarbeam.gateway.run_plan import has_attempt_left, plan_run
 from medlarbeam.gateway.run_refusals import RunRefusals
@@ -39,7 +39,6 @@
 PAUSE_RECHECK_S = 0.1  # between selections while a request waits for the end of a pause
 RECHECK_INTERVAL_S = 0.05  # between selections while no backend server is available
 NO_SERVER_WAIT_SHARE = 0.5  # of the latency goal, after which the request is refused
-RETRY_AFTER_S = 0.2
 RESPONSE_SLACK_S = 0.15  # for a response that the backend server sends at its deadline
 
 
@@ -112,14 +111,18 @@
             failure = Failure(ErrorKind.SHUTTING_DOWN, "it might not end before this node stops")
             self._refuse(request, failure, RETRY_AFTER_S, out)
             return
+        failure = self.node.origins.bind(relay, now)
+        if failure is not None:
+            self._refuse(request, failure, self.node.settings.max_store_lag_s, out)
+            return
         relay.goal_at = now + route.latency_goal_s - self.elapsed_times.estimate(relay, now)
         self.open_relays[request.request_id] = relay
-        self.retry_budget.record_first_attempt(service, len(fleet.nodes), now)
+        self.retry_budget.record_first_attempt(relay.service, len(fleet.nodes), now)
         self._dispatch(relay, now, out)
 
     def _refuse(self, request, failure, retry_after_s, out):
-        detail = f"attempt={request.attempt_id} {failure!r}"
-        out.emit(LogEvent("request_refused", detail, request.request_id))
+        text = f"attempt={request.attempt_id} {failure!r}"
+        out.emit(LogEvent("request_refused", text, request.request_id))
         out.emit(RefuseRequest(request.request_id, failure, retry_after_s))
 
     def handle_caller_disconnected(self, message, now, out):
@@ -142,7 +145,9 @@
             return
         self.node.pauses.leave(relay)
         choice = self.selector.choose(relay, now)
-        reason = self.node.leaving.find_refusal_reason(relay, choice, now)
+        reason = self.selector.find_missing_software(relay, now)
+        relay.retry_after_s = 0.0 if reason else RETRY_AFTER_S
+        reason = reason or self.node.leaving.find_refusal_reason(relay, choice, now)
         if reason:
             relay.reason = reason
             self._fire_and_process(relay, "unroutable", now, out)
@@ -238,7 +243,8 @@
         out.emit(
             LogEvent(
                 "run_sent",
-                f"run={relay.run_id} server={entry.name} route={relay.route.name} "
+                f"run={relay.run_id} server={entry.name} software={entry.software} "
+                f"route={relay.route.name} resumes={relay.request.resumed_attempt} "
                 f"adapter={relay.request.key} send={relay.sends} "
                 f"waited_s={now - relay.arrived_at:.3f} attempt={relay.request.attempt_id} "
                 f"parts={','.join(relay.request.shared_parts)}",
@@ -258,6 +264,7 @@
         if relay is not None:
             relay.is_response_started = True
             relay.record_response_start(now)
+            self.node.origins.record_start(relay, now)
             self.node.health.record_response(relay.server.name, now)
             self._record_load(relay, message, now)
             self.chart.fire(relay, "started", self, now, out, message)
@@ -391,6 +398,7 @@
             self._stop_waiting(relay)
             self.timers.set(relay, inf)
             if self.open_relays.pop(relay.request.request_id, None) is not None:
+                self.node.origins.record_end(relay, now)
                 out.emit(relay.measure(now))
 
     # Guards and actions of the chart
@@ -411,15 +419,8 @@
         """Log a request that was served."""
         relay.outcome = "served"
         relay.timing = message.timing
-        timing = f" {message.timing.describe()}" if message.timing is not None else ""
-        out.emit(
-            LogEvent(
-                "request_served",
-                f"run={relay.run_id} server={relay.server.name} status={message.status} "
-                f"sends={relay.sends} total_s={now - relay.arrived_at:.3f}{timing}",
-                relay.request.request_id,
-            )
-        )
+        detail = relay.describe_service(message, now)
+        out.emit(LogEvent("request_served", detail, relay.request.request_id))
 
     def log_caller_disconnected(self, relay, now, out, message):
         """Log a request whose caller has disconnected."""
@@ -464,7 +465,7 @@
             self.fail_interrupted(relay, now, out, message)
         else:
             failure = Failure(ErrorKind.NO_SERVER, relay.reason, RunState.NOT_RUN)
-            self._fail(relay, failure, relay.retry_after_s or RETRY_AFTER_S, out)
+            self._fail(relay, failure, relay.retry_after_s, out)
 
     def fail_quarantined(self, relay, now, out, message):
         """Respond to a request that may not run because it crashes backend servers."""
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -46,18 +46,18 @@
         excluded = relay.excluded if excluded is None else excluded
         key = relay.request.key
         if key is None or not key.adapter:
-            return self._choose_among(self._find_all(relay.service, excluded, now), [], relay, now)
-        preferred = self._find_usable(
-            self._find_preferred_servers(relay.service, key, now), relay.service, excluded, now
-        )
-        holders = self._find_usable(
-            self.node.holdings.find_servers(key), relay.service, excluded, now
-        )
+            return self._choose_among(self._find_all(relay, excluded, now), [], relay, now)
+        names = self._find_preferred_servers(relay.service, key, now)
+        preferred = self._find_usable(names, relay.service, excluded, now)
+        names = self.node.holdings.find_servers(key)
+        holders = self._find_usable(names, relay.service, excluded, now)
+        preferred = [entry for entry in preferred if relay.may_use(entry)]
+        holders = [entry for entry in holders if relay.may_use(entry)]
         choice = self._choose_among(
             {e.name: e for e in preferred + holders}.values(), preferred, relay, now
         )
         if choice is None:
-            preferred = self._find_all(relay.service, excluded, now)
+            preferred = self._find_all(relay, excluded, now)
             choice = self._choose_among(preferred, preferred, relay, now)
         return choice
 
@@ -118,12 +118,24 @@
 
     def find_blocking_pause(self, relay, now):
         """Return the `PauseRefusal` of a relay that no backend server takes in time, or None."""
-        entries = self.node.fleet.usable_servers(relay.service, now)
+        entries = self._list_allowed(relay, now)
         allowed = [entry for entry in entries if entry.name not in relay.excluded]
         return self.node.pauses.find_blocking(allowed, relay, now)
 
-    def _find_all(self, service, excluded, now):
-        entries = self.node.fleet.usable_servers(service, now)
+    def find_missing_software(self, relay, now):
+        """Return why no server of the version that has begun a stream can go on, "" if one may."""
+        if relay.software is None:
+            return ""
+        if any(entry.name not in relay.excluded for entry in self._list_allowed(relay, now)):
+            return ""
+        return f"no other backend server of {relay.service} runs the version {relay.software}"
+
+    def _list_allowed(self, relay, now):
+        entries = self.node.fleet.usable_servers(relay.service, now)
+        return [entry for entry in entries if relay.may_use(entry)]
+
+    def _find_all(self, relay, excluded, now):
+        entries = self._list_allowed(relay, now)
         return [e for e in entries if e.name not in excluded and self._may_send(e, now)]
 
     def _may_send(self, entry, now):
--- /dev/null
+++ b/medlarbeam/gateway/stream_origins.py
@@ -0,0 +1,344 @@
+"""Which version of a backend server's software has begun a stream."""
+
+from math import inf
+
+from medlarbeam.algorithms.routing import rank_servers
+from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.fleet import (
+    RouteKind,
+    SoftwareVersion,
+    StreamReport,
+    VersionStreams,
+)
+from medlarbeam.classes.gateway_effects import (
+    PublishSoftwareVersion,
+    PublishStreams,
+    WithdrawSoftwareVersion,
+)
+from medlarbeam.classes.gateway_messages import (
+    EntryDeleted,
+    EntryUpdated,
+    NodeDatagram,
+    StoreSnapshot,
+)
+from medlarbeam.exceptions import ErrorKind, Failure, RunState
+from medlarbeam.gateway.order_rights import RIGHT_VALIDITY_S
+from medlarbeam.node.component import Component
+
+__all__ = ["RETENTION_S", "StreamOrigins"]
+
+# A caller takes a stream up again within its deadline, some seconds after it broke off. A version
+# whose servers have left matters for the same time.
+RETENTION_S = 30.0
+SERVED_RETENTION_S = 2.0  # the end of a complete response may be lost on the way to the caller
+PUBLICATION_TTL_S = 600.0
+# Each node sends a report to all others, and writes one to the store, at an interval that grows
+# with their number, so that neither a node nor the store gets more than a fixed number a second.
+MIN_REPORT_INTERVAL_S = 0.03
+REPORT_INTERVAL_S = 0.0125  # for each node
+MIN_PUBLISH_INTERVAL_S = 0.5
+PUBLISH_INTERVAL_S = 0.03  # for each node
+WRITE_STEP_S = 0.5  # between nodes that write the entry of a version; a written one is seen sooner
+REVIEW_INTERVAL_S = 5.0
+SILENCE_S = 3.0  # without a datagram of another node, after which this one may be cut off
+MAX_REPORTED = 48  # streams in a datagram
+MAX_PUBLISHED = 20_000  # streams in an entry of the store, about 20 bytes each
+MAX_ORIGINS = 50_000  # about 300 bytes each
+
+
+class StreamOrigin:
+    """The version that has begun a stream, and until when this is remembered.
+
+    Attributes
+    ----------
+    is_own : bool
+        Whether the stream went through this node, so that it reports the origin to the others.
+    expires_at : float
+        Time (s), infinity while the stream is open at this node.
+    """
+
+    __slots__ = ("expires_at", "is_own", "version")
+
+    def __init__(self, version, is_own, expires_at):
+        self.version = version
+        self.is_own = is_own
+        self.expires_at = expires_at
+
+
+class StreamOrigins(Component):
+    """Finds the software version at which a stream must go on.
+
+    While the backend servers of a service run one version, that is the answer. While there are
+    several, also of servers that have left, nodes report the origin of each stream to one another
+    and to the store, which remembers it when all nodes restart. The store also has an entry for
+    each version in service, so that a node that has just started knows of those that have left.
+
+    Attributes
+    ----------
+    origins : dict of str to StreamOrigin
+        By attempt id, the oldest first.
+    present_at : dict of SoftwareVersion to float
+        Time (s) at which a version was last in service, for those that still matter.
+    entries : dict of str to EntryUpdated
+        Entries of the store that name versions, by key.
+    versions : dict of str to list of SoftwareVersion
+        Versions in `present_at` by service.
+    """
+
+    __slots__ = (
+        "entries",
+        "known_membership",
+        "origins",
+        "present_at",
+        "published",
+        "publish_at",
+        "report_at",
+        "review_at",
+        "unreported",
+        "versions",
+        "write_at",
+    )
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.origins = {}
+        self.present_at = {}
+        self.entries = {}
+        self.versions = {}
+        self.write_at = {}
+        self.unreported = []
+        self.published = []
+        self.known_membership = 0
+        self.report_at = inf
+        self.publish_at = inf
+        self.review_at = inf
+
+    def handlers(self):
+        """Return the handler method of each message class."""
+        return {
+            EntryUpdated: self.handle_entry_updated,
+            EntryDeleted: self.handle_entry_deleted,
+            StoreSnapshot: self.handle_snapshot,
+            NodeDatagram: self.handle_datagram,
+        }
+
+    # Versions in service
+
+    def is_ambiguous(self, route):
+        """Return whether servers of several versions may have begun a stream on `route`."""
+        return len(self._list_versions(route)) > 1
+
+    def _list_versions(self, route):
+        return [v for target in route.targets for v in self.versions.get(target.service, ())]
+
+    def handle_entry_updated(self, message, now, out):
+        """Note a version or streams that a node has published, and the versions of servers."""
+        value = message.value
+        if isinstance(value, SoftwareVersion):
+            self.entries[message.key] = message
+            self._note_version(value, now)
+        elif isinstance(value, StreamReport):
+            self._note_streams(value, now)
+        self._follow_membership(now, out)
+
+    def handle_entry_deleted(self, message, now, out):
+        """Note that the entry of a version was deleted."""
+        self.entries.pop(message.key, None)
+        self._follow_membership(now, out)
+
+    def handle_snapshot(self, message, now, out):
+        """Replace the entries of versions by those of a snapshot."""
+        self.entries = {}
+        for entry in message.entries:
+            self.handle_entry_updated(entry, now, out)
+        self._review(now, out)
+
+    def _follow_membership(self, now, out):
+        if self.known_membership != self.node.fleet.membership_version:
+            self._review(now, out)
+
+    def _note_version(self, version, now):
+        """Note a version that may be in service."""
+        if version not in self.present_at:
+            self.present_at[version] = now
+            self._index_versions(now)
+
+    def _index_versions(self, now):
+        former = self.versions
+        self.versions = {}
+        for version in self.present_at:
+            self.versions.setdefault(version.service, []).append(version)
+        if any(len(v) > 1 and len(former.get(s, ())) < 2 for s, v in self.versions.items()):
+            # Streams that began before there were several versions were not reported.
+            self.unreported = [name for name, origin in self.origins.items() if origin.is_own]
+            self._schedule_reports(now)
+
+    def _review(self, now, out):
+        """Update the versions in service and their entries in the store."""
+        fleet = self.node.fleet
+        self.known_membership = fleet.membership_version
+        self.review_at = now + REVIEW_INTERVAL_S
+        for known in fleet.servers.values():
+            if known.missing_since == inf:
+                version = SoftwareVersion(known.entry.service, known.entry.software)
+                if version not in self.present_at:
+                    out.emit(LogEvent("software_known", f"version={version}"))
+                self.present_at[version] = now
+        expired = [v for v, at in self.present_at.items() if at + RETENTION_S <= now]
+        for version in expired:
+            del self.present_at[version]
+            out.emit(LogEvent("software_gone", f"version={version}"))
+        self._index_versions(now)
+        self._write_entries(now, out)
+        for name in [n for n, origin in self.origins.items() if origin.expires_at <= now]:
+            del self.origins[name]
+
+    def _write_entries(self, now, out):
+        """Write and delete entries of versions; each node waits for those before it."""
+        written = {entry.value: entry for entry in self.entries.values()}
+        missing = [version for version in self.present_at if version not in written]
+        surplus = [version for version in written if version not in self.present_at]
+        due = {}
+        for version in missing + surplus:
+            due[version] = self.write_at.get(version, now + self._find_rank(version) * WRITE_STEP_S)
+            if due[version] <= now:
+                due[version] = now + REVIEW_INTERVAL_S
+                if version in written:
+                    out.emit(WithdrawSoftwareVersion(version, written[version].revision))
+                else:
+                    out.emit(PublishSoftwareVersion(version))
+        self.write_at = due
+        self.review_at = min(self.review_at, *due.values(), inf)
+
+    def _find_rank(self, version):
+        name = self.node.settings.name
+        return rank_servers(str(version), {*self.node.fleet.nodes, name}).index(name)
+
+    # Origins of streams
+
+    def bind(self, relay, now):
+        """Bind a relay that takes up a stream to the service and version that have begun it.
+
+        Returns
+        -------
+        Failure or None
+            Why the stream cannot go on.
+        """
+        request, route = relay.request, relay.route
+        if route.kind is not RouteKind.STREAM or not request.last_event:
+            return None
+        version = self._find(request, route, now)
+        reason = ""
+        if version is None:
+            versions = ", ".join(str(v) for v in self._list_versions(route)) or "unknown ones"
+            reason = f"it is not known which of {versions} began {request.resumed_attempt!r}"
+        elif version.service not in {target.service for target in route.targets}:
+            reason = f"{version} began the stream, and the route leads to other services"
+        if reason:
+            return Failure(ErrorKind.STREAM_ORIGIN_LOST, reason, RunState.NOT_RUN)
+        relay.service = version.service
+        relay.software = version.software
+        return None
+
+    def _find(self, request, route, now):
+        """Return the `SoftwareVersion` that has begun a stream, None if it is not known."""
+        origin = self.origins.get(request.resumed_attempt)
+        if origin is not None:
+            return origin.version
+        versions = self._list_versions(route)
+        return versions[0] if len(versions) == 1 and not self._is_cut_off(now) else None
+
+    def _is_cut_off(self, now):
+        """Return whether another node may know a version of which this one cannot have heard."""
+        is_store_known = now - self.node.rights.find_confirmed_at() <= RIGHT_VALIDITY_S
+        is_alone = self.node.fleet.nodes.keys() <= {self.node.settings.name}
+        is_heard = now - self.node.reachability.heard_at <= SILENCE_S
+        return not (is_store_known or is_alone or is_heard)
+
+    def record_start(self, relay, now):
+        """Record the version that has brought the first event of a stream, and bind it to that."""
+        if relay.software is not None or relay.route.kind is not RouteKind.STREAM:
+            return
+        relay.software = relay.server.software
+        attempt = relay.request.attempt_id
+        if not relay.route.resumable or not attempt:
+            return
+        while len(self.origins) >= MAX_ORIGINS:
+            del self.origins[next(iter(self.origins))]
+        version = SoftwareVersion(relay.service, relay.server.software)
+        self.origins[attempt] = StreamOrigin(version, True, inf)
+        if self.is_ambiguous(relay.route):
+            self.unreported.append(attempt)
+            self._schedule_reports(now)
+
+    def record_end(self, relay, now):
+        """Record that a stream has ended at this node; its caller may take it up again."""
+        origin = self.origins.get(relay.request.attempt_id)
+        if origin is not None and origin.is_own:
+            is_served = relay.outcome == "served"
+            origin.expires_at = now + (SERVED_RETENTION_S if is_served else RETENTION_S)
+
+    def handle_datagram(self, message, now, out):
+        """Note the streams of another node."""
+        body = message.body
+        if isinstance(body, StreamReport) and body.node in self.node.fleet.nodes:
+            self._note_streams(body, now)
+
+    def _note_streams(self, report, now):
+        # The entry of this node may be of an earlier process, whose streams it goes on to publish.
+        is_own = report.node == self.node.settings.name
+        for item in report.streams:
+            self._note_version(item.version, now)
+            for attempt in item.attempts:
+                origin = self.origins.get(attempt)
+                if origin is None:
+                    self.origins[attempt] = StreamOrigin(item.version, is_own, now + RETENTION_S)
+                elif origin.expires_at < inf and not origin.is_own:
+                    origin.expires_at = now + RETENTION_S
+
+    # Reports
+
+    def _schedule_reports(self, now):
+        count = len(self.node.fleet.nodes)
+        report_s = max(MIN_REPORT_INTERVAL_S, REPORT_INTERVAL_S * count)
+        publish_s = max(MIN_PUBLISH_INTERVAL_S, PUBLISH_INTERVAL_S * count)
+        self.report_at = min(self.report_at, now + report_s)
+        self.publish_at = min(self.publish_at, now + publish_s)
+
+    def _group(self, attempts):
+        """Return `attempts` as a list of `VersionStreams`."""
+        groups = {}
+        for attempt in attempts:
+            groups.setdefault(self.origins[attempt].version, []).append(attempt)
+        return [VersionStreams(version, names) for version, names in groups.items()]
+
+    def _report(self, out):
+        attempts = [attempt for attempt in self.unreported if attempt in self.origins]
+        self.unreported = []
+        for start in range(0, len(attempts), MAX_REPORTED):
+            streams = self._group(attempts[start : start + MAX_REPORTED])
+            self.node.fleet.broadcast(StreamReport(self.node.settings.name, streams), out)
+
+    def _publish(self, now, out):
+        """Write the streams that callers may take up again."""
+        open_streams = [n for n, o in self.origins.items() if o.is_own and o.expires_at > now]
+        open_streams = open_streams[-MAX_PUBLISHED:]
+        if open_streams != self.published:
+            self.published = open_streams
+            report = StreamReport(self.node.settings.name, self._group(open_streams))
+            out.emit(PublishStreams(report, PUBLICATION_TTL_S))
+
+    def tick(self, now, out):
+        """Report and publish streams, and review the versions in service."""
+        if self.report_at <= now:
+            self.report_at = inf
+            self._report(out)
+        if self.publish_at <= now:
+            self.publish_at = inf
+            self._publish(now, out)
+        if self.review_at <= now:
+            self._review(now, out)
+
+    def next_deadline(self):
+        """Return the time (s) of the next report, publication or review."""
+        return min(self.report_at, self.publish_at, self.review_at)
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -80,12 +80,23 @@
     return FleetConfig(version, ROUTES if routes is None else routes, services, 1 << 20)
 
 
-def make_server(name, service, *, domain="z1", draining=False, started_at_ms=1, adapters=(HOT,)):
+def make_server(
+    name, service, *, domain="z1", draining=False, started_at_ms=1, adapters=(HOT,), software="v1"
+):
     models = ["m0"] if service == "llm" else []
     held = {key: 1 for key in adapters} if models else {}
     concurrency = 24 if models else 6
     return ServerRegistration(
-        name, service, f"{name}:80", domain, concurrency, draining, started_at_ms, models, held
+        name,
+        service,
+        f"{name}:80",
+        domain,
+        concurrency,
+        draining,
+        started_at_ms,
+        models,
+        held,
+        software,
     )
 
 
@@ -135,12 +146,33 @@
         self.effects = effects
         return effects
 
-    def send_request(self, route, key=None, wait_s=5.0, request_id="r1", parts=(), fingerprint=7):
+    def send_request(
+        self,
+        route,
+        key=None,
+        wait_s=5.0,
+        request_id="r1",
+        parts=(),
+        fingerprint=7,
+        attempt="id-1",
+        last_event=0,
+        resumes="",
+    ):
         """Pass a request of a caller and return the effects."""
         path, deadline = f"/{route}/x", self.now + wait_s
         return self.deliver(
             GatewayRequest(
-                request_id, "id-1", "host", path, deadline, key, 100, fingerprint, tuple(parts)
+                request_id,
+                attempt,
+                "host",
+                path,
+                deadline,
+                key,
+                100,
+                fingerprint,
+                tuple(parts),
+                last_event=last_event,
+                resumed_attempt=resumes,
             )
         )
 
--- a/medlarbeam/gateway/tests/test_leaving_servers.py
+++ b/medlarbeam/gateway/tests/test_leaving_servers.py
@@ -103,7 +103,7 @@
     ),
     (
         "retry-goes-to-a-server-that-has-left",
-        [(ServerSelector, "_find_all", lambda self, service, excluded, now: list_all(self))],
+        [(ServerSelector, "_find_all", lambda self, relay, excluded, now: list_all(self))],
         [("request", "read"), ("say_leaving", "l2", 1), LEAVE, ("end_run", RUN_ENDS[2])],
     ),
     (
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -3,6 +3,7 @@
 from base64 import b64decode
 
 from orjson import JSONDecodeError, dumps, loads
+from xxhash import xxh3_64_hexdigest
 
 from medlarbeam.classes.fleet import (
     AdapterKey,
@@ -20,6 +21,9 @@
     Service,
     ServiceRoute,
     SettledEra,
+    SoftwareVersion,
+    StreamReport,
+    VersionStreams,
 )
 from medlarbeam.exceptions import FormatError
 
@@ -31,6 +35,8 @@
     "QUARANTINE_PREFIX",
     "RIGHT_PREFIX",
     "SERVER_PREFIX",
+    "SOFTWARE_PREFIX",
+    "STREAMS_PREFIX",
     "decode_engine_state",
     "decode_entry",
     "decode_object",
@@ -38,7 +44,10 @@
     "encode_quarantine",
     "encode_right",
     "encode_settled_era",
+    "encode_software_version",
+    "encode_stream_report",
     "read_field",
+    "software_version_key",
 ]
 
 CONFIG_KEY = "op/config"
@@ -48,6 +57,8 @@
 NODE_PREFIX = "medlarbeam/node/"
 RIGHT_PREFIX = "medlarbeam/right/"
 QUARANTINE_PREFIX = "medlarbeam/quarantine/"
+SOFTWARE_PREFIX = "medlarbeam/software/"
+STREAMS_PREFIX = "medlarbeam/streams/"
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -216,6 +227,7 @@
         read_field(document, "born", int, 0),
         [read_field(m, "name", str) for m in read_field(document, "models", list, [])],
         decode_adapters(read_field(document, "models", list, [])),
+        read_field(document, "version", str, ""),
     )
 
 
@@ -253,6 +265,24 @@
     return Quarantine(name, read_field(document, "node", str))
 
 
+def decode_software_version(name, document, revision):
+    """Decode a `SoftwareVersion`."""
+    return SoftwareVersion(
+        read_field(document, "service", str), read_field(document, "software", str)
+    )
+
+
+def decode_stream_report(name, document, revision):
+    """Decode the `StreamReport` of the node `name`."""
+    streams = []
+    for item in read_field(document, "streams", list):
+        attempts = read_field(item, "attempts", list)
+        if not all(type(attempt) is str for attempt in attempts):
+            raise FormatError("an attempt id is not a string")
+        streams.append(VersionStreams(decode_software_version("", item, revision), attempts))
+    return StreamReport(name, streams)
+
+
 DECODERS = {
     CONFIG_KEY: decode_config,
     PUBLISHED_VERSION_PREFIX: decode_published_version,
@@ -261,6 +291,8 @@
     RIGHT_PREFIX: decode_right,
     QUARANTINE_PREFIX: decode_quarantine,
     ERA_KEY: decode_settled_era,
+    SOFTWARE_PREFIX: decode_software_version,
+    STREAMS_PREFIX: decode_stream_report,
 }
 
 
@@ -290,6 +322,30 @@
     return dumps({"node": node})
 
 
+def software_version_key(version):
+    """Return the key of a `SoftwareVersion`: a digest, since its names may be long."""
+    text = f"{version.service}\0{version.software}"
+    return SOFTWARE_PREFIX + xxh3_64_hexdigest(text.encode())
+
+
+def encode_software_version(version):
+    """Encode a `SoftwareVersion`."""
+    return dumps({"service": version.service, "software": version.software})
+
+
+def encode_stream_report(report):
+    """Encode a `StreamReport`; its node is in the key."""
+    streams = [
+        {
+            "service": item.version.service,
+            "software": item.version.software,
+            "attempts": item.attempts,
+        }
+        for item in report.streams
+    ]
+    return dumps({"streams": streams})
+
+
 def split_version(text):
     """Split ``NAME@VERSION`` into ``(name, version)``; a missing or invalid version is 0."""
     name, _, version = text.partition("@")
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -25,6 +25,7 @@
     "parse_load",
     "parse_pause",
     "parse_prompt_tokens",
+    "parse_resumed_attempt",
     "parse_shared_parts",
     "parse_tokens",
     "replace_invalid",
@@ -38,6 +39,7 @@
 LEAVING = "Server-Leaving"  # "1" in all responses of a server that takes no new requests
 NOT_RUN = "X-Not-Executed"
 RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
+RESUMES = "Resumes"  # attempt that brought the first event of the stream that is taken up
 RETRY_AFTER = "Retry-After"
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
 
@@ -242,3 +244,8 @@
 def parse_last_event(headers):
     """Return the id of the last event that a caller received, 0 if it names none."""
     return _parse_number(headers.get(LAST_EVENT_ID, ""))
+
+
+def parse_resumed_attempt(headers):
+    """Return the attempt that brought the first event of a stream that is taken up, "" for none."""
+    return replace_invalid(headers.get(RESUMES, "").strip())
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -29,6 +29,7 @@
     parse_deadline_s,
     parse_last_event,
     parse_prompt_tokens,
+    parse_resumed_attempt,
     parse_shared_parts,
     parse_tokens,
     replace_invalid,
@@ -262,6 +263,8 @@
         digest_request(http_request.headers, path, body),
         parse_shared_parts(http_request.headers),
         parse_prompt_tokens(http_request.headers),
+        parse_last_event(http_request.headers),
+        parse_resumed_attempt(http_request.headers),
     )
 
 
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -11,10 +11,13 @@
 from medlarbeam.classes.gateway_effects import (
     AcquireRight,
     PublishQuarantine,
+    PublishSoftwareVersion,
+    PublishStreams,
     RecordSettledEra,
     ReleaseRights,
     RenewLease,
     WithdrawQuarantine,
+    WithdrawSoftwareVersion,
 )
 from medlarbeam.classes.gateway_messages import (
     AcquireRightResult,
@@ -42,13 +45,17 @@
     QUARANTINE_PREFIX,
     RIGHT_PREFIX,
     SERVER_PREFIX,
+    STREAMS_PREFIX,
     decode_entry,
     decode_object,
     encode_node,
     encode_quarantine,
     encode_right,
     encode_settled_era,
+    encode_software_version,
+    encode_stream_report,
     read_field,
+    software_version_key,
 )
 
 __all__ = ["StoreClient"]
@@ -98,6 +105,8 @@
         self.known_revision = 0  # revision from which to watch, 0 to read all entries
         self.watch_timeout = None  # of the pending watch call
         self.lease = 0
+        self.streams_lease = 0
+        self.is_publishing_streams = False
         self.is_registered = False
         self.registration_revision = 0
         self.is_renewing = False
@@ -124,6 +133,9 @@
             ReleaseRights: self._start_release,
             PublishQuarantine: lambda effect: self.spawn(self._publish_quarantine(effect)),
             WithdrawQuarantine: lambda effect: self.spawn(self._withdraw_quarantine(effect)),
+            PublishSoftwareVersion: lambda effect: self.spawn(self._publish_version(effect)),
+            WithdrawSoftwareVersion: lambda effect: self.spawn(self._withdraw_version(effect)),
+            PublishStreams: lambda effect: self.spawn(self._publish_streams(effect)),
         }
 
     async def _call(self, method, path, params=None, body=None, watch_s=0.0):
@@ -182,6 +194,7 @@
             # The store may have lost the lease, or grant its number to another node.
             self.is_registered = False
             self.lease = 0
+            self.streams_lease = 0
             self.known_revision = 0
             self.driver.deliver(StoreSetBack(era))
             if self.watch_timeout is not None and not self.watch_timeout.expired():
@@ -378,3 +391,42 @@
             await self._call("POST", "/kv-txn", body=body)
         except (StoreError, FormatError) as error:
             log.warning("quarantine not withdrawn: %s", error, extra={"event": "publish_failed"})
+
+    # Software versions and streams
+
+    async def _publish_version(self, effect):
+        key = software_version_key(effect.version)
+        try:
+            data = encode_software_version(effect.version)
+            await self._write([{"key": key, "revision": 0}], key, data)
+        except (StoreError, FormatError) as error:
+            log.info("software version not published: %s", error, extra={"event": "publish_failed"})
+
+    async def _withdraw_version(self, effect):
+        key = software_version_key(effect.version)
+        expected = [{"key": key, "revision": effect.revision}]
+        try:
+            await self._call(
+                "POST", "/kv-txn", body={"expected": expected, "puts": [], "remove": [key]}
+            )
+        except (StoreError, FormatError) as error:
+            log.info("software version not withdrawn: %s", error, extra={"event": "publish_failed"})
+
+    async def _publish_streams(self, effect):
+        """Write a report under a lease of its own, so that it outlives this process."""
+        if self.is_publishing_streams:
+            return  # a call that takes long; the next publication has all streams again
+        self.is_publishing_streams = True
+        try:
+            if not self.streams_lease:
+                body = {"ttlMs": int(effect.ttl_s * 1000)}
+                response = await self._call("POST", "/kv-lease", body=body)
+                self.streams_lease = read_field(response, "lease", int)
+            key = STREAMS_PREFIX + effect.report.node
+            await self._write([], key, encode_stream_report(effect.report), self.streams_lease)
+        except (StoreError, FormatError) as error:
+            if getattr(error, "status", 0) == 404:
+                self.streams_lease = 0
+            log.info("streams not published: %s", error, extra={"event": "publish_failed"})
+        finally:
+            self.is_publishing_streams = False
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -80,7 +80,7 @@
 class Deployment:
     """A gateway, two stand-in backend servers of each service and a store, all on loopback."""
 
-    __slots__ = ("addresses", "front", "runner", "shell", "store", "workers")
+    __slots__ = ("addresses", "front", "runner", "settings", "shell", "store", "workers")
 
     def __init__(self):
         self.store = PlatformStore()
@@ -101,15 +101,19 @@
         self.store.put("op/config", dumps(CONFIG))
         gateway = make_settings("n1", "z1")
         _, ready, gateway.address, metrics = self.addresses
-        settings = PlatformSettings(
+        self.settings = PlatformSettings(
             gateway, self.front, ready, gateway.address, metrics, address, 0.5
         )
-        self.shell = build_gateway_shell(settings)
+        await self.start_gateway()
+        return self
+
+    async def start_gateway(self):
+        """Start a gateway that knows nothing but what is in the store."""
+        self.shell = build_gateway_shell(self.settings)
         await self.shell.start()
         async with asyncio.timeout(5):
             while not self.shell.is_ready() or not self.shell.node.orders.schedulers:
                 await asyncio.sleep(0.02)
-        return self
 
     async def __aexit__(self, *error):
         self.store.silent_paths.clear()
@@ -118,13 +122,14 @@
             worker.stop()
         await self.runner.cleanup()
 
-    def register(self, worker, state="ready"):
+    def register(self, worker, state="ready", software="v1"):
         is_engine = worker.name.startswith("w")
         models = [{"name": "m0", "version": 1, "adapters": []}] if is_engine else []
         document = {
             "service": "llm" if is_engine else "ledger",
             "address": worker.address,
             "zone": "z1",
+            "version": software,
             "slots": 4,
             "state": state,
             "born": 1,
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -27,6 +27,7 @@
     deathReport @20 :DeathReport;
     clearanceReport @21 :ClearanceReport;
     rateLimitReport @22 :RateLimitReport;
+    streamReport @23 :StreamReport;
   }
 }
 
@@ -298,3 +299,18 @@
   limits @1 :List(ServerRate);
   leaving @2 :List(LeavingServer);
 }
+
+struct SoftwareVersion {
+  service @0 :Text;
+  software @1 :Text;
+}
+
+struct VersionStreams {
+  version @0 :SoftwareVersion;
+  attempts @1 :List(Text);
+}
+
+struct StreamReport {
+  node @0 :Text;
+  streams @1 :List(VersionStreams);
+}
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -9,7 +9,7 @@
 
 from medlarbeam.classes.catalog import AdapterVersion, CatalogHead, CatalogShard
 from medlarbeam.classes.cells import BackendServer, CellRecord, Member
-from medlarbeam.classes.fleet import AdapterKey
+from medlarbeam.classes.fleet import AdapterKey, SoftwareVersion, StreamReport, VersionStreams
 from medlarbeam.classes.handshake import Challenge, Hello, Proof
 from medlarbeam.classes.peer_messages import (
     AdapterDemand,
@@ -109,6 +109,10 @@
 )
 _RATE = StructLayout(ServerRate, "server", FloatField("rate"), FloatField("age_s"))
 _LEAVING_SERVER = StructLayout(LeavingServer, "server started_at_ms")
+_SOFTWARE = StructLayout(SoftwareVersion, "service software")
+_VERSION_STREAMS = StructLayout(
+    VersionStreams, "", RecordField("version", _SOFTWARE), TextListField("attempts")
+)
 _SHARD = StructLayout(CatalogShard, "key", ListField("items", _ADAPTER))
 
 _LAYOUTS = {
@@ -173,6 +177,7 @@
         ListField("limits", _RATE),
         ListField("leaving", _LEAVING_SERVER),
     ),
+    "streamReport": StructLayout(StreamReport, "node", ListField("streams", _VERSION_STREAMS)),
     "clearanceReport": StructLayout(ClearanceReport, "node", TextListField("fingerprints")),
 }
 _MEMBERS = {layout.record_class: member for member, layout in _LAYOUTS.items()}
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -12,7 +12,7 @@
     ReleaseNote,
 )
 from medlarbeam.classes.cells import BackendServer, CellRecord, Member
-from medlarbeam.classes.fleet import AdapterKey
+from medlarbeam.classes.fleet import AdapterKey, SoftwareVersion, StreamReport, VersionStreams
 from medlarbeam.classes.handshake import Challenge, Hello, Proof
 from medlarbeam.classes.peer_messages import (
     AdapterDemand,
@@ -118,6 +118,7 @@
     RateLimitReport("n1", [ServerRate("i-1", 4.5, 0.25), ServerRate("i-2", -1.0, 0.0)]),
     RateLimitReport("n1", [], [LeavingServer("i-1", 1_790_000_000_123), LeavingServer("i-2", 0)]),
     ClearanceReport("n1", ["request:f00d", "part:5e5e"]),
+    StreamReport("n1", [VersionStreams(SoftwareVersion("llm", "v2"), ["a1", "a2"])]),
 ]
 
 NOTE = ReleaseNote(
