Forward requests through other gateways when the path to the servers is lost

Cause: a gateway knew only that single servers failed, and took what it reached for the state of the servers. It stayed ready and tried one server after the other, 0.3 s each.

Change: when two servers of a service fail without an answer of another one, some are probed; if none accepts a connection, the path is lost. Requests then go through another gateway, which treats them as its own, until a probe succeeds. Gateways tell one another which services they do not reach. While the path is doubtful, a refused connection is no evidence of a crash, a holder without a path is not preferred for loads, and a request without a server waits for the end of the check.

The random fleet of test_server_selector now causes probes of servers that it makes unreachable, so its last check allows ProbeServer, and still nothing that a selection might ask for.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -51,7 +51,7 @@
 
 
 class StartFleetRun(Record):
-    """Start a run: send a request to a backend server and relay the response.
+    """Start a run: send a request to a backend server, or forward it, and relay the response.
 
     Parameters
     ----------
@@ -70,12 +70,16 @@
     first_event_timeout_s, event_gap_timeout_s : float
         Longest wait for the start of the response and for each further event before `RunStalled`
         is delivered; infinity disables the limit.
+    forwarded_runs : int or None
+        Number of runs so far of a request that is forwarded to another node, which `server` then
+        stands for; None if `server` is a backend server.
     """
 
     __slots__ = (
         "deadline",
         "event_gap_timeout_s",
         "first_event_timeout_s",
+        "forwarded_runs",
         "is_stream",
         "needs_new_connection",
         "priority",
@@ -97,7 +101,9 @@
         needs_new_connection,
         first_event_timeout_s,
         event_gap_timeout_s,
+        forwarded_runs=None,
     ):
+        self.forwarded_runs = forwarded_runs
         self.first_event_timeout_s = first_event_timeout_s
         self.event_gap_timeout_s = event_gap_timeout_s
         self.run_id = run_id
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -56,6 +56,8 @@
         Id of the last event that the caller has of a stream that it takes up again, 0 for none.
     resumed_attempt : str
         Id of the attempt that brought the first event of that stream, "" if it names none.
+    runs_elsewhere : int or None
+        Number of runs of a request that another node forwards, None if it comes from a caller.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "prompt_tokens",
         "request_id",
         "resumed_attempt",
+        "runs_elsewhere",
         "shared_parts",
         "tokens",
     )
@@ -87,7 +90,9 @@
         prompt_tokens=0,
         last_event=0,
         resumed_attempt="",
+        runs_elsewhere=None,
     ):
+        self.runs_elsewhere = runs_elsewhere
         self.last_event = last_event
         self.resumed_attempt = resumed_attempt
         self.request_id = request_id
@@ -472,11 +477,14 @@
     is_refused : bool
         Whether the connection was refused, so that no process listens at the address.
     reason : str
+    is_accepted : bool
+        Whether the connection was accepted.
     """
 
-    __slots__ = ("is_refused", "reason", "server")
+    __slots__ = ("is_accepted", "is_refused", "reason", "server")
 
-    def __init__(self, server, is_refused, reason):
+    def __init__(self, server, is_refused, reason, is_accepted=False):
+        self.is_accepted = is_accepted
         self.server = server
         self.is_refused = is_refused
         self.reason = reason
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -22,6 +22,7 @@
     "LeavingServer",
     "LostRun",
     "ModelCount",
+    "PathReport",
     "Ping",
     "Pong",
     "RateLimitReport",
@@ -565,3 +566,13 @@
         self.node = node
         self.limits = limits
         self.leaving = list(leaving)
+
+
+class PathReport(Record):
+    """The sender reaches no backend server of `lost`, the list of all such services."""
+
+    __slots__ = ("lost", "node")
+
+    def __init__(self, node, lost):
+        self.node = node
+        self.lost = lost
--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -234,6 +234,8 @@
             self._log_not_crashed(lost, LEAVES if is_leaving else message.reason, out)
             return
         self.node.health.record_outcome(message.server, "unreachable", now, out)
+        if self._is_path_doubtful(lost, now, out):
+            return
         death_id = f"{lost.entry.name}/{lost.entry.started_at_ms}"
         out.emit(
             LogEvent(
@@ -245,6 +247,19 @@
         cancelled = self._find_cancelled(message.server, lost.lost_at - CANCELLED_S)
         self._report_death(death_id, now - lost.lost_at, lost.requests + cancelled, now, out)
 
+    def _is_path_doubtful(self, lost, now, out):
+        """Return whether a refused connection shows nothing, since others may fail as well.
+
+        While that is being checked, the server is probed again later.
+        """
+        paths, service = self.node.paths, lost.entry.service
+        if paths.is_lost(service):
+            self._log_not_crashed(lost, f"no server of {service} is reached", out)
+        elif paths.is_doubtful(service):
+            lost.probe_at = now + PROBE_INTERVAL_S
+            self.lost[lost.entry.name] = lost
+        return paths.is_doubtful(service)
+
     def _report_death(self, death_id, age_s, requests, now, out):
         name, served_age_s = self.node.settings.name, now - self.served_at
         runs = [self._build_lost_run(request) for request in requests]
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -3,6 +3,7 @@
 from medlarbeam.gateway.adapter_uses import AdapterUses
 from medlarbeam.gateway.crash_suspects import CrashSuspects
 from medlarbeam.gateway.fleet_state import FleetState
+from medlarbeam.gateway.forwarding import Forwarding
 from medlarbeam.gateway.gateway_lifecycle import GatewayLifecycle
 from medlarbeam.gateway.holdings import Holdings
 from medlarbeam.gateway.leaving_servers import LeavingServers
@@ -13,7 +14,9 @@
 from medlarbeam.gateway.relays import Relays
 from medlarbeam.gateway.server_health import ServerHealth
 from medlarbeam.gateway.server_limits import ServerLimits
+from medlarbeam.gateway.server_paths import ServerPaths
 from medlarbeam.gateway.server_pauses import ServerPauses
+from medlarbeam.gateway.stalled_runs import StalledRuns
 from medlarbeam.gateway.stream_origins import StreamOrigins
 from medlarbeam.node.component import ComponentHost
 
@@ -40,6 +43,7 @@
     __slots__ = (
         "crashes",
         "fleet",
+        "forwarding",
         "health",
         "holdings",
         "leaving",
@@ -47,6 +51,7 @@
         "limits",
         "orders",
         "origins",
+        "paths",
         "pauses",
         "prompts",
         "reachability",
@@ -54,6 +59,7 @@
         "rights",
         "rng",
         "settings",
+        "stalls",
         "uses",
     )
 
@@ -64,6 +70,7 @@
         self.origins = StreamOrigins(self)
         self.leaving = LeavingServers(self)
         self.reachability = NodeReachability(self)
+        self.paths = ServerPaths(self)
         self.health = ServerHealth(self)
         self.limits = ServerLimits(self)
         self.pauses = ServerPauses(self)
@@ -74,6 +81,8 @@
         self.holdings = Holdings(self)
         self.orders = Orders(self)
         self.relays = Relays(self)
+        self.forwarding = Forwarding(self)
+        self.stalls = StalledRuns(self)
         self.uses = AdapterUses(self)
         # The store entries are updated first, so that the other components see each change.
         super().__init__(
@@ -82,6 +91,7 @@
                 self.origins,
                 self.leaving,
                 self.reachability,
+                self.paths,
                 self.health,
                 self.limits,
                 self.pauses,
@@ -92,6 +102,8 @@
                 self.holdings,
                 self.orders,
                 self.relays,
+                self.forwarding,
+                self.stalls,
                 self.uses,
             ]
         )
@@ -118,6 +130,7 @@
             "suspect_servers": self.health.count_suspects(),
             "ordered_servers": len(self.orders.schedulers),
             "limited_servers": len(self.limits.limits),
+            "lost_paths": self.paths.count_lost(),
             "paused_servers": self.pauses.count_paused(now),
             "quarantines": self.crashes.count_quarantined(),
             "loads_in_transit": self.orders.count_in_transit(),
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -160,6 +160,8 @@
             )
         )
         self._record_pause(order.server, message.pause, "order", now, out)
+        if message.status == 0:
+            self.node.paths.record_failure(order.server.name, now, out)
         scheduler = self.schedulers.get(order.server.name)
         if scheduler is not None:
             demand = scheduler.demands.get(order.key)
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -46,6 +46,8 @@
         Names of backend servers that have refused the request and asked for a pause.
     retry_after_s : float
         Time (s) after which the caller of a refused request may return, 0 to name none.
+    nodes : set of str
+        Names of the nodes to which the request was forwarded.
     is_response_started : bool
         Whether the caller has received a part of the response.
     error_run_id : str
@@ -71,6 +73,7 @@
         "goal_at",
         "is_response_started",
         "next_check_at",
+        "nodes",
         "outcome",
         "paused_by",
         "reason",
@@ -102,10 +105,11 @@
         self.server = None
         self.software = None
         self.sends = 0
-        self.runs = 0
+        self.runs = request.runs_elsewhere or 0
         self.excluded = set()
         self.refused_by = set()
         self.paused_by = set()
+        self.nodes = set()
         self.retry_after_s = RETRY_AFTER_S
         self.is_response_started = False
         self.error_run_id = ""
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -18,7 +18,6 @@
     RunErrorResponse,
     RunInterrupted,
     RunRefused,
-    RunStalled,
     RunStarted,
 )
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
@@ -26,7 +25,7 @@
 from medlarbeam.gateway.load_requests import LoadRequests
 from medlarbeam.gateway.relay import RETRY_AFTER_S, ElapsedTimes, Relay, RelayTimers
 from medlarbeam.gateway.route_table import choose_service
-from medlarbeam.gateway.run_plan import has_attempt_left, plan_run
+from medlarbeam.gateway.run_plan import plan_run
 from medlarbeam.gateway.run_refusals import RunRefusals
 from medlarbeam.gateway.server_selector import ServerSelector
 from medlarbeam.gateway.shared_retry_budget import SharedRetryBudget
@@ -83,7 +82,6 @@
             RunErrorResponse: self.handle_error_response,
             RunRefused: self.handle_run_refused,
             RunInterrupted: self.handle_run_interrupted,
-            RunStalled: self.handle_run_stalled,
         }
 
     def open_count(self):
@@ -117,7 +115,8 @@
             return
         relay.goal_at = now + route.latency_goal_s - self.elapsed_times.estimate(relay, now)
         self.open_relays[request.request_id] = relay
-        self.retry_budget.record_first_attempt(relay.service, len(fleet.nodes), now)
+        if request.runs_elsewhere is None:
+            self.retry_budget.record_first_attempt(relay.service, len(fleet.nodes), now)
         self._dispatch(relay, now, out)
 
     def _refuse(self, request, failure, retry_after_s, out):
@@ -129,8 +128,7 @@
         """Cancel the run of a request whose caller has disconnected."""
         relay = self.open_relays.get(message.request_id)
         if relay is not None:
-            self.chart.fire(relay, "caller_disconnected", self, now, out, message)
-            self._process_state(relay, now, out)
+            self.advance(relay, "caller_disconnected", message, now, out)
 
     # Server selection
 
@@ -144,6 +142,12 @@
             self._fire_and_process(relay, "deadline", now, out)
             return
         self.node.pauses.leave(relay)
+        node = self.node.forwarding.choose_node(relay, now)
+        if node is not None:
+            self._stop_waiting(relay)
+            self.timers.set(relay, relay.deadline_at + RESPONSE_SLACK_S)
+            self.node.forwarding.send(relay, node, now, out)
+            return
         choice = self.selector.choose(relay, now)
         reason = self.selector.find_missing_software(relay, now)
         relay.retry_after_s = 0.0 if reason else RETRY_AFTER_S
@@ -172,11 +176,12 @@
             relay.reason = blocking.reason
             relay.retry_after_s = blocking.retry_after_s
             self._fire_and_process(relay, "unroutable", now, out)
-        elif now >= limit:
+        elif now >= limit and not self.node.paths.is_checking(relay.service):
             relay.reason = relay.reason or "no backend server accepts new work"
             self._fire_and_process(relay, "unroutable", now, out)
         else:
-            self._wait(relay, min(now + RECHECK_INTERVAL_S, limit))
+            until = limit if now < limit else inf
+            self._wait(relay, min(now + RECHECK_INTERVAL_S, until))
 
     def _wait_for_adapter(self, relay, choice, now, out):
         if choice.ready_in_s is not None:
@@ -287,8 +292,7 @@
             self.node.crashes.record_success(relay.request, now, out)
             self.node.prompts.record_stream(relay, message.timing)
             relay.record_response_start(now)
-            self.chart.fire(relay, "completed", self, now, out, message)
-            self._process_state(relay, now, out)
+            self.advance(relay, "completed", message, now, out)
 
     def handle_error_response(self, message, now, out):
         """Handle an error response of the backend server."""
@@ -301,8 +305,7 @@
         relay.runs += 1
         relay.error_run_id = message.run_id
         relay.reason = f"{relay.server.name} responded with status {message.status}"
-        self.chart.fire(relay, "error_returned", self, now, out, message)
-        self._process_state(relay, now, out)
+        self.advance(relay, "error_returned", message, now, out)
 
     def handle_run_refused(self, message, now, out):
         """Handle the refusal of a run that is known not to have run."""
@@ -318,8 +321,7 @@
                 relay.request.request_id,
             )
         )
-        self.chart.fire(relay, "refused", self, now, out, message)
-        self._process_state(relay, now, out)
+        self.advance(relay, "refused", message, now, out)
 
     def handle_run_interrupted(self, message, now, out):
         """Handle a missing or incomplete response."""
@@ -342,37 +344,7 @@
                 "warning",
             )
         )
-        self.chart.fire(relay, "interrupted", self, now, out, message)
-        self._process_state(relay, now, out)
-
-    def handle_run_stalled(self, message, now, out):
-        """Move a stalled run to another backend server if that is likely to be faster.
-
-        A server that has responded since may only be busy: its run moves only to a server that can
-        start it at once. The run of an unresponsive server also moves where a load is needed first.
-        """
-        relay = self.relays_by_run.get(message.run_id)
-        if relay is None:
-            return
-        may_move = has_attempt_left(relay) and self.may_retry(relay, now, out, message)
-        better = self.selector.find_better_server(relay, now) if may_move else ""
-        out.emit(
-            LogEvent(
-                "run_stalled",
-                f"run={message.run_id} server={relay.server.name} quiet_s={message.idle_s:.3f} "
-                f"may_move={may_move} better={better}",
-                relay.request.request_id,
-            )
-        )
-        if not better:
-            return
-        self.node.crashes.record_cancelled_run(relay, now)
-        out.emit(CancelFleetRun(message.run_id))
-        reason = f"no data for {message.idle_s:.3f} s"
-        interruption = RunInterrupted(
-            message.run_id, reason, message.last_event_id, relay.is_response_started, True
-        )
-        self.handle_run_interrupted(interruption, now, out)
+        self.advance(relay, "interrupted", message, now, out)
 
     def end_quarantined(self, fingerprint, now, out):
         """End the open requests with a quarantined fingerprint that no backend server has begun."""
@@ -386,10 +358,14 @@
             relay.reason = "this node stops"
             self._fire_and_process(relay, "node_stopping", now, out)
 
-    def _fire_and_process(self, relay, event, now, out):
-        self.chart.fire(relay, event, self, now, out, None)
+    def advance(self, relay, event, message, now, out):
+        """Fire an event of the chart, and do what the new state asks for."""
+        self.chart.fire(relay, event, self, now, out, message)
         self._process_state(relay, now, out)
 
+    def _fire_and_process(self, relay, event, now, out):
+        self.advance(relay, event, None, now, out)
+
     def _process_state(self, relay, now, out):
         """Dispatch a relay that waits again, or remove one that has ended."""
         if self.chart.has_tag(relay, "waiting"):
@@ -411,6 +387,15 @@
             return False
         return self.retry_budget.can_acquire(relay.service, len(self.node.fleet.nodes), now)
 
+    def has_node_left(self, relay, now, out, message):
+        """Return whether the request may be forwarded to one more node."""
+        return self.node.forwarding.has_node_left(relay)
+
+    def cancel_forwarded(self, relay, now, out, message):
+        """Cancel the request at the node to which it was forwarded."""
+        relay.reason = relay.reason or "deadline exceeded"
+        self.node.forwarding.cancel(relay, out)
+
     def exclude_server(self, relay, now, out, message):
         """Exclude the backend server that failed from further runs of the request."""
         relay.excluded.add(relay.server.name)
--- a/medlarbeam/gateway/server_health.py
+++ b/medlarbeam/gateway/server_health.py
@@ -114,6 +114,7 @@
     def record_response(self, name, now):
         """Record a response of a backend server."""
         self.record(name).last_response_at = now
+        self.node.paths.record_answer(name)
 
     def has_responded_since(self, name, since):
         """Return whether a backend server has responded after `since` (s)."""
@@ -130,7 +131,9 @@
         """Record an outcome: ``succeeded``, ``failed`` or ``unreachable``."""
         record = self.record(name)
         if event == "succeeded":
-            record.last_response_at = now
+            self.record_response(name, now)
+        elif event == "unreachable":
+            self.node.paths.record_failure(name, now, out)
         outcome = 0.0 if event == "succeeded" else 1.0
         record.failure_share += FAILURE_EWMA_WEIGHT * (outcome - record.failure_share)
         before = record.state
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -124,7 +124,7 @@
 
     def find_missing_software(self, relay, now):
         """Return why no server of the version that has begun a stream can go on, "" if one may."""
-        if relay.software is None:
+        if relay.software is None or self.node.paths.is_checking(relay.service):
             return ""
         if any(entry.name not in relay.excluded for entry in self._list_allowed(relay, now)):
             return ""
@@ -216,8 +216,15 @@
         return max(0.0, holding.ready_at - now)
 
     def _has_holder(self, server, now):
-        """Return whether a responsive node holds the right to order `server`."""
-        holder = self.node.rights.find_holder(server)
-        if holder == self.node.settings.name:
-            return self.node.rights.is_valid(now)
-        return bool(holder) and not self.node.reachability.is_unresponsive(holder, now)
+        """Return whether a responsive node that reaches `server` holds the right to order it."""
+        node = self.node
+        holder = node.rights.find_holder(server)
+        known = node.fleet.servers.get(server)
+        service = known.entry.service if known is not None else ""
+        if holder == node.settings.name:
+            return node.rights.is_valid(now) and not node.paths.is_lost(service)
+        return (
+            bool(holder)
+            and not node.reachability.is_unresponsive(holder, now)
+            and not node.paths.is_lost_elsewhere(holder, service, now)
+        )
--- a/medlarbeam/gateway/tests/crash_fleet.py
+++ b/medlarbeam/gateway/tests/crash_fleet.py
@@ -213,8 +213,8 @@
     # Engines
 
     def _start_run(self, name, effect):
-        engine = self.engines[effect.server.name]
-        if not engine.is_up:
+        engine = self.engines.get(effect.server.name)
+        if engine is None or not engine.is_up:  # no engine of this name: a node, to forward to
             refusal = RunRefused(effect.run_id, 0, "connection refused", None)
             self.call_at(self.now + 0.001, self.deliver, name, refusal)
             return
@@ -259,7 +259,7 @@
 
     def _probe(self, name, effect):
         is_up = self.engines[effect.server.name].is_up
-        result = ProbeResult(effect.server.name, not is_up, "probed")
+        result = ProbeResult(effect.server.name, not is_up, "probed", is_up)
         self.call_at(self.now + 0.002, self.deliver, name, result)
 
     def _restart(self, engine):
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -157,6 +157,7 @@
         attempt="id-1",
         last_event=0,
         resumes="",
+        runs_elsewhere=None,
     ):
         """Pass a request of a caller and return the effects."""
         path, deadline = f"/{route}/x", self.now + wait_s
@@ -173,6 +174,7 @@
                 tuple(parts),
                 last_event=last_event,
                 resumed_attempt=resumes,
+                runs_elsewhere=runs_elsewhere,
             )
         )
 
--- a/medlarbeam/gateway/tests/leaving_schedule.py
+++ b/medlarbeam/gateway/tests/leaving_schedule.py
@@ -174,7 +174,7 @@
 
     def probe_result(self, name, is_refused):
         """Deliver the result of a probe."""
-        self.deliver(ProbeResult(name, is_refused, ""))
+        self.deliver(ProbeResult(name, is_refused, "", not is_refused))
 
     def pass_time(self, seconds):
         """Advance the clock; the store renews the lease unless it is away for long."""
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -120,7 +120,9 @@
         )
         name = run.server.name
         if any(isinstance(e, ProbeServer) and e.server.name == name for e in effects):
-            effects = effects + self.harness.deliver(ProbeResult(name, is_refused, ""))
+            effects = effects + self.harness.deliver(
+                ProbeResult(name, is_refused, "", not is_refused)
+            )
         return effects
 
     def crash(self, parts, fingerprint=None):
--- a/medlarbeam/gateway/tests/test_server_selector.py
+++ b/medlarbeam/gateway/tests/test_server_selector.py
@@ -7,7 +7,7 @@
 from medlarbeam.algorithms.direct_routing import AdapterAffinityRouting, LeastLoadedRouting
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import AdapterKey, NodeRegistration, OrderRight, PublishedVersion
-from medlarbeam.classes.gateway_effects import ServerLoad
+from medlarbeam.classes.gateway_effects import ProbeServer, ServerLoad
 from medlarbeam.classes.gateway_messages import EntryDeleted, GatewayRequest
 from medlarbeam.classes.peer_messages import AdapterHolding, HoldingReport
 from medlarbeam.gateway.fleet_state import GONE_RETENTION_S
@@ -131,7 +131,8 @@
         assert fleet.choose(ServerSelector, routing(), relay) == expected
         outcomes.add(expected is not None and expected[1] is None)
     assert outcomes == {False, True}  # some need a load, some do not
-    assert all(isinstance(effect, LogEvent) for effect in fleet.out.effects)
+    # Servers that cannot be reached are probed; the selection itself asks for nothing.
+    assert all(isinstance(effect, (LogEvent, ProbeServer)) for effect in fleet.out.effects)
 
 
 GONE = [
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -16,6 +16,7 @@
     "LAST_EVENT_ID",
     "LEAVING",
     "NOT_RUN",
+    "RUNS_ELSEWHERE",
     "SIGNATURE",
     "forwarded_headers",
     "parse_adapter_key",
@@ -26,6 +27,7 @@
     "parse_pause",
     "parse_prompt_tokens",
     "parse_resumed_attempt",
+    "parse_runs_elsewhere",
     "parse_shared_parts",
     "parse_tokens",
     "replace_invalid",
@@ -41,6 +43,8 @@
 RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
 RESUMES = "Resumes"  # attempt that brought the first event of the stream that is taken up
 RETRY_AFTER = "Retry-After"
+# Number of runs of a request that another node forwards; only read from other nodes.
+RUNS_ELSEWHERE = "Medlarbeam-Runs"
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
 
 MAX_SHARED_PARTS = 256
@@ -68,6 +72,7 @@
 INTERNAL_HEADERS = {
     "kv-fetch",
     "kv-from",
+    "medlarbeam-runs",
     "wait-ms",
     "x-deadline-ms",
     "x-expect-instance",
@@ -126,15 +131,26 @@
         Monotonic time (s).
     """
     headers = [(n, v) for n, v in forwarded if not (last_event and n.lower() == "last-event-id")]
+    headers.append(("X-Deadline-Ms", str(max(1, int((effect.deadline - now) * 1000)))))
+    if last_event:
+        headers.append((LAST_EVENT_ID, str(last_event)))
+    if effect.forwarded_runs is not None:
+        return headers + _list_forwarding_headers(forwarded, effect, last_event)
     headers += [
-        ("X-Deadline-Ms", str(max(1, int((effect.deadline - now) * 1000)))),
         ("X-Expect-Instance", effect.server.name),
         ("X-Request-Priority", str(min(9, max(0, effect.priority)))),
     ]
     if effect.version:
         headers.append(("X-Expect-Version", str(effect.version)))
-    if last_event:
-        headers.append((LAST_EVENT_ID, str(last_event)))
+    return headers
+
+
+def _list_forwarding_headers(forwarded, effect, last_event):
+    """Return what another node has to know; it sets the headers for the backend server itself."""
+    headers = [(RUNS_ELSEWHERE, str(effect.forwarded_runs))]
+    if last_event and not any(name.lower() == RESUMES.lower() for name, _ in forwarded):
+        # For the other node this is the rest of a stream that the caller's attempt has begun.
+        headers += [(RESUMES, value) for name, value in forwarded if name == ATTEMPT_ID]
     return headers
 
 
@@ -249,3 +265,8 @@
 def parse_resumed_attempt(headers):
     """Return the attempt that brought the first event of a stream that is taken up, "" for none."""
     return replace_invalid(headers.get(RESUMES, "").strip())
+
+
+def parse_runs_elsewhere(headers):
+    """Return the number of runs of a request that another node forwards."""
+    return _parse_number(headers.get(RUNS_ELSEWHERE, ""))
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -24,12 +24,14 @@
 from medlarbeam.platform.caller_listener import CallerListener
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
+    NOT_RUN,
     forwarded_headers,
     parse_adapter_key,
     parse_deadline_s,
     parse_last_event,
     parse_prompt_tokens,
     parse_resumed_attempt,
+    parse_runs_elsewhere,
     parse_shared_parts,
     parse_tokens,
     replace_invalid,
@@ -147,12 +149,15 @@
         self.request_id_prefix = f"{settings.gateway.name}-{settings.gateway.incarnation:x}"
         self.request_count = 0
         self.callers = None
+        self.nodes = None  # that forward requests of their callers
         self.readiness_listener = None
 
     async def on_start(self):
         """Listen for callers and for readiness checks of the load balancer."""
         self.callers = CallerListener(self.handle, self.spawn)
         self.callers.open(*parse_address(self.settings.front_address))
+        self.nodes = CallerListener(self.handle_forwarded, self.spawn)
+        self.nodes.open(*parse_address(self.settings.datagram_address))
         host, port = parse_address(self.settings.ready_address)
         self.readiness_listener = await asyncio.get_running_loop().create_server(
             Server(self.handle_readiness, access_log=None), host, port
@@ -160,8 +165,9 @@
 
     async def on_stop(self):
         """Close the listeners and cancel the tasks."""
-        if self.callers is not None:
-            self.callers.close()
+        for listener in (self.callers, self.nodes):
+            if listener is not None:
+                listener.close()
         if self.readiness_listener is not None:
             self.readiness_listener.close()
         await super().on_stop()
@@ -186,14 +192,25 @@
         finally:
             http_request.protocol.end_request(self.driver.read_clock())
 
-    async def _respond(self, http_request):
+    async def handle_forwarded(self, http_request):
+        """Respond to a request that another node forwards."""
+        try:
+            return await self._respond(http_request, parse_runs_elsewhere(http_request.headers))
+        finally:
+            http_request.protocol.end_request(self.driver.read_clock())
+
+    async def _respond(self, http_request, runs_elsewhere=None):
         body = await self._read_body(http_request)
         if body is None:
             return Response(status=413, headers={"Connection": "close"})
         now = self.driver.read_clock()
         self.request_count += 1
         request = parse_request(
-            http_request, body, f"{self.request_id_prefix}-{self.request_count}", now
+            http_request,
+            body,
+            f"{self.request_id_prefix}-{self.request_count}",
+            now,
+            runs_elsewhere,
         )
         exchange = Exchange(http_request, body, request, self.driver)
         self.exchanges[request.request_id] = exchange
@@ -248,7 +265,7 @@
             exchange.finish(None)
 
 
-def parse_request(http_request, body, request_id, now):
+def parse_request(http_request, body, request_id, now, runs_elsewhere=None):
     """Convert an HTTP request into a `GatewayRequest`."""
     timeout_s = parse_deadline_s(http_request.headers)
     path = http_request.raw_path
@@ -265,6 +282,7 @@
         parse_prompt_tokens(http_request.headers),
         parse_last_event(http_request.headers),
         parse_resumed_attempt(http_request.headers),
+        runs_elsewhere,
     )
 
 
@@ -284,6 +302,8 @@
     headers = {ATTEMPT_ID: exchange.request.attempt_id}
     if effect.retry_after_s:
         headers["Retry-After"] = f"{effect.retry_after_s:.3f}"
+    if exchange.request.runs_elsewhere is not None and failure.run_state is RunState.NOT_RUN:
+        headers[NOT_RUN] = "1"
     body = dumps(
         {"error": failure.kind.value, "reason": failure.reason, "run": failure.run_state.value}
     )
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -268,18 +268,19 @@
 
     async def _probe(self, effect):
         host, port = parse_address(effect.server.address)
-        is_refused = False
+        is_refused = is_accepted = False
         reason = "the connection was accepted"
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, port)
             writer.close()
+            is_accepted = True
         except ConnectionRefusedError as error:
             is_refused = True
             reason = describe_error(error)
         except OSError as error:  # includes timeouts
             reason = describe_error(error)
-        self.driver.deliver(ProbeResult(effect.server.name, is_refused, reason))
+        self.driver.deliver(ProbeResult(effect.server.name, is_refused, reason, is_accepted))
 
     async def _send_order(self, effect):
         document = {
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -80,9 +80,10 @@
 class Deployment:
     """A gateway, two stand-in backend servers of each service and a store, all on loopback."""
 
-    __slots__ = ("addresses", "front", "runner", "settings", "shell", "store", "workers")
+    __slots__ = ("addresses", "front", "name", "runner", "settings", "shell", "store", "workers")
 
-    def __init__(self):
+    def __init__(self, name="n1"):
+        self.name = name
         self.store = PlatformStore()
         self.workers = {name: PlatformWorker(name) for name in ("l1", "l2", "w1", "w2")}
         self.runner = None
@@ -99,7 +100,7 @@
             await worker.start()
             self.register(worker)
         self.store.put("op/config", dumps(CONFIG))
-        gateway = make_settings("n1", "z1")
+        gateway = make_settings(self.name, "z1")
         _, ready, gateway.address, metrics = self.addresses
         self.settings = PlatformSettings(
             gateway, self.front, ready, gateway.address, metrics, address, 0.5
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -28,6 +28,7 @@
     clearanceReport @21 :ClearanceReport;
     rateLimitReport @22 :RateLimitReport;
     streamReport @23 :StreamReport;
+    pathReport @24 :PathReport;
   }
 }
 
@@ -314,3 +315,8 @@
   node @0 :Text;
   streams @1 :List(VersionStreams);
 }
+
+struct PathReport {
+  node @0 :Text;
+  lost @1 :List(Text);
+}
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -31,6 +31,7 @@
     LeavingServer,
     LostRun,
     ModelCount,
+    PathReport,
     Ping,
     Pong,
     RateLimitReport,
@@ -178,6 +179,7 @@
         ListField("leaving", _LEAVING_SERVER),
     ),
     "streamReport": StructLayout(StreamReport, "node", ListField("streams", _VERSION_STREAMS)),
+    "pathReport": StructLayout(PathReport, "node", TextListField("lost")),
     "clearanceReport": StructLayout(ClearanceReport, "node", TextListField("fingerprints")),
 }
 _MEMBERS = {layout.record_class: member for member, layout in _LAYOUTS.items()}
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -34,6 +34,7 @@
     LeavingServer,
     LostRun,
     ModelCount,
+    PathReport,
     Ping,
     Pong,
     RateLimitReport,
@@ -118,6 +119,7 @@
     RateLimitReport("n1", [ServerRate("i-1", 4.5, 0.25), ServerRate("i-2", -1.0, 0.0)]),
     RateLimitReport("n1", [], [LeavingServer("i-1", 1_790_000_000_123), LeavingServer("i-2", 0)]),
     ClearanceReport("n1", ["request:f00d", "part:5e5e"]),
+    PathReport("n2", ["ledger", "llm"]),
     StreamReport("n1", [VersionStreams(SoftwareVersion("llm", "v2"), ["a1", "a2"])]),
 ]
 
