Keep requests away from servers that crash when they refuse too many

Backend servers may say in all answers that they crash when they have to turn away more than a number of requests in a second (Server-Brittle, rule LIMIT). Nothing read it: a gateway tried a refused request at the next server, and the refusals of all gateways added up.

Change: while the servers of a service name such a limit, a gateway uses its share of the places of each server, only while the server has a free one as far as it knows, and none for some seconds after a refusal. A request without room waits up to its own limit.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -39,11 +39,14 @@
         Number of requests that can run at once.
     rate_limit : float or None
         Requests per second that it takes from all nodes together, None for no limit.
+    refusal_limit : int or None
+        Refusals per second, for lack of room, above which it crashes; None if it names none.
     """
 
-    __slots__ = ("concurrency", "rate_limit", "running", "waiting")
+    __slots__ = ("concurrency", "rate_limit", "refusal_limit", "running", "waiting")
 
-    def __init__(self, running, waiting, concurrency, rate_limit=None):
+    def __init__(self, running, waiting, concurrency, rate_limit=None, refusal_limit=None):
+        self.refusal_limit = refusal_limit
         self.running = running
         self.waiting = waiting
         self.concurrency = concurrency
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -11,6 +11,7 @@
 from medlarbeam.gateway.order_rights import OrderRights
 from medlarbeam.gateway.orders import Orders
 from medlarbeam.gateway.prompt_pacing import PromptPacing
+from medlarbeam.gateway.refusal_limits import RefusalLimits
 from medlarbeam.gateway.relays import Relays
 from medlarbeam.gateway.server_health import ServerHealth
 from medlarbeam.gateway.server_limits import ServerLimits
@@ -55,6 +56,7 @@
         "pauses",
         "prompts",
         "reachability",
+        "refusals",
         "relays",
         "rights",
         "rng",
@@ -73,6 +75,7 @@
         self.paths = ServerPaths(self)
         self.health = ServerHealth(self)
         self.limits = ServerLimits(self)
+        self.refusals = RefusalLimits(self)
         self.pauses = ServerPauses(self)
         self.prompts = PromptPacing(self)
         self.crashes = CrashSuspects(self)
@@ -94,6 +97,7 @@
                 self.paths,
                 self.health,
                 self.limits,
+                self.refusals,
                 self.pauses,
                 self.prompts,
                 self.crashes,
@@ -130,6 +134,7 @@
             "suspect_servers": self.health.count_suspects(),
             "ordered_servers": len(self.orders.schedulers),
             "limited_servers": len(self.limits.limits),
+            "refusal_limits": self.refusals.count_limited(now),
             "lost_paths": self.paths.count_lost(),
             "paused_servers": self.pauses.count_paused(now),
             "quarantines": self.crashes.count_quarantined(),
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -176,13 +176,18 @@
             relay.reason = blocking.reason
             relay.retry_after_s = blocking.retry_after_s
             self._fire_and_process(relay, "unroutable", now, out)
-        elif now >= limit and not self.node.paths.is_checking(relay.service):
+        elif now >= limit and not self._may_find_server_soon(relay, now):
             relay.reason = relay.reason or "no backend server accepts new work"
             self._fire_and_process(relay, "unroutable", now, out)
         else:
             until = limit if now < limit else inf
             self._wait(relay, min(now + RECHECK_INTERVAL_S, until))
 
+    def _may_find_server_soon(self, relay, now):
+        """Return whether no server is available only for a short time."""
+        service = relay.service
+        return self.node.paths.is_checking(service) or self.node.refusals.is_limited(service, now)
+
     def _wait_for_adapter(self, relay, choice, now, out):
         if choice.ready_in_s is not None:
             self._wait(relay, min(now + choice.ready_in_s, now + DEMAND_INTERVAL_S))
@@ -271,14 +276,15 @@
             relay.record_response_start(now)
             self.node.origins.record_start(relay, now)
             self.node.health.record_response(relay.server.name, now)
-            self._record_load(relay, message, now)
+            self._record_load(relay, message, now, out)
             self.chart.fire(relay, "started", self, now, out, message)
 
-    def _record_load(self, relay, message, now):
-        """Record the load and the rate limit in the headers of a response that has just begun."""
+    def _record_load(self, relay, message, now, out):
+        """Record the load and the limits in the headers of a response that has just begun."""
         self.node.health.record_load(relay.server.name, message.load, now)
         if message.load is not None:
             self.node.limits.observe(relay.server.name, message.load.rate_limit, now)
+            self.node.refusals.observe(relay.server, message.load.refusal_limit, now, out)
 
     def handle_run_completed(self, message, now, out):
         """Record that the caller has received the whole response."""
@@ -287,7 +293,7 @@
             if relay.is_response_started:  # its limit is known since the start
                 self.node.health.record_load(relay.server.name, message.load, now)
             else:
-                self._record_load(relay, message, now)
+                self._record_load(relay, message, now, out)
             self.node.health.record_outcome(relay.server.name, "succeeded", now, out)
             self.node.crashes.record_success(relay.request, now, out)
             self.node.prompts.record_stream(relay, message.timing)
@@ -299,7 +305,7 @@
         relay = self.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        self._record_load(relay, message, now)
+        self._record_load(relay, message, now, out)
         event = "failed" if message.status >= 500 else "succeeded"
         self.node.health.record_outcome(relay.server.name, event, now, out)
         relay.runs += 1
@@ -312,7 +318,7 @@
         relay = self.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        self._record_load(relay, message, now)
+        self._record_load(relay, message, now, out)
         self.refusals.record(relay, message, now, out)
         out.emit(
             LogEvent(
--- a/medlarbeam/gateway/run_refusals.py
+++ b/medlarbeam/gateway/run_refusals.py
@@ -25,6 +25,8 @@
         key = relay.request.key
         relay.reason = f"{server}: {message.reason}"
         relay.refused_by.add(server)
+        if message.status == 503:
+            self.node.refusals.record_refusal(relay.server, now)
         holding = self.node.holdings.find(server, key) if key is not None else None
         if message.status == 0:
             self.node.health.record_outcome(server, "unreachable", now, out)
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -139,13 +139,14 @@
         return [e for e in entries if e.name not in excluded and self._may_send(e, now)]
 
     def _may_send(self, entry, now):
-        """Return whether a server's rate allows a request; for a paused one, the wait says when."""
+        """Return whether its limits allow a request; for a paused server, the wait says when."""
         limits = self.node.limits
-        return (
+        is_in_rate = (
             entry.name not in limits.limits
             or limits.may_send(entry.name, now)
             or self.node.pauses.has_pause(entry)
         )
+        return is_in_rate and self.node.refusals.may_send(entry, now)
 
     def _find_usable(self, names, service, excluded, now):
         """Return the entries of the named servers that accept requests of `service`, in order."""
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -41,6 +41,8 @@
 LEAVING = "Server-Leaving"  # "1" in all responses of a server that takes no new requests
 NOT_RUN = "X-Not-Executed"
 RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
+# Refusals per second, for lack of room, above which the server crashes.
+REFUSAL_LIMIT = "Server-Brittle"
 RESUMES = "Resumes"  # attempt that brought the first event of the stream that is taken up
 RETRY_AFTER = "Retry-After"
 # Number of runs of a request that another node forwards; only read from other nodes.
@@ -110,7 +112,7 @@
     ``Retry-After`` of a server error is removed: it states when that one server takes requests of
     this node again, while another server may take the caller's next attempt at once.
     """
-    internal = {name.lower() for name in (INSTANCE_ID, LEAVING, RATE_LIMIT)}
+    internal = {name.lower() for name in (INSTANCE_ID, LEAVING, RATE_LIMIT, REFUSAL_LIMIT)}
     internal |= {"date", "server", "x-server-load"}
     if status >= 500:
         internal.add(RETRY_AFTER.lower())
@@ -206,11 +208,13 @@
 def parse_load(headers):
     """Return the `ServerLoad` in response headers, None if they have neither load nor limit."""
     rate_limit = _parse_rate(headers.get(RATE_LIMIT, ""))
+    refusal_limit = _parse_number(headers.get(REFUSAL_LIMIT, ""), None)
     parts = headers.get("X-Server-Load", "").split(",")
     if len(parts) != 3:
-        return None if rate_limit is None else ServerLoad(0, 0, 0, rate_limit)
+        has_limit = rate_limit is not None or refusal_limit is not None
+        return ServerLoad(0, 0, 0, rate_limit, refusal_limit) if has_limit else None
     running, waiting, concurrency = (_parse_number(part) for part in parts)
-    return ServerLoad(running, waiting, concurrency, rate_limit)
+    return ServerLoad(running, waiting, concurrency, rate_limit, refusal_limit)
 
 
 def _parse_rate(text):
--- a/medlarbeam/platform/metrics.py
+++ b/medlarbeam/platform/metrics.py
@@ -80,6 +80,7 @@
                 ("ordered_servers", "Backend servers for which this node holds the order right."),
                 ("loads_in_transit", "Adapters that are being loaded on those servers."),
                 ("limited_servers", "Backend servers that name a request rate."),
+                ("refusal_limits", "Services whose backend servers limit their refusals."),
                 ("lost_paths", "Services whose backend servers this node does not reach."),
                 ("paused_servers", "Backend servers that have asked for a pause."),
                 ("quarantines", "Prompt parts and requests that are refused."),
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -107,6 +107,13 @@
         {"X-Server-Load": "1,2,8", "Server-Limit": "0.5"},
         ServerLoad(1, 2, 8, 0.5),
     ),
+    (
+        "refusal-limit-alone",
+        parse_load,
+        {"Server-Brittle": "0"},
+        ServerLoad(0, 0, 0, None, 0),
+    ),
+    ("refusal-limit-is-not-a-number", parse_load, {"Server-Brittle": "-3"}, None),
     ("rate-limit-is-not-a-number", parse_load, {"Server-Limit": "nan"}, None),
     ("leaving", parse_leaving, {"server-leaving": " 1 "}, " 1 "),
     ("not-leaving", parse_leaving, {}, ""),
--- a/medlarbeam/soak/__main__.py
+++ b/medlarbeam/soak/__main__.py
@@ -75,6 +75,7 @@
             deployment.harmful_requests,
             deployment.crashed_at,
             deployment.arrivals,
+            [fall for worker in deployment.workers.values() for fall in worker.falls],
         )
 
 
--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -27,6 +27,7 @@
 MAX_LATE_RUNS = 3
 PAUSE_KNOWN_S = 0.5  # after which requests in a pause count
 MAX_PAUSE_ARRIVALS = 2  # in one pause, from one gateway
+MAX_FALLS = 2  # of the workers of a service, in one time in which they limit their refusals
 RATE_WINDOW_S = 4.0
 RATE_OVERSHOOT = 1.5
 RATE_EXTRA = 5
@@ -52,11 +53,14 @@
         Times (s) of the crashes.
     arrivals : list of ArrivalRecord
         Requests that reached workers, also those that were refused.
+    falls : list of FallRecord
+        Crashes of workers that had to refuse too many requests.
     """
 
     __slots__ = (
         "arrivals",
         "crashed_at",
+        "falls",
         "fault_intervals",
         "harmful_requests",
         "orders",
@@ -75,8 +79,10 @@
         harmful_requests=(),
         crashed_at=(),
         arrivals=(),
+        falls=(),
     ):
         self.arrivals = arrivals
+        self.falls = falls
         self.harmful_requests = harmful_requests
         self.crashed_at = crashed_at
         self.requests = requests
@@ -294,6 +300,22 @@
         )
 
 
+def check_refusal_limits(history):
+    """Yield times of limited refusals in which workers crash more than `MAX_FALLS` times."""
+    for interval in history.fault_intervals:
+        if interval.kind != "refusal_limit":
+            continue
+        if history.overlaps_fault(interval.since, interval.ended_at, DISTURBING_KINDS):
+            continue
+        count = sum(
+            fall.worker.startswith(interval.target)
+            and interval.since <= fall.at < interval.ended_at
+            for fall in history.falls
+        )
+        if count > MAX_FALLS:
+            yield f"LIMIT workers of {interval.target} crashed {count} times from their refusals"
+
+
 def check_response_times(history):
     """Yield requests that waited for a response longer than `RESPONSE_LIMIT_S`."""
     for request in history.requests:
@@ -324,6 +346,7 @@
     check_harmful_requests,
     check_rate_limits,
     check_pauses,
+    check_refusal_limits,
     check_response_times,
     check_recovery,
 ]
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -23,6 +23,8 @@
 DEREGISTERED_S = 0.5  # from the removal of the entry of a worker to its restart
 LEAVE_STEP_S = 1.0
 LEAVE_STEPS = (("entry",), ("header",), ("header", "entry"), ("entry", "header"))
+REFUSAL_LIMIT = 2  # per second
+REFUSALS_KNOWN_S = 3.0  # after which workers let no requests wait any more
 RATE_LIMIT = 6.0  # requests per second
 RATE_LIMIT_S = 5.0
 STORE_LOSS_S = 12.0  # the takeover of a right takes about as long
@@ -245,6 +247,30 @@
         worker.rate_limit = None
 
 
+class RefusalLimit(Fault):
+    """The workers of a service crash when they have to refuse too many requests, and say so."""
+
+    __slots__ = ()
+    name = "refusal_limit"
+
+    def choose(self, deployment, rng):
+        """Return the common part of the names of a service's workers."""
+        return rng.choice(("engine", "ledger"))
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Let the workers name a limit, and refuse what finds no place; see `Fault.apply`."""
+        workers = [w for name, w in deployment.workers.items() if name.startswith(target)]
+        for worker in workers:
+            worker.refusal_limit = REFUSAL_LIMIT
+        await asyncio.sleep(REFUSALS_KNOWN_S)
+        for worker in workers:
+            worker.has_room = False
+        await asyncio.sleep(2 * duration_s)
+        for worker in workers:
+            worker.has_room = True
+            worker.refusal_limit = None
+
+
 class Pause(WorkerLink):
     """A worker turns requests away and asks for a pause: its rest, a short, long or bad value."""
 
@@ -368,6 +394,7 @@
     WorkerLeave(),
     HarmfulPart(),
     RateLimit(),
+    RefusalLimit(),
     Pause(),
     PauseMost(),
     PauseTurns(),
--- a/medlarbeam/soak/tests/test_checker.py
+++ b/medlarbeam/soak/tests/test_checker.py
@@ -5,7 +5,13 @@
 from medlarbeam.soak.checker import History, find_violations
 from medlarbeam.soak.deployment import ADAPTER_CAPACITY
 from medlarbeam.soak.records import INCOMPLETE, FaultInterval, RequestRecord
-from medlarbeam.soak.worker import ArrivalRecord, OrderRecord, RunRecord, expected_body
+from medlarbeam.soak.worker import (
+    ArrivalRecord,
+    FallRecord,
+    OrderRecord,
+    RunRecord,
+    expected_body,
+)
 
 RECOVERY_DEADLINE = 100.0
 
@@ -36,6 +42,7 @@
     harmful_requests=(),
     crashed_at=(),
     arrivals=(),
+    falls=(),
 ):
     """Return the history of a run that recovered, with additional records."""
     final = request("final", at=RECOVERY_DEADLINE + 1.0)
@@ -48,6 +55,7 @@
         list(harmful_requests),
         list(crashed_at),
         list(arrivals),
+        list(falls),
     )
 
 
@@ -70,6 +78,8 @@
 TOLD_LATE = [TOLD, request("late", "read", at=43.0)]
 LATE_RUNS = [run("told", at=40.0), run("late", at=43.0)]
 LATE = [arrival("told", 40.0), arrival("late", 43.0)]
+LIMITED_REFUSALS = FaultInterval("refusal_limit", "engine", 40.0, 48.0)
+FALLS = [FallRecord(f"engine-{number}", 44.0) for number in range(3)]
 VIOLATIONS = [
     (
         "request-after-an-answer-that-the-worker-leaves",
@@ -95,6 +105,11 @@
             "fault_intervals": [FaultInterval("store", "store", 39.0, 44.0)],
         },
     ),
+    (
+        "workers-crash-from-their-refusals",
+        "LIMIT",
+        {"fault_intervals": [LIMITED_REFUSALS], "falls": FALLS},
+    ),
     (
         "requests-go-on-to-reach-a-pausing-worker",
         "BUDGET",
@@ -297,6 +312,17 @@
             "fault_intervals": [STOP],
         },
     ),
+    (
+        "two-crashes-from-refusals",
+        {"fault_intervals": [LIMITED_REFUSALS], "falls": FALLS[:2]},
+    ),
+    (
+        "crashes-from-refusals-of-workers-that-a-gateway-did-not-reach",
+        {
+            "fault_intervals": [LIMITED_REFUSALS, FaultInterval("worker_link", "engine-0", 42, 43)],
+            "falls": FALLS,
+        },
+    ),
     ("two-requests-in-a-pause", {"requests": ASKING, "arrivals": arrive([51.0, 52.0])}),
     (
         "requests-in-the-first-half-second-and-after-a-pause",
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -1,6 +1,7 @@
 """Stand-in backend server that records executed requests and orders for the checker."""
 
 import asyncio
+from collections import deque
 
 from medlarbeam.classes.record import Record
 from medlarbeam.standins.platform_worker import RESPONDERS, PlatformWorker, encode_event
@@ -8,6 +9,7 @@
 __all__ = [
     "HARMFUL_PART",
     "ArrivalRecord",
+    "FallRecord",
     "OrderRecord",
     "RunRecord",
     "SoakWorker",
@@ -19,6 +21,8 @@
 SERVICE_TIME_S = 0.03
 HARMFUL_PART = "bad0"
 FAULTS = ("error", "reset", "half", "refuse")
+PLACES = 4  # requests that run at once
+REFUSAL_WINDOW_S = 1.0
 
 
 class RunRecord(Record):
@@ -32,6 +36,16 @@
         self.started_at = started_at
 
 
+class FallRecord(Record):
+    """Crash (s) of a worker that had to refuse more requests than the limit that it named."""
+
+    __slots__ = ("at", "worker")
+
+    def __init__(self, worker, at):
+        self.worker = worker
+        self.at = at
+
+
 class ArrivalRecord(Record):
     """A request that reached a worker, whether or not it ran.
 
@@ -118,15 +132,22 @@
         Number of the start of the worker.
     crashed : asyncio.Event
         Set when the worker has to be taken down and restarted.
+    has_room : bool
+        Whether it lets requests wait; if not, it refuses those for which no place is free.
+    falls : list of FallRecord
     """
 
     __slots__ = (
         "arrivals",
         "crashed",
+        "falls",
         "fault_probability",
+        "has_room",
         "incarnation",
         "order_records",
+        "refused_at",
         "rng",
+        "running",
         "runs",
     )
 
@@ -140,6 +161,10 @@
         self.fault_probability = 0.0
         self.harmful_part = HARMFUL_PART
         self.crashed = asyncio.Event()
+        self.has_room = True
+        self.running = 0
+        self.refused_at = deque()
+        self.falls = []
 
     async def respond(self, writer, path, headers, body):
         """Execute a request if it is addressed to this worker and its adapter is loaded."""
@@ -153,9 +178,29 @@
             arrival.is_loaded = False
             return self.write_response(writer, 421, b"", b"")
         fault = self.rng.choice(FAULTS) if self.rng.random() < self.fault_probability else "good"
+        if not self.has_room and self.running >= PLACES:
+            self._record_refusal(now)
+            fault = "refuse"
         if fault == "refuse":
             return self.write_response(writer, 503, b"X-Not-Executed: 1\r\n", b"")
         self.runs.append(RunRecord(attempt, self.name, now))
+        self.running += 1
+        try:
+            return await self._execute(writer, attempt, adapter, fault, headers)
+        finally:
+            self.running -= 1
+
+    def _record_refusal(self, now):
+        """Count a refusal for lack of room; the worker crashes above its limit."""
+        self.refused_at.append(now)
+        while self.refused_at[0] < now - REFUSAL_WINDOW_S:
+            self.refused_at.popleft()
+        if self.refusal_limit is not None and len(self.refused_at) > self.refusal_limit:
+            self.refused_at.clear()
+            self.falls.append(FallRecord(self.name, now))
+            self.crashed.set()
+
+    async def _execute(self, writer, attempt, adapter, fault, headers):
         await asyncio.sleep(SERVICE_TIME_S)
         if self.is_harmful(headers):
             self.crashed.set()
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -57,6 +57,8 @@
         Bytes that are added to each event.
     leaving_header : bytes
         Header lines of all responses; `LEAVING_HEADER` for a worker that leaves.
+    refusal_limit : int or None
+        Refusals per second that all responses name, above which the worker crashes.
     rate_limit : float or None
         Requests per second that complete responses name.
     paused_until : float
@@ -83,6 +85,7 @@
         "pause_values",
         "paused_until",
         "rate_limit",
+        "refusal_limit",
         "request_count",
         "response_mode",
         "server",
@@ -99,6 +102,7 @@
         self.harmful_part = ""
         self.leaving_header = b""
         self.rate_limit = None
+        self.refusal_limit = None
         self.padding = 0
         self.paused_until = 0.0
         self.pause_values = ()
@@ -180,6 +184,11 @@
         refusal = f"X-Not-Executed: 1\r\n{lines}".encode()
         return self.write_response(writer, 503, refusal, b"")
 
+    def build_state_headers(self):
+        """Return the header lines of all responses."""
+        limit = self.refusal_limit
+        return self.leaving_header + (b"" if limit is None else b"Server-Brittle: %d\r\n" % limit)
+
     def is_harmful(self, headers):
         """Return whether a request crashes this worker."""
         part = f"{self.harmful_part}:"
@@ -205,7 +214,7 @@
         """Write a response with a length; return True, since the connection stays open."""
         writer.write(
             b"HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n%s"
-            % (status, self.leaving_header, headers, len(body), body)
+            % (status, self.build_state_headers(), headers, len(body), body)
         )
         return True
 
@@ -221,7 +230,7 @@
         status,
         attempt.encode(),
         stamp,
-        worker.leaving_header,
+        worker.build_state_headers(),
         headers,
     )
 
