Make odd entries in the store harmless

One odd entry among those of the backend servers, for example with an adapter that is named by a number, ended the replication of the store for good: the gateway went on with what it knew and followed no change any more, and one that started with such an entry served nobody. Ports out of range, hosts that are no address, negative slots and starts of more than 63 bits were taken as they were; the last cannot be encoded in a datagram.

Cause: decoders raised AttributeError, which nothing caught, and checked types but not ranges. The same held for configurations and for registrations of nodes.

Change: any error of a decoder makes the entry unusable, addresses and numbers must be in range, and an unexpected error lets the store be read anew instead of ending the replication.

--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes and encodes the JSON documents of the platform."""
 
 from base64 import b64decode
+from ipaddress import AddressValueError, IPv4Address
 
 from orjson import JSONDecodeError, dumps, loads
 from xxhash import xxh3_64_hexdigest
@@ -67,6 +68,19 @@
 }
 DEFAULT_MAX_BODY_BYTES = 1 << 20  # if the configuration sets no limit
 DRAINING_BY_STATE = {"ready": False, "draining": True}
+MAX_SLOTS = 1_000_000
+MAX_TIME_MS = 1 << 53  # of a start, the largest integer that every JSON encoder keeps
+MAX_VERSION_DIGITS = 15
+MAX_PORT = 65535
+# What a decoder raises for a document whose values have another type or range than it expects.
+DOCUMENT_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 def read_field(document, name, kind, default=None):
@@ -135,10 +149,35 @@
                 data = b64decode(text, validate=True)
             except ValueError as error:
                 raise FormatError(f"invalid base64 value: {error}") from error
-            return decode(key.removeprefix(prefix), decode_object(data), revision)
+            try:
+                return decode(key.removeprefix(prefix), decode_object(data), revision)
+            except DOCUMENT_ERRORS as error:
+                raise FormatError(f"{type(error).__name__} in the document") from error
     return None
 
 
+def read_whole_number(document, name, minimum, maximum, default=None):
+    """Return an integer field that must be within a range; see `read_field`."""
+    value = read_field(document, name, int, default)
+    if not minimum <= value <= maximum:
+        raise FormatError(f"field {name!r} is not within {minimum} to {maximum}")
+    return value
+
+
+def read_address(document, name):
+    """Return a field with an IPv4 address and a port that a socket can take, as ``ip:port``."""
+    address = read_field(document, name, str)
+    host, _, port = address.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError as error:
+        raise FormatError(f"field {name!r} has no IPv4 address") from error
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        raise FormatError(f"field {name!r} has no port from 1 to {MAX_PORT}")
+    return address
+
+
 def decode_config(name, document, revision):
     """Decode the configuration document into a `FleetConfig`."""
     limits = read_field(document, "limits", dict, {})
@@ -161,6 +200,8 @@
         RouteTarget(read_field(t, "service", str), read_field(t, "weight", float))
         for t in read_field(document, "split", list, [])
     ]
+    if targets and (min(t.weight for t in targets) < 0.0 or not any(t.weight for t in targets)):
+        raise FormatError("the weights of a split are negative, or all are 0")
     if not targets:
         targets = [RouteTarget(read_field(document, "service", str), 1.0)]
     return ServiceRoute(
@@ -180,11 +221,9 @@
 
 def decode_service(document):
     """Decode a service of the configuration into a `Service`."""
+    name = read_field(document, "name", str)
     engine = document.get("engine")
-    return Service(
-        read_field(document, "name", str),
-        decode_engine(engine) if engine else None,
-    )
+    return Service(name, decode_engine(engine) if engine else None)
 
 
 def decode_engine(document):
@@ -212,19 +251,16 @@
     state = DRAINING_BY_STATE.get(read_field(document, "state", str))
     if state is None:
         raise FormatError(f"unknown server state {document['state']!r}")
-    address = read_field(document, "address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise FormatError(f"address {address!r} is not ip:port")
-    concurrency = read_field(document, "slots", int)
+    if not (name.isascii() and name.isprintable()):
+        raise FormatError("the id of a server is no printable ASCII")
     return ServerRegistration(
         name,
         read_field(document, "service", str),
-        address,
+        read_address(document, "address"),
         read_field(document, "zone", str),
-        concurrency,
+        read_whole_number(document, "slots", 1, MAX_SLOTS),
         state,
-        read_field(document, "born", int, 0),
+        read_whole_number(document, "born", 0, MAX_TIME_MS, 0),
         [read_field(m, "name", str) for m in read_field(document, "models", list, [])],
         decode_adapters(read_field(document, "models", list, [])),
         read_field(document, "version", str, ""),
@@ -244,7 +280,7 @@
     return NodeRegistration(
         name,
         read_field(document, "failure_domain", str),
-        read_field(document, "address", str),
+        read_address(document, "address"),
         read_field(document, "incarnation", int),
     )
 
@@ -349,7 +385,11 @@
 def split_version(text):
     """Split ``NAME@VERSION`` into ``(name, version)``; a missing or invalid version is 0."""
     name, _, version = text.partition("@")
-    return name, int(version) if version.isdigit() else 0
+    if not (version.isascii() and version.isdigit()):
+        return name, 0
+    if len(version) > MAX_VERSION_DIGITS:
+        raise FormatError(f"a version has more than {MAX_VERSION_DIGITS} digits")
+    return name, int(version)
 
 
 def decode_adapters(models):
@@ -357,6 +397,8 @@
     adapters = {}
     for model in models:
         for text in read_field(model, "adapters", list, []):
+            if type(text) is not str:
+                raise FormatError("the name of an adapter is no string")
             name, version = split_version(text)
             adapters[AdapterKey(read_field(model, "name", str), name)] = version
     return adapters
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -222,7 +222,9 @@
                 backoff_s = MIN_BACKOFF_S
             except StoreSetBackError:
                 continue
-            except (StoreError, FormatError) as error:
+            except Exception as error:  # the replication must not end while the process runs
+                if not isinstance(error, (StoreError, FormatError)):
+                    log.exception("replication failed", extra={"event": "replication_failed"})
                 if getattr(error, "status", 410) == 410:
                     # The store has no history since this revision, or its events are malformed.
                     self.known_revision = 0
