Check the recovery in the soak after the end of the last fault

The check began 12 s after the period in which faults start, at 711 s, but one of them, store_loss of gw-2, ended at 704.2 s only; gw-2 learnt there that the store had been set back and got its order rights at 713.7 s, 9.5 s later, as designed. The users' rule counts from the end of the last disruption, so the callers now go on until 14 s after it.

--- a/medlarbeam/soak/__main__.py
+++ b/medlarbeam/soak/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import sys
+from math import inf
 from pathlib import Path
 from random import Random
 from tempfile import mkdtemp
@@ -14,10 +15,11 @@
 from medlarbeam.soak.checker import History, find_violations
 from medlarbeam.soak.deployment import Deployment
 from medlarbeam.soak.faults import inject_faults
+from medlarbeam.soak.records import EndTime
 
 __all__ = ["main", "run_soak"]
 
-RECOVERY_S = 12.0  # time allowed for recovery after the last fault is started
+RECOVERY_S = 12.0  # time allowed for recovery after the last fault has ended
 RECOVERY_CHECK_S = 2.0  # duration of the recovery check that follows
 
 
@@ -58,13 +60,15 @@
     requests = []
     async with Deployment(folder, Random(rng.random()), config.gateways) as deployment:
         gateways = list(deployment.gateways.values())
-        recovery_deadline = loop.time() + config.seconds + RECOVERY_S
+        end = EndTime(inf)
         callers = [
             Caller(f"c{seed}-{number}", gateways, Random(rng.random()), requests)
             for number in range(config.callers)
         ]
-        tasks = [asyncio.create_task(c.run(recovery_deadline + RECOVERY_CHECK_S)) for c in callers]
+        tasks = [asyncio.create_task(caller.run(end)) for caller in callers]
         fault_intervals = await inject_faults(deployment, rng, config.seconds, config.pause_s)
+        recovery_deadline = loop.time() + RECOVERY_S
+        end.at = recovery_deadline + RECOVERY_CHECK_S
         await asyncio.gather(*tasks)
         return History(
             requests,
--- a/medlarbeam/soak/callers.py
+++ b/medlarbeam/soak/callers.py
@@ -38,15 +38,15 @@
         self.records = records
         self.sent_count = 0
 
-    async def run(self, until):
-        """Send requests until the event loop's clock reaches `until` (s)."""
+    async def run(self, end):
+        """Send requests until the event loop's clock reaches `end.at` (s)."""
         loop = asyncio.get_running_loop()
         timeout = ClientTimeout(total=DEADLINE_S + 1.0, connect=1.0)
         trace = TraceConfig()
         trace.on_request_headers_sent.append(_mark_headers_sent)
         gateway = self.rng.choice(self.gateways)
         async with ClientSession(timeout=timeout, trace_configs=[trace]) as session:
-            while loop.time() < until:
+            while loop.time() < end.at:
                 record = await self._call(session, gateway)
                 self.records.append(record)
                 if record.status == INCOMPLETE and not record.headers_sent:
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -9,7 +9,7 @@
 
 from medlarbeam.soak.callers import Caller
 from medlarbeam.soak.deployment import ROUTES
-from medlarbeam.soak.records import FaultInterval
+from medlarbeam.soak.records import EndTime, FaultInterval
 from medlarbeam.soak.worker import HARMFUL_PART
 from medlarbeam.standins.platform_store import StoreCopy
 from medlarbeam.standins.platform_worker import LEAVING_HEADER
@@ -219,7 +219,7 @@
 
     async def apply(self, deployment, target, rng, duration_s):
         """Run callers whose prompts contain the harmful part; see `Fault.apply`."""
-        until = asyncio.get_running_loop().time() + HARMFUL_S
+        end = EndTime(asyncio.get_running_loop().time() + HARMFUL_S)
         callers = [
             Caller(
                 f"harmful-{len(deployment.harmful_requests)}-{number}",
@@ -230,7 +230,7 @@
             )
             for number in range(HARMFUL_CALLERS)
         ]
-        await asyncio.gather(*(caller.run(until) for caller in callers))
+        await asyncio.gather(*(caller.run(end) for caller in callers))
 
 
 class RateLimit(WorkerLink):
--- a/medlarbeam/soak/records.py
+++ b/medlarbeam/soak/records.py
@@ -4,7 +4,7 @@
 
 from medlarbeam.classes.record import Record
 
-__all__ = ["INCOMPLETE", "FaultInterval", "RequestRecord"]
+__all__ = ["INCOMPLETE", "EndTime", "FaultInterval", "RequestRecord"]
 
 INCOMPLETE = -1  # status of a request that got no complete response
 
@@ -45,6 +45,15 @@
         self.headers_sent = headers_sent
 
 
+class EndTime(Record):
+    """Time (s) at which callers stop; it may be put off while they run."""
+
+    __slots__ = ("at",)
+
+    def __init__(self, at):
+        self.at = at
+
+
 class FaultInterval(Record):
     """Period (s) in which a fault affects a target: a gateway, a worker or ``store``."""
 
