Publish software versions and streams again after a set-back of the store

A store that comes back from an older copy may lack the streams that a gateway has written. The gateway compared its list with the last one that it had written, found it unchanged and wrote nothing, so that a restart of all gateways before the next stream lost them, and callers' take-ups were refused. test_versions_and_streams_are_written_again_after_a_set_back failed before.

--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -19,6 +19,7 @@
     EntryDeleted,
     EntryUpdated,
     NodeDatagram,
+    StoreSetBack,
     StoreSnapshot,
 )
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
@@ -119,6 +120,7 @@
             EntryUpdated: self.handle_entry_updated,
             EntryDeleted: self.handle_entry_deleted,
             StoreSnapshot: self.handle_snapshot,
+            StoreSetBack: self.handle_set_back,
             NodeDatagram: self.handle_datagram,
         }
 
@@ -153,6 +155,12 @@
             self.handle_entry_updated(entry, now, out)
         self._review(now, out)
 
+    def handle_set_back(self, message, now, out):
+        """Publish the streams again, which the store may have lost."""
+        self.published = []
+        if self.origins:
+            self._schedule_reports(now)
+
     def _follow_membership(self, now, out):
         if self.known_membership != self.node.fleet.membership_version:
             self._review(now, out)
--- a/medlarbeam/gateway/tests/test_stream_origins.py
+++ b/medlarbeam/gateway/tests/test_stream_origins.py
@@ -28,6 +28,7 @@
     RunCompleted,
     RunInterrupted,
     RunStarted,
+    StoreSetBack,
     StoreSnapshot,
 )
 from medlarbeam.exceptions import ErrorKind, RunState
@@ -281,6 +282,23 @@
         assert {e.version for e in writes if isinstance(e, WithdrawSoftwareVersion)} == {NEW}
 
 
+def test_versions_and_streams_are_written_again_after_a_set_back():
+    harness = make_harness(servers=MIXED, nodes=[PEER])
+    for version in (OLD, NEW):
+        store_version(harness, version)
+    begin_stream(harness)
+    _, published = list_reports(harness.pass_time(1.0))
+    assert published.keys() == {"id-1"}
+    harness.deliver(StoreSetBack(1))
+    servers = [EntryUpdated(f"servers/{s.name}", s, 2) for s in MIXED]
+    nodes = [EntryUpdated("node/n2", PEER, 3)]
+    harness.deliver(StoreSnapshot([*servers, *nodes], 5, 1))
+    effects = harness.pass_time(5.0)
+    versions = {e.version for e in effects if isinstance(e, PublishSoftwareVersion)}
+    assert versions == {OLD, NEW}
+    assert list_reports(effects)[1].keys() == {"id-1"}
+
+
 def test_restarted_fleet_learns_the_versions_that_left_from_the_store():
     harness = make_harness(servers=MIXED[2:])
     entries = [EntryUpdated(f"software/{v}", v, 1) for v in (OLD, NEW)]
