--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -164,6 +164,14 @@
     return value
 
 
+def read_texts(document, name):
+    """Return a list of strings, empty if the field is missing; see `read_field`."""
+    texts = read_field(document, name, list, [])
+    if not all(type(text) is str for text in texts):
+        raise FormatError(f"field {name!r} is not a list of strings")
+    return texts
+
+
 def read_address(document, name):
     """Return a field with an IPv4 address and a port that a socket can take, as ``ip:port``."""
     address = read_field(document, name, str)
@@ -312,10 +320,8 @@
     """Decode the `StreamReport` of the node `name`."""
     streams = []
     for item in read_field(document, "streams", list):
-        attempts = read_field(item, "attempts", list)
-        if not all(type(attempt) is str for attempt in attempts):
-            raise FormatError("an attempt id is not a string")
-        streams.append(VersionStreams(decode_software_version("", item, revision), attempts))
+        version = decode_software_version("", item, revision)
+        streams.append(VersionStreams(version, read_texts(item, "attempts")))
     return StreamReport(name, streams)
 
 
@@ -396,9 +402,7 @@
     """Return the versions by `AdapterKey` of the adapters in a backend server's model list."""
     adapters = {}
     for model in models:
-        for text in read_field(model, "adapters", list, []):
-            if type(text) is not str:
-                raise FormatError("the name of an adapter is no string")
+        for text in read_texts(model, "adapters"):
             name, version = split_version(text)
             adapters[AdapterKey(read_field(model, "name", str), name)] = version
     return adapters
@@ -408,7 +412,7 @@
     """Decode the report of an engine into an `EngineState`."""
     models = read_field(document, "models", list)
     loading = {}
-    for text in read_field(document, "coming", list, []):
+    for text in read_texts(document, "coming"):
         model, _, adapter = text.partition("/")
         name, version = split_version(adapter)
         loading[AdapterKey(model, name)] = version
