--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -139,7 +139,7 @@
         if isinstance(value, SoftwareVersion):
             self.entries[message.key] = message
             self._note_version(value, now)
-        elif isinstance(value, StreamReport):
+        elif isinstance(value, StreamReport) and value.node != self.node.settings.name:
             self._note_streams(value, now)
         self._follow_membership(now, out)
 
@@ -153,6 +153,9 @@
         self.entries = {}
         for entry in message.entries:
             self.handle_entry_updated(entry, now, out)
+            if isinstance(entry.value, StreamReport):
+                # That of this node is of an earlier process, whose streams it goes on to publish.
+                self._note_streams(entry.value, now)
         self._review(now, out)
 
     def handle_set_back(self, message, now, out):
@@ -293,7 +296,6 @@
             self._note_streams(body, now)
 
     def _note_streams(self, report, now):
-        # The entry of this node may be of an earlier process, whose streams it goes on to publish.
         is_own = report.node == self.node.settings.name
         for item in report.streams:
             self._note_version(item.version, now)
--- a/medlarbeam/gateway/tests/test_stream_origins.py
+++ b/medlarbeam/gateway/tests/test_stream_origins.py
@@ -74,6 +74,13 @@
     harness.write_entry(f"streams/{node}", report(node, "id-1", version=version))
 
 
+def restart_with_streams(harness, version):
+    """Let the gateway read its first snapshot with the streams of its earlier process."""
+    entry = EntryUpdated("streams/n1", report("n1", "id-1", version=version), 1)
+    servers = [EntryUpdated(f"servers/{s.name}", s, 2) for s in MIXED]
+    harness.deliver(StoreSnapshot([entry, *servers, EntryUpdated("node/n2", PEER, 3)], 30, 0))
+
+
 def store_version(harness, version):
     harness.write_entry(f"software/{version}", version)
 
@@ -135,7 +142,7 @@
     ("other-node-reported-the-old-version", MIXED, [(hear_streams, OLD)], "v1"),
     ("other-node-reported-the-new-version", MIXED, [(hear_streams, NEW)], "v2"),
     ("store-names-the-old-version", MIXED, [(store_streams, "n2", OLD)], "v1"),
-    ("earlier-process-of-the-node-began-it", MIXED, [(store_streams, "n1", NEW)], "v2"),
+    ("earlier-process-of-the-node-began-it", MIXED, [(restart_with_streams, NEW)], "v2"),
     ("all-servers-run-one-version", MIXED[:2], [], "v1"),
     ("servers-of-the-other-version-have-left", MIXED, [(remove_servers, "v1")], ""),
     (
@@ -252,12 +259,25 @@
 
 def test_streams_of_the_earlier_process_stay_published():
     harness = make_harness(servers=MIXED, nodes=[PEER])
-    store_streams(harness, "n1", NEW)
+    restart_with_streams(harness, NEW)
     begin_stream(harness, "id-2")
     _, published = list_reports(harness.pass_time(1.0))
     assert published.keys() == {"id-1", "id-2"}
 
 
+def test_stream_that_ended_is_not_published_for_ever():
+    harness = make_harness(servers=MIXED, nodes=[PEER])
+    first = begin_stream(harness)
+    effects = harness.pass_time(1.0)
+    harness.deliver(RunCompleted(first.run_id, 200, None))
+    harness.pass_time(10.0)
+    for effect in [e for e in effects if isinstance(e, PublishStreams)]:
+        harness.write_entry("streams/n1", effect.report)  # the watch shows it late
+    begin_stream(harness, "id-2")
+    _, published = list_reports(harness.pass_time(1.0))
+    assert published.keys() == {"id-2"}
+
+
 # Entries of the store, whether the servers of the new version leave, and the writes that follow.
 ENTRIES = [
     ("version-without-an-entry-is-written", [], False, [PublishSoftwareVersion]),
