--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -111,7 +111,7 @@
             return
         failure = self.node.origins.bind(relay, now)
         if failure is not None:
-            self._refuse(request, failure, self.node.settings.max_store_lag_s, out)
+            self._refuse(request, failure, 0.0, out)
             return
         relay.goal_at = now + route.latency_goal_s - self.elapsed_times.estimate(relay, now)
         self.open_relays[request.request_id] = relay
--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -37,7 +37,7 @@
 # with their number, so that neither a node nor the store gets more than a fixed number a second.
 MIN_REPORT_INTERVAL_S = 0.03
 REPORT_INTERVAL_S = 0.0125  # for each node
-MIN_PUBLISH_INTERVAL_S = 0.5
+MIN_PUBLISH_INTERVAL_S = 0.25
 PUBLISH_INTERVAL_S = 0.03  # for each node
 WRITE_STEP_S = 0.5  # between nodes that write the entry of a version; a written one is seen sooner
 REVIEW_INTERVAL_S = 5.0
