Follow forwarded requests in medlarctl explain

A request that went through another gateway has lines there under another id. Given the logs of both, explain shows the lines with the same attempt, and losses of the path, versions and limits around them.

--- a/medlarbeam/cli/explain.py
+++ b/medlarbeam/cli/explain.py
@@ -15,6 +15,7 @@
 PAUSE_EVENTS = {"server_pause_ended", "server_paused"}
 SERVER_NAME = re.compile(r"\b(?:server|better)=(\S+)|\bon (\S+), ordered by (\S+)")
 LEAVING = re.compile(r"\ball \d+ backend servers of .* leave: ")
+ATTEMPT = re.compile(r"\battempt=(\S+)")
 ADAPTER = re.compile(r"\badapter=(\S+)|\bwaited for (\S+) on ")
 CONTEXT_EVENTS = {
     "config_adopted",
@@ -22,9 +23,14 @@
     "lines_dropped",
     "node_heard",
     "node_silent",
+    "path_lost",
+    "path_regained",
     "ready",
+    "refusals_limited",
     "registered",
     "registration_lost",
+    "software_gone",
+    "software_known",
     "store_lost",
     "store_snapshot",
 }
@@ -56,7 +62,8 @@
     cause : str
         Why the gateway refused the request, as far as it is known, "" otherwise.
     lines : list of dict
-        Fields of the lines with its request id, in order.
+        Fields of the lines with its request id, in order, also of those that it has at a node to
+        which it was forwarded.
     context : list of dict
         Fields of the lines about its backend servers, adapter and node from the same period.
     """
@@ -115,13 +122,32 @@
     """
     lines = list(lines)
     request_id = _find_request(requested_id, lines)
-    own_lines = [line for line in lines if line.get("request_id") == request_id]
-    ends = [_find_outcome(line) for line in own_lines if line["event"] in OUTCOMES]
+    request_ids = {request_id, *_find_forwarded(request_id, lines)}
+    own_lines = [line for line in lines if line.get("request_id") in request_ids]
+    own_lines.sort(key=lambda line: line["time_s"])
+    # At another node the same request has an outcome of its own.
+    own_ends = [line for line in own_lines if line["request_id"] == request_id]
+    ends = [_find_outcome(line) for line in own_ends if line["event"] in OUTCOMES]
     outcome = ends[-1] if ends else NO_OUTCOME
     context = _find_context(own_lines, lines)
     return Explanation(request_id, outcome, _find_cause(own_lines, context), own_lines, context)
 
 
+def _find_forwarded(request_id, lines):
+    """Return the ids that a forwarded request has at other nodes, which log the same attempt."""
+    forwarded = [
+        line
+        for line in lines
+        if line["event"] == "request_forwarded" and line.get("request_id") == request_id
+    ]
+    attempts = _find_names(ATTEMPT, forwarded)
+    return {
+        line["request_id"]
+        for line in lines
+        if attempts and line.get("request_id") and _find_names(ATTEMPT, [line]) & attempts
+    }
+
+
 def _find_cause(own_lines, context):
     """Return which backend servers had announced their leaving, if that caused the refusal."""
     refusals = [line for line in own_lines if LEAVING.search(line["message"])]
--- a/medlarbeam/cli/tests/test_explain.py
+++ b/medlarbeam/cli/tests/test_explain.py
@@ -184,6 +184,31 @@
     assert all(line["request_id"] == explanation.request_id for line in explanation.lines)
 
 
+def make_line(time_s, node, event, message, request_id=""):
+    line = {"time_s": time_s, "node": node, "event": event, "message": message}
+    return {**line, "request_id": request_id} if request_id else line
+
+
+FORWARDED = [
+    make_line(9.0, "n1", "path_lost", "service=ledger"),
+    make_line(10.0, "n1", "request_forwarded", "run=r1.f1 node=n2 attempt=id-1", "r1"),
+    make_line(10.1, "n2", "run_sent", "run=q7.1 server=l1 attempt=id-1", "q7"),
+    make_line(10.2, "n2", "run_refused", "run=q7.1 status=503 l1: full", "q7"),
+    make_line(10.3, "n2", "request_refused", "attempt=id-1 Failure(no_server)", "q7"),
+    make_line(10.4, "n1", "request_refused", "attempt=id-1 Failure(no_server)", "r1"),
+    make_line(10.5, "n2", "run_sent", "run=q8.1 server=l1 attempt=id-2", "q8"),
+]
+
+
+@pytest.mark.parametrize("requested_id", ["r1", "id-1"], ids=["by-gateway-id", "by-attempt-id"])
+def test_forwarded_request_is_followed_to_the_other_node(requested_id):
+    explanation = explain_request(requested_id, FORWARDED)
+    assert explanation.request_id == "r1"
+    assert explanation.outcome == OUTCOMES["request_refused"]
+    assert {line["request_id"] for line in explanation.lines} == {"r1", "q7"}
+    assert [line["event"] for line in explanation.context] == ["path_lost"]
+
+
 CAUSES = [
     ("leaving-servers-are-named", log_refusal_after_servers_left, ["other0", "l1", "other1", "l2"]),
     ("refusal-with-another-cause", log_refused_stream, []),
