Move stalled runs to another gateway when the path is lost, and bound remembered streams

Runs on connections that hang when the path to the servers is lost stayed there until the caller's deadline if no backend server seemed better, since each of them is out of reach. They now go to another gateway, within the attempts and the retry budget of the route.

Streams that other gateways report were remembered without a bound between two reviews. Both were found by reading the change; test_run_that_stalls_moves_to_another_node_only_without_a_path and test_number_of_remembered_streams_is_bounded failed before.

--- a/medlarbeam/gateway/stalled_runs.py
+++ b/medlarbeam/gateway/stalled_runs.py
@@ -12,7 +12,7 @@
 
 
 class StalledRuns(Component):
-    """Moves stalled runs to other backend servers."""
+    """Moves stalled runs to other backend servers, or to other nodes if the path is lost."""
 
     __slots__ = ()
 
@@ -40,7 +40,8 @@
                 relay.request.request_id,
             )
         )
-        if not better:
+        is_path_lost = self.node.paths.is_lost(relay.service)
+        if not better and not (may_move and is_path_lost):
             return
         self.node.crashes.record_cancelled_run(relay, now)
         out.emit(CancelFleetRun(message.run_id))
--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -84,6 +84,10 @@
         Entries of the store that name versions, by key.
     versions : dict of str to list of SoftwareVersion
         Versions in `present_at` by service.
+    write_at : dict of SoftwareVersion to float
+        Time (s) at which this node writes or deletes the entry of a version.
+    unreported, published : list of str
+        Attempt ids that the other nodes are not told of yet, and those last written to the store.
     """
 
     __slots__ = (
@@ -274,14 +278,17 @@
         attempt = relay.request.attempt_id
         if not relay.route.resumable or not attempt:
             return
-        while len(self.origins) >= MAX_ORIGINS:
-            del self.origins[next(iter(self.origins))]
         version = SoftwareVersion(relay.service, relay.server.software)
-        self.origins[attempt] = StreamOrigin(version, True, inf)
+        self._remember(attempt, StreamOrigin(version, True, inf))
         if self.is_ambiguous(relay.route):
             self.unreported.append(attempt)
             self._schedule_reports(now)
 
+    def _remember(self, attempt, origin):
+        while len(self.origins) >= MAX_ORIGINS:
+            del self.origins[next(iter(self.origins))]
+        self.origins[attempt] = origin
+
     def record_end(self, relay, now):
         """Record that a stream has ended at this node; its caller may take it up again."""
         origin = self.origins.get(relay.request.attempt_id)
@@ -302,7 +309,8 @@
             for attempt in item.attempts:
                 origin = self.origins.get(attempt)
                 if origin is None:
-                    self.origins[attempt] = StreamOrigin(item.version, is_own, now + RETENTION_S)
+                    expires_at = now + RETENTION_S
+                    self._remember(attempt, StreamOrigin(item.version, is_own, expires_at))
                 elif origin.expires_at < inf and not origin.is_own:
                     origin.expires_at = now + RETENTION_S
 
--- a/medlarbeam/gateway/tests/test_forwarding.py
+++ b/medlarbeam/gateway/tests/test_forwarding.py
@@ -25,6 +25,7 @@
     RunErrorResponse,
     RunInterrupted,
     RunRefused,
+    RunStalled,
     RunStarted,
 )
 from medlarbeam.classes.peer_messages import DeathReport, PathReport
@@ -108,6 +109,19 @@
     assert harness.gateway.relays.open_relays["r1"].nodes == {"n2"}
 
 
+@pytest.mark.parametrize(("is_lost", "moves"), [(True, True), (False, False)], ids=str)
+def test_run_that_stalls_moves_to_another_node_only_without_a_path(is_lost, moves):
+    harness = make_harness(servers=SERVERS[:1], nodes=[NEAR], rights=own_rights())
+    stalled = send(harness, "chat")
+    if is_lost:
+        harness.effects = []
+        harness.gateway.paths.record_failure("w0", harness.now, Recorder(harness))
+        fail_to_connect(harness)
+    harness.deliver(RunStalled(stalled.run_id, 0, 0.6))
+    nodes = [start.server.name for start in harness.find(StartFleetRun)]
+    assert nodes == (["n2"] if moves else [])
+
+
 # What is known of the other nodes, and the node that gets the request, "" for a server.
 CHOICES = [
     ("node-of-the-same-domain-is-preferred", [NEAR, FAR], [], "n2"),
--- a/medlarbeam/gateway/tests/test_stream_origins.py
+++ b/medlarbeam/gateway/tests/test_stream_origins.py
@@ -32,6 +32,7 @@
     StoreSnapshot,
 )
 from medlarbeam.exceptions import ErrorKind, RunState
+from medlarbeam.gateway import stream_origins
 from medlarbeam.gateway.relay import Relay
 from medlarbeam.gateway.stream_origins import RETENTION_S, StreamOrigins
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_harness, make_server
@@ -265,6 +266,14 @@
     assert published.keys() == {"id-1", "id-2"}
 
 
+def test_number_of_remembered_streams_is_bounded(monkeypatch):
+    monkeypatch.setattr(stream_origins, "MAX_ORIGINS", 10)
+    harness = make_harness(servers=MIXED, nodes=[PEER])
+    for number in range(30):
+        harness.deliver(NodeDatagram(report("n2", f"id-{number}")))
+    assert list(harness.gateway.origins.origins) == [f"id-{number}" for number in range(20, 30)]
+
+
 def test_stream_that_ended_is_not_published_for_ever():
     harness = make_harness(servers=MIXED, nodes=[PEER])
     first = begin_stream(harness)
