--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,5 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:.:review
+python3 -c 'import harness' || exit 2
 exec python3 "$here/case.py"
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,82 +1,126 @@
-"""Gateways miss a configuration for seconds after their connections to the store went silent.
+"""A gateway answers nobody for seconds while a worker sends line feeds without end.
 
-Three gateways, nine model workers and three others. All open connections between the gateways and
-the store go silent at once; new ones work. Half a second later the operator adds a route.
+One gateway, three workers of a ledger and one model worker. Payments come at ten a second. Eight
+clients ask for a stream, and the model worker answers each with a body of line feeds that doesn't
+end before the caller closes. The model worker and these clients are processes of their own.
 """
 
 import asyncio
+import sys
 import time
 from pathlib import Path
 
-from harness import TROUBLE, Deployment, Worker, build_route, request, run_case
+from harness import TROUBLE, Deployment, Worker, build_route, find_free_addresses, request, run_case
 
-HEARTBEAT_S = 1.2
-CALM_S = 10.0  # after the start
-CHANGE_AFTER_S = 0.5  # after the connections went silent
-CONTACT_S = 3.0
-CONFIG_APPLY_S = 2.0
-WATCHED_S = 14.0
-ASK_INTERVAL_S = 0.05
+STREAMS = 8
+CALM_S = 3.0
+WATCHED_S = 9.0
+PAY_INTERVAL_S = 0.1
+PAY_TIMEOUT_S = 1.2  # `timeoutMs` of the route
+PAY_DEADLINE_S = 2.5
+LATE_S = 0.5
+LEAST_REQUESTS = 10  # unanswered ones, for a verdict
+PEER = str(Path(__file__).with_name("peer.py"))
 
 
-async def keep_writing_entry(deployment, worker):
-    """Write the entry of a worker at each heartbeat."""
+class RemoteWorker(Worker):
+    """Worker in a process of its own, at an address that is known before."""
+
+    async def start(self):
+        """Do nothing; the process listens."""
+
+    def stop(self):
+        """Do nothing; the process is ended by the case."""
+
+
+async def start_peer(*words):
+    """Start a process of `peer.py`."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable, PEER, *words, stdout=asyncio.subprocess.PIPE
+    )
+
+
+async def pay(gateway, number, record, results):
+    """Post one payment and note how long its answer took."""
+    attempt = f"{number:016x}"
+    headers = [("X-Attempt-Id", attempt), ("X-Deadline-Ms", "2500")]
+    answer = await request(
+        gateway.front, "POST", "/pay/2f", headers, b"amount=5", timeout_s=PAY_DEADLINE_S
+    )
+    results.append(answer)
+    record.add(f"client got for {attempt}: {answer.status} {answer.end} {answer.seconds:.3f} s")
+
+
+async def pay_steadily(gateway, record, results):
+    """Start a payment at each interval."""
+    for number in range(1, 1 << 30):
+        asyncio.create_task(pay(gateway, number, record, results))
+        await asyncio.sleep(PAY_INTERVAL_S)
+
+
+async def check_readiness(gateway, record):
+    """Ask once a second whether the gateway is ready, like the load balancer."""
     while True:
-        await asyncio.sleep(HEARTBEAT_S)
-        worker.orders += 1
-        deployment.store.register(worker)
+        answer = await request(gateway.ready, "GET", "/readyz", timeout_s=1.0)
+        record.add(f"readiness: {answer.status} {answer.end} {answer.seconds:.3f} s")
+        await asyncio.sleep(1.0)
 
 
-async def keep_asking(deployment, gateway, path, record, results):
-    """Send requests to one gateway and note when each was sent and what came back."""
-    number = 0
+async def measure_lag(lags):
+    """Measure by how much the event loop of this process is late."""
     while True:
-        number += 1
-        attempt = f"{gateway.name[-1]}{path[1:4].encode().hex()}{number:08x}"
-        sent_at = time.monotonic()
-        headers = [("X-Attempt-Id", attempt), ("X-Deadline-Ms", "2500")]
-        answer = await request(gateway.front, "GET", path, headers)
-        results.append((sent_at, gateway.name, answer.status))
-        record.add(f"client got from {gateway.name} for {path} ({attempt}): {answer.status}")
-        await asyncio.sleep(ASK_INTERVAL_S)
+        at = time.monotonic()
+        await asyncio.sleep(0.01)
+        lags.append(time.monotonic() - at - 0.01)
+
+
+async def play(deployment, record):
+    """Play the case and return the answers to the payments and the longest lag (s)."""
+    gateway = deployment.gateways[0]
+    results, lags = [], []
+    tasks = [
+        asyncio.create_task(pay_steadily(gateway, record, results)),
+        asyncio.create_task(check_readiness(gateway, record)),
+        asyncio.create_task(measure_lag(lags)),
+    ]
+    await asyncio.sleep(CALM_S)
+    host, _, port = gateway.front.rpartition(":")
+    record.add(f"{STREAMS} clients ask for a stream")
+    clients = [await start_peer("client", host, port, f"b{n:015x}") for n in range(STREAMS)]
+    await asyncio.sleep(WATCHED_S)
+    for task in tasks:
+        task.cancel()
+    for client in clients:
+        output, _ = await client.communicate()
+        record.add(f"client of a stream: {output.decode().strip()}")
+    return results, max(lags)
 
 
 async def main(record):
     """Play the case and return the exit status."""
-    workers = [Worker(f"i-{number}", "llm", record) for number in range(1, 10)]
-    workers += [Worker(f"i-{number}", "till", record) for number in range(10, 13)]
-    read = build_route("read", "idempotent", "till", timeoutMs=1200, goalLatencyMs=150)
-    new = build_route("new", "idempotent", "till", timeoutMs=1200, goalLatencyMs=150)
-    async with Deployment(record, workers, [read], gateways=3) as deployment:
-        tasks = [asyncio.create_task(keep_writing_entry(deployment, w)) for w in workers]
-        old_results, new_results = [], []
-        for gateway in deployment.gateways:
-            asking = keep_asking(deployment, gateway, "/read/2f", record, old_results)
-            tasks.append(asyncio.create_task(asking))
-        await asyncio.sleep(CALM_S)
-        silent_at = time.monotonic()
-        if TROUBLE:
-            counts = [link.silence() for link in deployment.store_links]
-            record.add(f"connections to the store that go silent, by gateway: {counts}")
-        await asyncio.sleep(CHANGE_AFTER_S)
-        deployment.store.write_config([read, new])
-        acknowledged_at = time.monotonic()
-        record.add("the store acknowledges a configuration with the route /new/")
-        for gateway in deployment.gateways:
-            asking = keep_asking(deployment, gateway, "/new/2f", record, new_results)
-            tasks.append(asyncio.create_task(asking))
-        await asyncio.sleep(WATCHED_S)
-        for task in tasks:
-            task.cancel()
-    due_at = max(acknowledged_at + CONFIG_APPLY_S, silent_at + CONTACT_S)
-    late = [at - silent_at for at, _, status in new_results if status == 404 and at > due_at]
-    served = sum(status == 200 for _, _, status in new_results)
+    workers = [Worker(f"i-{number}", "till", record, slots=6) for number in range(1, 4)]
+    engine = RemoteWorker("i-4", "llm", record)
+    (engine.address,) = find_free_addresses(1)
+    port = engine.address.rpartition(":")[2]
+    routes = [
+        build_route("pay", "non_idempotent", "till", attempts=1, timeoutMs=1200, goalLatencyMs=150),
+        build_route("chat", "streaming", "llm", resumable=True, gapAimMs=250),
+    ]
+    peer = await start_peer("worker", port, str(int(TROUBLE)))
+    try:
+        async with Deployment(record, [*workers, engine], routes) as deployment:
+            results, lag_s = await play(deployment, record)
+    finally:
+        peer.kill()
+        await peer.wait()
+    unanswered = [answer for answer in results if answer.seconds > PAY_TIMEOUT_S]
+    late = [answer for answer in unanswered if answer.seconds > PAY_TIMEOUT_S + LATE_S]
+    is_broken = len(unanswered) >= LEAST_REQUESTS and 2 * len(late) > len(unanswered)
     text = (
-        f"{len(late)} requests on the new route got 404 though sent up to "
-        f"{max(late, default=0.0):.2f} s after the connections went silent; "
-        f"due from {due_at - silent_at:.2f} s; {served} of {len(new_results)} were served"
+        f"of {len(results)} payments {len(unanswered)} had no answer at their route's timeout, "
+        f"{len(late)} of these none {LATE_S} s later; lag of this process {lag_s:.3f} s"
     )
-    return record.conclude(bool(late), text)
+    return record.conclude(is_broken, text)
 
 
 if __name__ == "__main__":
--- a/review/harness.py
+++ b/review/harness.py
@@ -17,7 +17,7 @@
 from base64 import b64decode, b64encode
 from pathlib import Path
 
-from aiohttp.web import AppRunner, Response
+from aiohttp.web import AppRunner, Response, middleware
 from orjson import dumps, loads
 
 from medlarbeam.standins.platform_store import PlatformStore
@@ -129,7 +129,7 @@
         """Listen on a free loopback port, or on the former one."""
         host, port = "127.0.0.1", int(self.address.rpartition(":")[2] or 0)
         self.server = await asyncio.start_server(self.serve, host, port)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     def stop(self):
         """Close the listener and reset all connections."""
@@ -304,8 +304,6 @@
     @property
     def inject(self):
         """Return the middleware that applies `faults`."""
-        from aiohttp.web import middleware
-
         @middleware
         async def apply(request, handler):
             port = request.transport.get_extra_info("sockname")[1]
@@ -374,7 +372,7 @@
         """Accept connections, at the former address if there was one."""
         port = int(self.address.rpartition(":")[2] or 0)
         self.server = await asyncio.start_server(self.forward, "127.0.0.1", port)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     def cut(self):
         """Reset the open connections and refuse new ones."""
@@ -453,7 +451,11 @@
         env["PYTHONPATH"] = f"{ROOT / 'target/deps'}:{ROOT}"
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         self.process = await asyncio.create_subprocess_exec(
-            *words, env=env, cwd=ROOT, stdout=self.log_path.open("ab"), stderr=asyncio.subprocess.STDOUT
+            *words,
+            env=env,
+            cwd=ROOT,
+            stdout=self.log_path.open("ab"),
+            stderr=asyncio.subprocess.STDOUT,
         )
 
     def send_signal(self, number):
@@ -627,7 +629,7 @@
     record = Record(folder)
     try:
         status = asyncio.run(asyncio.wait_for(main(record), 115.0))
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         record.add(f"could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         status = 2
