--- a/review/2/case.py
+++ b/review/2/case.py
@@ -76,7 +76,7 @@
 
 
 async def play(deployment, record):
-    """Play the case; return the answers to payments, the times of streams and the longest lag (s)."""
+    """Play the case; return the answers, the times of the streams and the longest lag (s)."""
     gateway = deployment.gateways[0]
     results, lags = [], []
     tasks = [
--- a/review/2/peer.py
+++ b/review/2/peer.py
@@ -2,8 +2,8 @@
 
 ``worker PORT TROUBLE`` is a worker of the streaming service. With TROUBLE 1 the body of its answers
 is a line feed without end, until the caller closes; else it is a stream of ten events.
-``client HOST PORT ATTEMPT`` asks for one stream, reads it as it comes, and prints how long it took and
-how it ended.
+``client HOST PORT ATTEMPT`` asks for one stream, reads it as it comes, and prints how long it took
+and how it ended.
 """
 
 import asyncio
