Bind forwarded streams to the software version that began them

Callers saw events of two software versions in one answer: a gateway that was cut off from all backend servers forwarded their streams, and when its path was back and the gateway that served them was killed, it resumed them at any server of the service.

Cause: Relays records the version that brings the first event of a stream, and Forwarding, its twin for requests that go through another gateway, did not; the answer of the other gateway did not say it.

Change: the answer to a forwarded request states the origin of the stream (Medlarbeam-Origin), and so does a forwarded rest of a stream. Both paths record it in StreamOrigins.

The service that the other gateway chose on a route with several targets is bound by the same record.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -296,6 +296,10 @@
         self.started_at_ms = started_at_ms
         self.models = models
 
+    def software_version(self):
+        """Return the `SoftwareVersion` of the backend server."""
+        return SoftwareVersion(self.service, self.software)
+
 
 class EngineState(Record):
     """State of an engine, as reported by the engine.
--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -76,6 +76,8 @@
     forwarded_runs : int or None
         Number of runs so far of a request that is forwarded to another node, which `server` then
         stands for; None if `server` is a backend server.
+    origin : SoftwareVersion or None
+        Version that has begun the stream, for the node to which the rest of it is forwarded.
     """
 
     __slots__ = (
@@ -85,6 +87,7 @@
         "forwarded_runs",
         "is_stream",
         "needs_new_connection",
+        "origin",
         "priority",
         "request_id",
         "run_id",
@@ -105,8 +108,10 @@
         first_event_timeout_s,
         event_gap_timeout_s,
         forwarded_runs=None,
+        origin=None,
     ):
         self.forwarded_runs = forwarded_runs
+        self.origin = origin
         self.first_event_timeout_s = first_event_timeout_s
         self.event_gap_timeout_s = event_gap_timeout_s
         self.run_id = run_id
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -58,6 +58,8 @@
         Id of the attempt that brought the first event of that stream, "" if it names none.
     runs_elsewhere : int or None
         Number of runs of a request that another node forwards, None if it comes from a caller.
+    origin : SoftwareVersion or None
+        Version that has begun the stream that goes on, if a node that forwards the request knows.
     """
 
     __slots__ = (
@@ -67,6 +69,7 @@
         "host",
         "key",
         "last_event",
+        "origin",
         "path",
         "prompt_tokens",
         "request_id",
@@ -91,8 +94,10 @@
         last_event=0,
         resumed_attempt="",
         runs_elsewhere=None,
+        origin=None,
     ):
         self.runs_elsewhere = runs_elsewhere
+        self.origin = origin
         self.last_event = last_event
         self.resumed_attempt = resumed_attempt
         self.request_id = request_id
@@ -132,13 +137,17 @@
     ----------
     run_id : str
     load : ServerLoad or None
+    origin : SoftwareVersion or None
+        Version of the backend server, as stated by the node to which the request was forwarded;
+        None if that node states none, or if the response comes from the backend server itself.
     """
 
-    __slots__ = ("load", "run_id")
+    __slots__ = ("load", "origin", "run_id")
 
-    def __init__(self, run_id, load):
+    def __init__(self, run_id, load, origin=None):
         self.run_id = run_id
         self.load = load
+        self.origin = origin
 
 
 class RunCompleted(Record):
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -3,7 +3,7 @@
 from math import inf
 
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.fleet import RouteKind, ServerRegistration
+from medlarbeam.classes.fleet import RouteKind, ServerRegistration, SoftwareVersion
 from medlarbeam.classes.gateway_effects import CancelFleetRun, StartFleetRun
 from medlarbeam.classes.gateway_messages import (
     RunCompleted,
@@ -96,6 +96,8 @@
         self.relays_by_run[relay.run_id] = relay
         self.node.relays.advance(relay, "forwarded", None, now, out)
         route = relay.route
+        is_bound = relay.software is not None
+        origin = SoftwareVersion(relay.service, relay.software) if is_bound else None
         out.emit(
             StartFleetRun(
                 relay.run_id,
@@ -109,6 +111,7 @@
                 inf,  # the other node moves stalled runs
                 inf,
                 relay.runs,
+                origin,
             )
         )
         out.emit(
@@ -135,6 +138,8 @@
         if relay is not None:
             relay.is_response_started = True
             relay.record_response_start(now)
+            if message.origin is not None:
+                self.node.origins.record_start(relay, message.origin, now)
             self._fire(relay, "started", message, now, out)
 
     def handle_run_completed(self, message, now, out):
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -148,6 +148,11 @@
             self.timers.set(relay, relay.deadline_at + RESPONSE_SLACK_S)
             self.node.forwarding.send(relay, node, now, out)
             return
+        failure = self.node.origins.bind_rest(relay, now)
+        if failure is not None:
+            relay.reason = failure.reason
+            self._fire_and_process(relay, "unroutable", now, out)
+            return
         choice = self.selector.choose(relay, now)
         reason = self.selector.find_missing_software(relay, now)
         relay.retry_after_s = 0.0 if reason else RETRY_AFTER_S
@@ -274,7 +279,7 @@
         if relay is not None:
             relay.is_response_started = True
             relay.record_response_start(now)
-            self.node.origins.record_start(relay, now)
+            self.node.origins.record_start(relay, relay.server.software_version(), now)
             self.node.health.record_response(relay.server.name, now)
             self._record_load(relay, message, now, out)
             self.chart.fire(relay, "started", self, now, out, message)
--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -195,7 +195,7 @@
         self.review_at = now + REVIEW_INTERVAL_S
         for known in fleet.servers.values():
             if known.missing_since == inf:
-                version = SoftwareVersion(known.entry.service, known.entry.software)
+                version = known.entry.software_version()
                 if version not in self.present_at:
                     out.emit(LogEvent("software_known", f"version={version}"))
                 self.present_at[version] = now
@@ -239,14 +239,38 @@
         Failure or None
             Why the stream cannot go on.
         """
-        request, route = relay.request, relay.route
-        if route.kind is not RouteKind.STREAM or not request.last_event:
+        request = relay.request
+        if relay.route.kind is not RouteKind.STREAM or not request.last_event:
             return None
-        version = self._find(request, route, now)
+        if request.origin is not None:
+            self._note_attempt(request.resumed_attempt, request.origin, False, now)
+        return self._bind_to_origin(relay, request.resumed_attempt, now)
+
+    def bind_rest(self, relay, now):
+        """Bind a relay whose caller has a part of the stream, unless the start has bound it.
+
+        That is the case after the loss of a node that has not stated the origin of the stream.
+
+        Returns
+        -------
+        Failure or None
+            Why the stream cannot go on.
+        """
+        if (
+            relay.software is not None
+            or relay.route.kind is not RouteKind.STREAM
+            or not relay.is_response_started
+        ):
+            return None
+        return self._bind_to_origin(relay, relay.request.attempt_id, now)
+
+    def _bind_to_origin(self, relay, attempt, now):
+        route = relay.route
+        version = self._find(attempt, route, now)
         reason = ""
         if version is None:
             versions = ", ".join(str(v) for v in self._list_versions(route)) or "unknown ones"
-            reason = f"it is not known which of {versions} began {request.resumed_attempt!r}"
+            reason = f"it is not known which of {versions} began {attempt!r}"
         elif version.service not in {target.service for target in route.targets}:
             reason = f"{version} began the stream, and the route leads to other services"
         if reason:
@@ -255,9 +279,9 @@
         relay.software = version.software
         return None
 
-    def _find(self, request, route, now):
+    def _find(self, attempt, route, now):
         """Return the `SoftwareVersion` that has begun a stream, None if it is not known."""
-        origin = self.origins.get(request.resumed_attempt)
+        origin = self.origins.get(attempt)
         if origin is not None:
             return origin.version
         versions = self._list_versions(route)
@@ -270,15 +294,24 @@
         is_heard = now - self.node.reachability.heard_at <= SILENCE_S
         return not (is_store_known or is_alone or is_heard)
 
-    def record_start(self, relay, now):
-        """Record the version that has brought the first event of a stream, and bind it to that."""
+    def record_start(self, relay, version, now):
+        """Record the version that has brought the first event of a stream, and bind it to that.
+
+        Parameters
+        ----------
+        relay : Relay
+            At a backend server, or at another node, which may have chosen another service.
+        version : SoftwareVersion
+        now : float
+        """
         if relay.software is not None or relay.route.kind is not RouteKind.STREAM:
             return
-        relay.software = relay.server.software
+        relay.service = version.service
+        relay.software = version.software
         attempt = relay.request.attempt_id
         if not relay.route.resumable or not attempt:
             return
-        version = SoftwareVersion(relay.service, relay.server.software)
+        self._note_version(version, now)
         self._remember(attempt, StreamOrigin(version, True, inf))
         if self.is_ambiguous(relay.route):
             self.unreported.append(attempt)
@@ -307,12 +340,15 @@
         for item in report.streams:
             self._note_version(item.version, now)
             for attempt in item.attempts:
-                origin = self.origins.get(attempt)
-                if origin is None:
-                    expires_at = now + RETENTION_S
-                    self._remember(attempt, StreamOrigin(item.version, is_own, expires_at))
-                elif origin.expires_at < inf and not origin.is_own:
-                    origin.expires_at = now + RETENTION_S
+                self._note_attempt(attempt, item.version, is_own, now)
+
+    def _note_attempt(self, attempt, version, is_own, now):
+        """Remember the origin of a stream of another node or process, if it is not known yet."""
+        origin = self.origins.get(attempt)
+        if origin is None:
+            self._remember(attempt, StreamOrigin(version, is_own, now + RETENTION_S))
+        elif origin.expires_at < inf and not origin.is_own:
+            origin.expires_at = now + RETENTION_S
 
     # Reports
 
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -158,6 +158,7 @@
         last_event=0,
         resumes="",
         runs_elsewhere=None,
+        origin=None,
     ):
         """Pass a request of a caller and return the effects."""
         path, deadline = f"/{route}/x", self.now + wait_s
@@ -175,6 +176,7 @@
                 last_event=last_event,
                 resumed_attempt=resumes,
                 runs_elsewhere=runs_elsewhere,
+                origin=origin,
             )
         )
 
--- a/medlarbeam/gateway/tests/test_stream_origins.py
+++ b/medlarbeam/gateway/tests/test_stream_origins.py
@@ -338,7 +338,13 @@
 
 MUTANTS = [
     ("version-of-the-run-is-ignored", [(Relay, "may_use", lambda self, entry: True)]),
-    ("start-of-a-stream-is-not-recorded", [(StreamOrigins, "record_start", lambda *a: None)]),
+    (
+        "start-of-a-stream-is-neither-recorded-nor-missed",
+        [
+            (StreamOrigins, "record_start", lambda *arguments: None),
+            (StreamOrigins, "bind_rest", lambda *arguments: None),
+        ],
+    ),
 ]
 
 
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -3,10 +3,11 @@
 import re
 from math import inf
 from string import hexdigits
+from urllib.parse import quote, unquote
 
 from xxhash import xxh3_64_hexdigest
 
-from medlarbeam.classes.fleet import AdapterKey
+from medlarbeam.classes.fleet import AdapterKey, SoftwareVersion
 from medlarbeam.classes.gateway_effects import ServerLoad
 from medlarbeam.classes.gateway_messages import PauseRequest
 
@@ -16,14 +17,17 @@
     "LAST_EVENT_ID",
     "LEAVING",
     "NOT_RUN",
+    "ORIGIN",
     "RUNS_ELSEWHERE",
     "SIGNATURE",
     "forwarded_headers",
+    "origin_headers",
     "parse_adapter_key",
     "parse_deadline_s",
     "parse_last_event",
     "parse_leaving",
     "parse_load",
+    "parse_origin",
     "parse_pause",
     "parse_prompt_tokens",
     "parse_resumed_attempt",
@@ -40,6 +44,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 LEAVING = "Server-Leaving"  # "1" in all responses of a server that takes no new requests
 NOT_RUN = "X-Not-Executed"
+# Service and software version that have begun a stream; exchanged by nodes only.
+ORIGIN = "Medlarbeam-Origin"
 RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
 # Refusals per second, for lack of room, above which the server crashes.
 REFUSAL_LIMIT = "Server-Brittle"
@@ -52,6 +58,7 @@
 MAX_SHARED_PARTS = 256
 MAX_DIGITS = 15  # of a number; `int` raises ValueError for thousands of digits
 MAX_PART_ID_CHARACTERS = 64
+MAX_ORIGIN_CHARACTERS = 1024
 MAX_LOGGED_CHARACTERS = 40  # of a header value that goes into a log line
 DECIMAL = re.compile(r"[0-9]+(?:\.[0-9]*)?|\.[0-9]+")
 
@@ -74,6 +81,7 @@
 INTERNAL_HEADERS = {
     "kv-fetch",
     "kv-from",
+    "medlarbeam-origin",
     "medlarbeam-runs",
     "wait-ms",
     "x-deadline-ms",
@@ -112,7 +120,7 @@
     ``Retry-After`` of a server error is removed: it states when that one server takes requests of
     this node again, while another server may take the caller's next attempt at once.
     """
-    internal = {name.lower() for name in (INSTANCE_ID, LEAVING, RATE_LIMIT, REFUSAL_LIMIT)}
+    internal = {name.lower() for name in (INSTANCE_ID, LEAVING, ORIGIN, RATE_LIMIT, REFUSAL_LIMIT)}
     internal |= {"date", "server", "x-server-load"}
     if status >= 500:
         internal.add(RETRY_AFTER.lower())
@@ -153,9 +161,30 @@
     if last_event and not any(name.lower() == RESUMES.lower() for name, _ in forwarded):
         # For the other node this is the rest of a stream that the caller's attempt has begun.
         headers += [(RESUMES, value) for name, value in forwarded if name == ATTEMPT_ID]
+    if effect.origin is not None:
+        headers += origin_headers(effect.origin)
     return headers
 
 
+def origin_headers(version):
+    """Return the headers that tell another node the `SoftwareVersion` that has begun a stream.
+
+    The connection option makes a node that does not know the header remove it, instead of passing
+    it on to a backend server or a caller.
+    """
+    names = (quote(name, safe="") for name in (version.service, version.software))
+    return [(ORIGIN, "/".join(names)), ("Connection", ORIGIN)]
+
+
+def parse_origin(headers):
+    """Return the `SoftwareVersion` that another node states, None if it states none."""
+    text = headers.get(ORIGIN, "")
+    service, _, software = text.partition("/")
+    if not service or len(text) > MAX_ORIGIN_CHARACTERS:
+        return None
+    return SoftwareVersion(replace_invalid(unquote(service)), replace_invalid(unquote(software)))
+
+
 def parse_deadline_s(headers):
     """Return the caller's deadline in seconds from now, infinity if it sent no valid one."""
     return _parse_number(headers.get("X-Deadline-Ms", ""), inf) / 1000.0
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -29,6 +29,7 @@
     parse_adapter_key,
     parse_deadline_s,
     parse_last_event,
+    parse_origin,
     parse_prompt_tokens,
     parse_resumed_attempt,
     parse_runs_elsewhere,
@@ -123,11 +124,21 @@
         if not response.prepared and not self.driver.is_ready():
             response.force_close()
 
+    def _keep_connection_options(self, stream):
+        """Add the option ``close`` if it is due; aiohttp adds it only where there is no other."""
+        options = stream.headers.get("Connection")
+        keep_alive = stream.keep_alive
+        if keep_alive is None:
+            keep_alive = self.http_request.keep_alive
+        if options is not None and not keep_alive:
+            stream.headers["Connection"] = f"close, {options}"
+
     async def begin_stream(self, status, headers):
         """Send the response headers of a stream, unless they were already sent."""
         if self.stream is None:
             stream = StreamResponse(status=status, headers=headers)
             self.announce_close(stream)
+            self._keep_connection_options(stream)
             stream.enable_chunked_encoding()
             self.stream = stream
             await stream.prepare(self.http_request)
@@ -283,6 +294,7 @@
         parse_last_event(http_request.headers),
         parse_resumed_attempt(http_request.headers),
         runs_elsewhere,
+        parse_origin(http_request.headers) if runs_elsewhere is not None else None,
     )
 
 
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -50,8 +50,10 @@
     INSTANCE_ID,
     NOT_RUN,
     SIGNATURE,
+    origin_headers,
     parse_leaving,
     parse_load,
+    parse_origin,
     parse_pause,
     response_headers,
     run_headers,
@@ -222,6 +224,7 @@
     async def _relay_stream(self, effect, exchange, response, load, timer):
         splitter = EventSplitter(exchange.last_event)
         timing = exchange.timing
+        headers = build_stream_headers(response, effect, exchange)
         is_first = True
         async for chunk in response.content.iter_any():
             data = splitter.feed(chunk)
@@ -229,21 +232,23 @@
                 continue
             now = self.driver.read_clock()
             timing.record_event(exchange.last_event, now)
-            if exchange.stream is None:  # for each event, so the headers are built once only
-                await exchange.begin_stream(response.status, response_headers(response.headers))
+            if exchange.stream is None:
+                await exchange.begin_stream(response.status, headers)
             # Recorded before the write, which waits while the caller does not read: a run that is
             # cancelled meanwhile has passed these events on.
             exchange.last_event = splitter.last_event
             if is_first:
                 is_first = False
-                self.driver.deliver(RunStarted(effect.run_id, load))
+                is_forwarded = effect.forwarded_runs is not None
+                origin = parse_origin(response.headers) if is_forwarded else None
+                self.driver.deliver(RunStarted(effect.run_id, load, origin))
             timer.pause()
             await exchange.stream.write(data)
             timer.resume()
             timing.record_write(self.driver.read_clock() - now)
         if splitter.remainder:
             raise IncompleteResponseError("the stream ended inside an event")
-        await exchange.begin_stream(response.status, response_headers(response.headers))
+        await exchange.begin_stream(response.status, headers)
 
     def _report_leaving(self, server, response, request_id, source):
         """Deliver the statement that `server` leaves as soon as the head of a response is read."""
@@ -381,6 +386,14 @@
     return parse_pause(response.headers, attempt_id, server)
 
 
+def build_stream_headers(response, effect, exchange):
+    """Return the headers of a stream for the caller, or for the node that forwards its request."""
+    headers = response_headers(response.headers)
+    if exchange.request.runs_elsewhere is not None:
+        headers += origin_headers(effect.server.software_version())
+    return headers
+
+
 def check_response(response, exchange):
     """Raise BadResponseError unless the headers show a signed response to this request."""
     if response.headers.get(ATTEMPT_ID, "") != exchange.request.attempt_id:
--- a/medlarbeam/platform/tests/test_forwarding.py
+++ b/medlarbeam/platform/tests/test_forwarding.py
@@ -8,9 +8,9 @@
 import pytest
 from aiohttp import ClientSession, ClientTimeout
 
-from medlarbeam.classes.fleet import NodeRegistration
+from medlarbeam.classes.fleet import NodeRegistration, SoftwareVersion
 from medlarbeam.platform.documents import encode_node
-from medlarbeam.platform.tests.test_whole_path import STREAM, Deployment, wait_until
+from medlarbeam.platform.tests.test_whole_path import HOST, STREAM, Deployment, wait_until
 from medlarbeam.standins.free_ports import find_free_addresses
 
 
@@ -77,3 +77,20 @@
         return await stranded.call(session, "chat", "id-1")
 
     assert run_stranded(scenario) == (200, STREAM)
+
+
+def test_forwarding_gateway_learns_which_version_began_a_stream():
+    async def scenario(stranded, other, session):
+        for worker in other.workers.values():
+            other.register(worker, software="v2")
+        servers = other.shell.node.fleet.servers
+        await wait_until(lambda: all(servers[w].entry.software == "v2" for w in other.workers))
+        headers = {"Host": HOST, "X-Attempt-Id": "id-1", "X-Model": "m0/a1"}
+        url = f"http://{stranded.front}/chat/1"
+        async with session.post(url, headers=headers, data=b"order") as response:
+            await response.read()
+        return response.headers, stranded.shell.node.origins.origins["id-1"].version
+
+    headers, version = run_stranded(scenario)
+    assert version == SoftwareVersion("llm", "v2")
+    assert "Medlarbeam-Origin" not in headers
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -9,16 +9,18 @@
 import pytest
 from multidict import CIMultiDict
 
-from medlarbeam.classes.fleet import AdapterKey
+from medlarbeam.classes.fleet import AdapterKey, SoftwareVersion
 from medlarbeam.classes.gateway_effects import ServerLoad, StartFleetRun
 from medlarbeam.gateway.tests.fleet_samples import make_server
 from medlarbeam.platform.headers import (
     forwarded_headers,
+    origin_headers,
     parse_adapter_key,
     parse_deadline_s,
     parse_last_event,
     parse_leaving,
     parse_load,
+    parse_origin,
     parse_pause,
     parse_prompt_tokens,
     parse_shared_parts,
@@ -40,6 +42,7 @@
     ("content-length", "Content-Length", False),
     ("transfer-encoding", "Transfer-Encoding", False),
     ("connection", "Connection", False),
+    ("forged-origin", "Medlarbeam-Origin", False),
     ("header-listed-in-connection", "X-One-Hop", False),
 ]
 
@@ -75,7 +78,29 @@
     assert [v for n, v in headers if n == name] == [value]
 
 
+ORIGINS = [
+    ("plain-names", SoftwareVersion("llm", "v1")),
+    ("names-with-separators", SoftwareVersion("a/b", "1.0/2, close")),
+    ("names-that-are-not-ascii", SoftwareVersion("kebun-ä", "v1\r\nX: 1")),
+    ("no-version", SoftwareVersion("llm", "")),
+]
+
+
+@pytest.mark.parametrize("version", [o[1] for o in ORIGINS], ids=[o[0] for o in ORIGINS])
+def test_origin_of_a_stream_reaches_other_nodes_only(version):
+    # A node of an earlier build removes the header, as its connection option asks for.
+    headers = CIMultiDict(origin_headers(version))
+    assert parse_origin(headers) == version
+    assert all(value.isascii() and value.isprintable() for value in headers.values())
+    assert forwarded_headers(headers) == response_headers(headers) == []
+    renamed = CIMultiDict([("X-Later", headers["Medlarbeam-Origin"]), ("Connection", "X-Later")])
+    assert forwarded_headers(renamed) == response_headers(renamed) == []
+
+
 PARSED_HEADERS = [
+    ("no-origin", parse_origin, {}, None),
+    ("origin-without-a-service", parse_origin, {"Medlarbeam-Origin": "/v1"}, None),
+    ("origin-that-is-too-long", parse_origin, {"Medlarbeam-Origin": "a/" + "v" * 2000}, None),
     ("model-and-adapter", parse_adapter_key, {"X-Model": "m0/a3"}, AdapterKey("m0", "a3")),
     ("model-alone", parse_adapter_key, {"X-Model": "m0"}, AdapterKey("m0", "")),
     ("no-model", parse_adapter_key, {}, None),
