Bound the work that the response of a backend server can cause

Callers of a sound service got no answer within their timeout while another service's faulty server sent line feeds without end in its answers to eight streams: the event loop did nothing else.

Cause: the work for a block grows with the number of records in it, and nothing bounded the records of a response nor how fast it is read.

Change: events without an id are limited to 1,000 a run; a stream is read 16 KB at a time and no faster than 2,000 events a second, or the same work in framing; a connection is closed after 16 heads in the response to one request, of all clients; an incomplete event or line is searched once, not again for each block; responses and pages of the store are bounded. medlarbeamd uses the same classes.

--- a/medlarbeam/daemon/backend_client.py
+++ b/medlarbeam/daemon/backend_client.py
@@ -6,6 +6,7 @@
 from orjson import dumps, loads
 from yarl import URL
 
+from medlarbeam.algorithms.read_pacing import ReadPacing
 from medlarbeam.classes.effects import (
     CancelOnServer,
     LoadAdapter,
@@ -37,6 +38,7 @@
 __all__ = ["BackendClient"]
 
 JSON_HEADERS = {"Content-Type": "application/json"}
+MAX_BLOCK_BYTES = 16 << 10  # of a stream, processed at a time
 MAX_RESPONSE_BYTES = 4 << 20
 # Time to read the rest of a stream after [DONE], so that its connection can be reused.
 STREAM_END_TIMEOUT_S = 1.0
@@ -132,7 +134,11 @@
         parser = EventStreamParser()
         position = 0
         model = ""
-        async for block in response.content.iter_any():
+        pacing = ReadPacing(self.driver.read_clock())
+        async for block in response.content.iter_chunked(MAX_BLOCK_BYTES):
+            lines = block.count(b"\n")
+            now = self.driver.read_clock()
+            await asyncio.sleep(pacing.record(lines, len(block), 0, now))
             for data in parser.feed(block):
                 if data == "[DONE]":
                     self.driver.deliver(EngineEnd(effect.run_id, position, model))
--- a/medlarbeam/daemon/event_stream.py
+++ b/medlarbeam/daemon/event_stream.py
@@ -1,5 +1,6 @@
 """Incremental parser and formatter of server-sent events."""
 
+from medlarbeam.daemon.delimited_buffer import DelimitedBuffer
 from medlarbeam.exceptions import FormatError
 
 __all__ = ["EventStreamParser", "format_event"]
@@ -18,11 +19,10 @@
     Only ``data`` lines are parsed; comments, ids and event names are ignored.
     """
 
-    __slots__ = ("buffer", "data_lines", "max_line_bytes")
+    __slots__ = ("data_lines", "lines")
 
     def __init__(self, max_line_bytes=1 << 20):
-        self.max_line_bytes = max_line_bytes
-        self.buffer = b""
+        self.lines = DelimitedBuffer(b"\n", max_line_bytes, "event stream: line")
         self.data_lines = []
 
     def feed(self, block):
@@ -33,12 +33,8 @@
         FormatError
             If a line exceeds `max_line_bytes` or the data is not UTF-8.
         """
-        lines = (self.buffer + block).split(b"\n")
-        self.buffer = lines.pop()
-        if len(self.buffer) > self.max_line_bytes:
-            raise FormatError(f"event stream: line exceeds {self.max_line_bytes} bytes")
         events = []
-        for line in lines:
+        for line in self.lines.feed(block).split(b"\n")[:-1]:
             self._process_line(line.rstrip(b"\r"), events)
         return events
 
--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import contextmanager
 from contextvars import ContextVar
+from functools import partial
 
 from aiohttp import (
     ClientError,
@@ -13,6 +14,8 @@
     TCPConnector,
 )
 from aiohttp.abc import AbstractResolver
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 
 from medlarbeam.exceptions import FormatError, MedlarbeamError
 
@@ -29,6 +32,9 @@
 
 CALL_ERRORS = (ClientError, asyncio.TimeoutError, OSError, ValueError, MedlarbeamError)
 
+MAX_MESSAGES = 16  # heads in the response to one request, interim ones included
+PARSED_BYTES = 4096  # at a time; 4 KB hold some 200 heads, which take about 1 ms
+
 CURRENT_GUARD = ContextVar("medlarbeam_current_call")
 
 
@@ -94,6 +100,61 @@
         return await super().send(conn)
 
 
+class BoundedResponseHandler(ResponseHandler):
+    """Connection of a client that closes it when heads of responses arrive without end.
+
+    aiohttp parses all bytes that have arrived before anything else runs, and skips any number of
+    interim responses.
+
+    Attributes
+    ----------
+    message_count : int
+        Heads that have arrived since the last request.
+    received_bytes : int
+        Bytes that have arrived on the connection.
+    """
+
+    __slots__ = ("message_count", "received_bytes")
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.message_count = 0
+        self.received_bytes = 0
+
+    def set_response_params(self, **options):
+        """Expect the response to the next request."""
+        self.message_count = 0
+        super().set_response_params(**options)
+
+    def feed_data(self, data, *arguments):
+        """Count a head, and pass it on unless there are too many."""
+        self.message_count += 1
+        if self.message_count <= MAX_MESSAGES:
+            super().feed_data(data, *arguments)
+
+    def data_received(self, data):
+        """Parse what has arrived, up to the limit of heads."""
+        self.received_bytes += len(data)
+        for start in range(0, len(data) or 1, PARSED_BYTES):
+            super().data_received(data[start : start + PARSED_BYTES])
+            if self.transport is None or self.exception() is not None:
+                return
+            if self.message_count > MAX_MESSAGES:
+                self.set_exception(HttpProcessingError(message="too many heads of responses"))
+                self.transport.abort()
+                return
+
+
+class BoundedConnector(TCPConnector):
+    """Connector whose connections are instances of `BoundedResponseHandler`."""
+
+    __slots__ = ()
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._factory = partial(BoundedResponseHandler, asyncio.get_running_loop())
+
+
 class NoDnsResolver(AbstractResolver):
     """Rejects host names, because a DNS lookup would need a thread.
 
@@ -124,7 +185,7 @@
     -----
     The number of connections is unlimited, because the node limits its requests in flight.
     """
-    connector = TCPConnector(limit=0, resolver=NoDnsResolver(), force_close=not keep_alive)
+    connector = BoundedConnector(limit=0, resolver=NoDnsResolver(), force_close=not keep_alive)
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
--- a/medlarbeam/daemon/kv_client.py
+++ b/medlarbeam/daemon/kv_client.py
@@ -17,6 +17,7 @@
     KvResult,
     KvWatch,
 )
+from medlarbeam.daemon.delimited_buffer import DelimitedBuffer
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
 from medlarbeam.daemon.http_client import CALL_ERRORS, SendGuard, apply_send_guard, open_session
 from medlarbeam.daemon.setting_types import format_address
@@ -207,12 +208,9 @@
 
 async def read_lines(content):
     """Yield the lines of a response; raise FormatError if one exceeds `MAX_LINE_BYTES`."""
-    buffer = b""
+    buffer = DelimitedBuffer(b"\n", MAX_LINE_BYTES, "key-value service: line")
     async for block in content.iter_any():
-        *lines, buffer = (buffer + block).split(b"\n")
-        if len(buffer) > MAX_LINE_BYTES:
-            raise FormatError(f"key-value service: line exceeds {MAX_LINE_BYTES} bytes")
-        for line in lines:
+        for line in buffer.feed(block).split(b"\n")[:-1]:
             if line.strip():
                 yield line
 
--- a/medlarbeam/platform/event_splitter.py
+++ b/medlarbeam/platform/event_splitter.py
@@ -1,11 +1,15 @@
 """Splits an event stream into complete events."""
 
+from medlarbeam.daemon.delimited_buffer import DelimitedBuffer
 from medlarbeam.exceptions import FormatError
 
 __all__ = ["EventSplitter"]
 
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
+# Each event of a backend server has an id; comments that keep a connection open have none. Without
+# a limit, line feeds without end would be passed on as empty events.
+MAX_EVENTS_WITHOUT_ID = 1000
 
 
 class EventSplitter:
@@ -18,15 +22,23 @@
 
     Attributes
     ----------
-    remainder : bytes
+    pending : DelimitedBuffer
         Start of an incomplete event.
+    event_count, unnumbered_count : int
+        Numbers of all events and of those without an id.
     """
 
-    __slots__ = ("last_event", "remainder")
+    __slots__ = ("event_count", "last_event", "pending", "unnumbered_count")
 
     def __init__(self, last_event=0):
         self.last_event = last_event
-        self.remainder = b""
+        self.pending = DelimitedBuffer(EVENT_END, MAX_EVENT_BYTES, "event")
+        self.event_count = 0
+        self.unnumbered_count = 0
+
+    def is_inside_event(self):
+        """Return whether the stream so far ends inside an event."""
+        return bool(self.pending.rest)
 
     def feed(self, data):
         """Return the bytes of all events that are complete after adding `data`.
@@ -34,19 +46,14 @@
         Raises
         ------
         FormatError
-            If an event is missing, duplicated or too long, or its id is not a number.
+            If an event is missing, duplicated or too long, its id is not a number, or too many
+            events have none.
         """
-        data = self.remainder + data
-        end = data.rfind(EVENT_END)
-        if end < 0:
-            self.remainder = data
-            if len(data) > MAX_EVENT_BYTES:
-                raise FormatError(f"event exceeds the limit of {MAX_EVENT_BYTES} bytes")
-            return b""
-        complete_events = data[: end + len(EVENT_END)]
-        self.remainder = data[end + len(EVENT_END) :]
+        complete_events = self.pending.feed(data)
         last = self.last_event
-        for event in complete_events.split(EVENT_END)[:-1]:
+        events = complete_events.split(EVENT_END)[:-1]
+        self.event_count += len(events)
+        for event in events:
             last = self._check_id(event, last)
         self.last_event = last
         return complete_events
@@ -60,4 +67,7 @@
                 if last and int(text) != last + 1:
                     raise FormatError(f"event id {int(text)} does not follow event id {last}")
                 return int(text)
+        self.unnumbered_count += 1
+        if self.unnumbered_count > MAX_EVENTS_WITHOUT_ID:
+            raise FormatError(f"more than {MAX_EVENTS_WITHOUT_ID} events have no id")
         return last
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -14,6 +14,7 @@
 from orjson import dumps
 from yarl import URL
 
+from medlarbeam.algorithms.read_pacing import ReadPacing
 from medlarbeam.classes.gateway_effects import (
     CancelFleetRun,
     FetchEngineState,
@@ -71,6 +72,7 @@
 REPORT_TIMEOUT_S = 0.5
 PROBE_TIMEOUT_S = 0.3  # a crashed process refuses a connection within a few ms
 MAX_RESPONSE_BYTES = 2 << 20  # of a response that is passed on as a whole, and of a report
+MAX_BLOCK_BYTES = 16 << 10  # of a stream, processed at a time
 MAX_REFUSAL_BYTES = 16 << 10  # read so that the connection can be reused
 REFUSAL_TIMEOUT_S = 0.1
 NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -202,7 +204,7 @@
                     return RunRefused(effect.run_id, response.status, refusal, load, pause)
                 check_response(response, exchange)
                 if effect.is_stream and response.status == 200:
-                    await self._relay_stream(effect, exchange, response, load, timer)
+                    await self._relay_stream(effect, exchange, response, protocol, timer)
                     check_response_end(response, protocol)
                     exchange.finish(exchange.stream)
                     return RunCompleted(effect.run_id, response.status, load, exchange.timing)
@@ -221,16 +223,24 @@
         exchange.error_responses[effect.run_id] = buffered
         return RunErrorResponse(effect.run_id, response.status, load)
 
-    async def _relay_stream(self, effect, exchange, response, load, timer):
+    async def _relay_stream(self, effect, exchange, response, protocol, timer):
         splitter = EventSplitter(exchange.last_event)
         timing = exchange.timing
         headers = build_stream_headers(response, effect, exchange)
+        pacing = ReadPacing(self.driver.read_clock())
+        received_before = protocol.received_bytes if protocol is not None else 0
         is_first = True
-        async for chunk in response.content.iter_any():
+        async for chunk in response.content.iter_chunked(MAX_BLOCK_BYTES):
+            event_count = splitter.event_count
             data = splitter.feed(chunk)
-            if not data:
-                continue
             now = self.driver.read_clock()
+            # The protocol is missing if the whole response came with its head.
+            received = protocol.received_bytes - received_before if protocol is not None else 0
+            event_count = splitter.event_count - event_count
+            wait_s = pacing.record(event_count, len(chunk), received, now)
+            if not data:  # no progress for the stall timer
+                await asyncio.sleep(wait_s)
+                continue
             timing.record_event(exchange.last_event, now)
             if exchange.stream is None:
                 await exchange.begin_stream(response.status, headers)
@@ -241,12 +251,15 @@
                 is_first = False
                 is_forwarded = effect.forwarded_runs is not None
                 origin = parse_origin(response.headers) if is_forwarded else None
+                load = parse_load(response.headers)
                 self.driver.deliver(RunStarted(effect.run_id, load, origin))
             timer.pause()
             await exchange.stream.write(data)
-            timer.resume()
             timing.record_write(self.driver.read_clock() - now)
-        if splitter.remainder:
+            if wait_s > 0.0:
+                await asyncio.sleep(wait_s)
+            timer.resume()
+        if splitter.is_inside_event():
             raise IncompleteResponseError("the stream ended inside an event")
         await exchange.begin_stream(response.status, headers)
 
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -36,6 +36,7 @@
     apply_send_guard,
     describe_error,
     open_session,
+    read_body,
 )
 from medlarbeam.exceptions import FormatError
 from medlarbeam.gateway.order_rights import LEASE_TTL_S
@@ -71,6 +72,8 @@
 MAX_BACKOFF_S = 1.0
 RELEASE_TIMEOUT_S = 0.5  # limits how long a slow store can delay the shutdown
 
+MAX_RESPONSE_BYTES = 32 << 20  # a page of entries has some MB at most
+
 STORE_ERA = "Store-Era"  # header of all responses; rises when the store is set back to a copy
 MAX_ERA_DIGITS = 6
 
@@ -164,7 +167,7 @@
                     async with self.session.request(
                         method, self.base_url + path, params=params, data=data, headers=headers
                     ) as response:
-                        text = await response.read()
+                        text = await read_body(response, MAX_RESPONSE_BYTES)
         except Exception as error:
             raise StoreError(0, describe_error(error)) from error
         finally:
@@ -247,7 +250,10 @@
             entries += filter(None, [self._decode_item(item) for item in items])
             if not page.get("truncated") or not items:
                 break
-            params["after"] = items[-1]["key"]
+            last_key = read_field(items[-1], "key", str)
+            if last_key <= params.get("after", ""):
+                raise FormatError(f"a page of entries ends at {last_key!r} like the one before")
+            params["after"] = last_key
         if era is not None and era != self.era:
             raise StoreSetBackError(0, "the store was set back between two pages")
         current = [entry for entry in entries if isinstance(entry, EntryUpdated)]
--- a/medlarbeam/platform/tests/test_event_splitter.py
+++ b/medlarbeam/platform/tests/test_event_splitter.py
@@ -21,6 +21,7 @@
     ("piece-ends-inside-the-event-terminator", 0, [event(1)[:-1], b"\n"], event(1), 1),
     ("resumed-stream", 4, [event(5)], event(5), 5),
     ("event-without-an-id", 3, [b"data: x\n\n"], b"data: x\n\n", 3),
+    ("comments-that-keep-the-connection-open", 3, [b":\n\n" * 1000], b":\n\n" * 1000, 3),
 ]
 
 
@@ -41,6 +42,9 @@
     ("event-is-missing-within-a-piece", 1, event(2) + event(4)),
     ("id-is-not-a-number", 0, b"id: a\ndata: x\n\n"),
     ("event-above-the-size-limit", 0, b"x" * ((1 << 20) + 1)),
+    ("line-feeds-without-end", 1, b"\n" * 4096),
+    ("events-without-ids-without-end", 1, b"data: x\n\n" * 1001),
+    ("comments-between-numbered-events-without-end", 0, (event(1) + b":\n\n" * 1001)),
 ]
 
 
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -260,6 +260,10 @@
     ("body-without-length-and-end", "endless_unframed_body", "pay", {502}, {1}),
     ("error-response-without-end", "endless_body", "read", {502}, {2}),
     ("event-without-end", "endless_body", "draft", {502, BROKEN}, {1}),
+    ("line-feeds-without-end", "endless_line_feeds", "draft", {502, BROKEN}, {1}),
+    ("events-without-ids-without-end", "endless_events_without_id", "draft", {502, BROKEN}, {1}),
+    ("early-hints-without-end", "endless_early_hints", "pay", {502}, {1}),
+    ("further-responses-without-end", "endless_responses", "pay", {200, 502}, {1}),
     ("refusal-without-end-has-not-run", "endless_refusal", "pay", {503}, {0}),
 ]
 MAX_MEMORY_GROWTH_KB = 64 * 1024
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -7,12 +7,19 @@
 
 from orjson import dumps, loads
 
+from medlarbeam.standins.endless_responses import ENDLESS_RESPONDERS
+from medlarbeam.standins.worker_framing import (
+    STAMP_HEADER,
+    build_head,
+    encode_chunk,
+    encode_event,
+)
+
 __all__ = ["HEAD_STARTS", "LEAVING_HEADER", "RESPONDERS", "PlatformWorker", "encode_event"]
 
 LEAVING_HEADER = b"Server-Leaving: 1\r\n"
 PIECE_PAUSE_S = 0.15
 TRICKLE_PAUSE_S = 0.05
-STAMP_HEADER = b"X-Server-Stamp: s.1\r\n"
 OK_HEAD_START = b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n"
 HEAD_STARTS = {
     "in_status": b"HTTP/1.1 20",
@@ -219,27 +226,6 @@
         return True
 
 
-def encode_event(number, padding=0):
-    """Encode a server-sent event with `padding` more bytes."""
-    return b"id: %d\ndata: x%d%s\n\n" % (number, number, b"." * padding)
-
-
-def build_head(worker, attempt, status=200, headers=b"", stamp=STAMP_HEADER):
-    """Return the status line and the headers of a response."""
-    return b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n%s%s%s" % (
-        status,
-        attempt.encode(),
-        stamp,
-        worker.build_state_headers(),
-        headers,
-    )
-
-
-def encode_chunk(data):
-    """Encode a chunk of a body in chunked transfer encoding."""
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def reset_connection(writer):
     """Reset the connection: with a linger time of 0 the kernel sends RST instead of FIN."""
     linger = struct.pack("ii", 1, 0)
@@ -422,53 +408,6 @@
     return True
 
 
-async def send_without_end(writer, data):
-    """Send the same bytes until the caller closes the connection."""
-    try:
-        while not writer.is_closing():
-            writer.write(data)
-            await writer.drain()
-    except ConnectionError:
-        return False
-    return False
-
-
-async def send_endless_garbage(worker, writer, attempt, body_parts):
-    """Send bytes that are not an HTTP response, without end."""
-    return await send_without_end(writer, b"\x00\xff no answer " * 512)
-
-
-async def send_endless_head(worker, writer, attempt, body_parts):
-    """Send header lines without end."""
-    writer.write(build_head(worker, attempt))
-    return await send_without_end(writer, b"X-More: 1\r\n" * 512)
-
-
-async def send_endless_status(worker, writer, attempt, body_parts):
-    """Send informational responses without end."""
-    return await send_without_end(writer, b"HTTP/1.1 100 Continue\r\n\r\n" * 64)
-
-
-async def send_endless_body(worker, writer, attempt, body_parts):
-    """Send a body in chunks without end."""
-    writer.write(build_head(worker, attempt, headers=b"Transfer-Encoding: chunked\r\n\r\n"))
-    return await send_without_end(writer, encode_chunk(b"x" * 8192))
-
-
-async def send_endless_unframed_body(worker, writer, attempt, body_parts):
-    """Send a body without a length and without end."""
-    writer.write(build_head(worker, attempt, headers=b"Connection: close\r\n\r\n"))
-    return await send_without_end(writer, b"x" * 8192)
-
-
-async def send_endless_refusal(worker, writer, attempt, body_parts):
-    """Refuse a request with a body without end."""
-    worker.executed_attempts.remove(attempt)
-    refusal = b"X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-    writer.write(build_head(worker, attempt, 503, refusal))
-    return await send_without_end(writer, encode_chunk(b"x" * 8192))
-
-
 async def send_nothing(worker, writer, attempt, body_parts):
     """Never respond to the request."""
     await asyncio.sleep(3600)
@@ -492,12 +431,7 @@
     "encoded": send_encoded,
     "twice": send_extra_response,
     "garbage": send_garbage,
-    "endless_garbage": send_endless_garbage,
-    "endless_head": send_endless_head,
-    "endless_status": send_endless_status,
-    "endless_body": send_endless_body,
-    "endless_unframed_body": send_endless_unframed_body,
-    "endless_refusal": send_endless_refusal,
+    **ENDLESS_RESPONDERS,
     "never": send_nothing,
     **{f"head_broken_{name}": BrokenHead(start) for name, start in HEAD_STARTS.items()},
 }
