Give up all open connections to the store when one goes silent

Callers got 404 on a new route for up to 6 s after the open connections between gateways and the store had gone silent, though new connections worked: the configuration was seen late, as was each other change.

Cause: the HTTP library keeps idle connections and hands out the one that has been idle longest, and a time-out closed only the connection on which it occurred, so the watch waited on one after the other.

A proxy that counts the silent connections on which bytes arrive shows several in turn.

Change: a call that was sent on a session that has responded before, and gets no response in time, replaces the session with all of its connections, ends the pending watch, and the watch and the renewal of the lease are repeated at once. A session that never had a response is kept, with the usual pauses, since the store does not answer on new connections either.

--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -35,9 +35,9 @@
     SendGuard,
     apply_send_guard,
     describe_error,
-    open_session,
     read_body,
 )
+from medlarbeam.daemon.renewable_session import RenewableSession
 from medlarbeam.exceptions import FormatError
 from medlarbeam.gateway.order_rights import LEASE_TTL_S
 from medlarbeam.platform.documents import (
@@ -90,6 +90,10 @@
     """The response shows that the store was set back since the last one."""
 
 
+class SilentConnectionError(StoreError):
+    """There was no response, and a repeated call uses another connection."""
+
+
 class StoreClient(EffectHandlerService):
     """Replicates the store's entries to the gateway and carries out effects on the store.
 
@@ -118,7 +122,8 @@
     async def on_start(self):
         """Open the session and start watching the store."""
         timeout = ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
-        self.session = await self.add_async_context(open_session(timeout))
+        longest_call_s = WATCH_TIMEOUT_S + CALL_TIMEOUT_S
+        self.session = RenewableSession(timeout, longest_call_s, self.spawn)
         self.spawn(self._replicate())
 
     async def on_stop(self):
@@ -126,6 +131,12 @@
         if self.release_task is not None:
             await asyncio.wait([self.release_task], timeout=RELEASE_TIMEOUT_S)
         await super().on_stop()
+        await self.session.close()
+
+    def _end_watch(self):
+        """Let the pending watch call time out now, so that it is issued again."""
+        if self.watch_timeout is not None and not self.watch_timeout.expired():
+            self.watch_timeout.reschedule(asyncio.get_running_loop().time())
 
     def effects(self):
         """Return the handlers of effects that concern the store."""
@@ -152,27 +163,38 @@
             If there is no response, its status is not 200, or it is from an earlier era.
         StoreSetBackError
             If the store was set back before the response.
+        SilentConnectionError
+            If there is no response, and a repeated call uses another connection.
         FormatError
             If the response is not a JSON object, or the era is malformed.
         """
         data = dumps(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if body is not None else {}
         era = self.era
+        session = self.session.current
+        guard = SendGuard(allow_resend=method == "GET")
         timeout = asyncio.timeout(watch_s + CALL_TIMEOUT_S)
         if watch_s:
             self.watch_timeout = timeout
         try:
-            with apply_send_guard(SendGuard(allow_resend=method == "GET")):
+            with apply_send_guard(guard):
                 async with timeout:
-                    async with self.session.request(
+                    async with session.request(
                         method, self.base_url + path, params=params, data=data, headers=headers
                     ) as response:
                         text = await read_body(response, MAX_RESPONSE_BYTES)
         except Exception as error:
+            is_silent = isinstance(error, TimeoutError) and guard.sent and era == self.era
+            is_current = session is self.session.current
+            if is_silent and self.session.give_up(session, path):
+                if is_current:
+                    self._end_watch()  # it may be waiting on a silent connection
+                raise SilentConnectionError(0, f"{path}: no response") from error
             raise StoreError(0, describe_error(error)) from error
         finally:
             if watch_s:
                 self.watch_timeout = None
+        self.session.record_response(session)
         self._check_era(response.headers)
         if era is not None and era != self.era:
             raise StoreSetBackError(0, "the store was set back during the call")
@@ -200,8 +222,7 @@
             self.streams_lease = 0
             self.known_revision = 0
             self.driver.deliver(StoreSetBack(era))
-            if self.watch_timeout is not None and not self.watch_timeout.expired():
-                self.watch_timeout.reschedule(asyncio.get_running_loop().time())
+            self._end_watch()
             raise StoreSetBackError(0, f"the store was set back, era {era}")
 
     # Watching the store
@@ -234,6 +255,8 @@
                 if is_watching and not self.known_revision:
                     continue
                 self.driver.deliver(StoreUnavailable(str(error)))
+                if isinstance(error, SilentConnectionError):
+                    continue
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
@@ -287,13 +310,14 @@
 
     # Lease and rights
 
-    async def _renew_lease(self, effect):
+    async def _renew_lease(self, effect, may_repeat=True):
         if self.is_renewing or self.release_task is not None:
             return
         if effect.must_register:
             self.is_registered = False
             self.lease = 0
         self.is_renewing = True
+        is_silent = False
         sent_at = self.driver.read_clock()
         try:
             if self.is_registered:
@@ -304,6 +328,9 @@
                 self.driver.deliver(LeaseRenewed(sent_at, True, self.registration_revision))
         except StoreSetBackError:
             pass  # logged by the fleet state; the node registers before it reads the store again
+        except SilentConnectionError as error:
+            is_silent = True
+            self.driver.deliver(StoreUnavailable(f"lease: {error}"))
         except (StoreError, FormatError) as error:
             if getattr(error, "status", 0) == 404:
                 self.is_registered = False
@@ -313,6 +340,8 @@
                 self.driver.deliver(StoreUnavailable(f"lease: {error}"))
         finally:
             self.is_renewing = False
+        if is_silent and may_repeat:  # before the lease ends
+            await self._renew_lease(effect, may_repeat=False)
 
     async def _register(self, ttl_s):
         if not self.lease:
--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -31,6 +31,8 @@
 RATE_WINDOW_S = 4.0
 RATE_OVERSHOOT = 1.5
 RATE_EXTRA = 5
+# Reset or silent connections excuse what happens up to `CONTACT_S` after them.
+MOMENTARY_KINDS = {"store_silence"}
 STORE_KINDS = {"store", "store_link", "store_loss", "store_set_back"}
 # A gateway that these kinds affect may not know of a drain or a limit.
 DISTURBING_KINDS = {"kill", "terminate", "freeze", "worker_link", *STORE_KINDS}
@@ -173,7 +175,11 @@
             ):
                 continue
             since = drain.since - FAULT_FREE_S
-            if not history.overlaps_fault(since, run.started_at, DISTURBING_KINDS):
+            contact_since = run.started_at - CONTACT_S
+            if not (
+                history.overlaps_fault(since, run.started_at, DISTURBING_KINDS)
+                or history.overlaps_fault(contact_since, run.started_at, MOMENTARY_KINDS)
+            ):
                 yield (
                     f"DRAIN {run.attempt} ran at {run.worker} "
                     f"{run.started_at - drain.since:.2f} s after the start of its drain"
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -371,6 +371,18 @@
                 store.delete(key)
 
 
+class StoreSilence(StoreFault):
+    """All open connections of the gateways to the store go silent for good; new ones work."""
+
+    __slots__ = ()
+    name = "store_silence"
+
+    async def apply(self, deployment, target, rng, duration_s):
+        """Silence the open connections to the store; see `Fault.apply`."""
+        counts = [gateway.store_proxy.silence() for gateway in deployment.gateways.values()]
+        log.info("connections to the store that went silent, by gateway: %s", counts)
+
+
 class ConfigChange(StoreFault):
     """An operator publishes a new version of the configuration."""
 
@@ -400,6 +412,7 @@
     PauseTurns(),
     StoreFault(),
     StoreSetBack(),
+    StoreSilence(),
     ConfigChange(),
 ]
 
--- a/medlarbeam/soak/proxy.py
+++ b/medlarbeam/soak/proxy.py
@@ -34,9 +34,16 @@
     -----
     Bytes of a blocked direction are held back until it is open again, like packets that are
     retransmitted during a network partition.
+
+    Attributes
+    ----------
+    silent : set of asyncio.StreamWriter
+        Both sides of the connections that drop all bytes without a reset.
+    lost_connections : set of int
+        Directions of silent connections on which bytes were dropped.
     """
 
-    __slots__ = ("address", "mode", "server", "target", "writers")
+    __slots__ = ("address", "lost_connections", "mode", "server", "silent", "target", "writers")
 
     def __init__(self, target):
         self.target = target
@@ -44,6 +51,8 @@
         self.server = None
         self.address = ""
         self.writers = set()
+        self.silent = set()
+        self.lost_connections = set()
 
     async def start(self):
         """Listen on a free port chosen by the operating system, or on that of before."""
@@ -56,6 +65,11 @@
         self.server.close()
         self.reset()
 
+    def silence(self):
+        """Let the open connections go silent for good; new ones work. Return their number."""
+        self.silent |= self.writers
+        return len(self.writers) // 2
+
     def reset(self):
         """Reset all open connections."""
         for writer in list(self.writers):
@@ -82,16 +96,20 @@
             log.debug("connection to target %s failed: %s", self.target, error)
         finally:
             self.writers -= {writer, upstream_writer}
+            self.silent -= {writer, upstream_writer}
             writer.transport.abort()
             upstream_writer.transport.abort()
 
     async def _relay(self, reader, writer, direction):
         while data := await reader.read(CHUNK_BYTES):
+            if writer in self.silent:
+                self.lost_connections.add(id(writer))
+                continue
             while not MODES[self.mode][direction]:
                 await asyncio.sleep(REOPEN_POLL_S)
             if self.mode == "delayed":
                 await asyncio.sleep(DELAY_S)
             writer.write(data)
             await writer.drain()
-        if writer.can_write_eof():
+        if writer.can_write_eof() and writer not in self.silent:
             writer.write_eof()
--- a/medlarbeam/soak/tests/test_checker.py
+++ b/medlarbeam/soak/tests/test_checker.py
@@ -183,6 +183,15 @@
             "fault_intervals": [DRAIN],
         },
     ),
+    (
+        "run-on-a-drained-worker-long-after-connections-went-silent",
+        "DRAIN",
+        {
+            "requests": [request("a", at=43.0)],
+            "runs": [run("a", at=43.0)],
+            "fault_intervals": [DRAIN, FaultInterval("store_silence", "store", 39.5, 39.5)],
+        },
+    ),
     (
         "request-lost-in-a-graceful-shutdown",
         "LOST",
@@ -285,6 +294,14 @@
             "fault_intervals": [FREEZE],
         },
     ),
+    (
+        "run-on-a-drained-worker-soon-after-connections-went-silent",
+        {
+            "requests": [request("a", at=43.0)],
+            "runs": [run("a", at=43.0)],
+            "fault_intervals": [DRAIN, FaultInterval("store_silence", "store", 40.5, 40.5)],
+        },
+    ),
     (
         "run-within-the-drain-time",
         {
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -20,7 +20,7 @@
 EVENT_PAUSE_S = 0.02
 SERVICE_TIME_S = 0.03
 HARMFUL_PART = "bad0"
-FAULTS = ("error", "reset", "half", "refuse")
+FAULTS = ("error", "reset", "half", "refuse", "endless_line_feeds", "endless_early_hints")
 PLACES = 4  # requests that run at once
 REFUSAL_WINDOW_S = 1.0
 
