Close idle connections to backend servers after 2 s

Callers of idempotent requests got 504 several seconds after the connections to backend servers had gone silent, though new ones worked: each request took one silent connection, stalled, moved to the silent connection of another server, and had no attempt left.

Cause: as for the store, silence is noticed one connection at a time, and idle connections were kept for 15 s.

Payments use new connections, as before.

Result: test_requests_are_served_once_silent_connections_have_been_idle failed before with 504.

--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -35,6 +35,8 @@
 MAX_MESSAGES = 16  # heads in the response to one request, interim ones included
 PARSED_BYTES = 4096  # at a time; 4 KB hold some 200 heads, which take about 1 ms
 
+IDLE_TIMEOUT_S = 15.0
+
 CURRENT_GUARD = ContextVar("medlarbeam_current_call")
 
 
@@ -171,7 +173,7 @@
         """Do nothing."""
 
 
-def open_session(timeout, keep_alive=True):
+def open_session(timeout, keep_alive=True, idle_timeout_s=IDLE_TIMEOUT_S):
     """Return a client session.
 
     Parameters
@@ -180,12 +182,17 @@
     keep_alive : bool
         False opens a new connection for each request, so that no request is written to a reused
         connection that the server is about to close.
+    idle_timeout_s : float
+        Time (s) after which an idle connection is not used again.
 
     Notes
     -----
     The number of connections is unlimited, because the node limits its requests in flight.
     """
-    connector = BoundedConnector(limit=0, resolver=NoDnsResolver(), force_close=not keep_alive)
+    idle = {"keepalive_timeout": idle_timeout_s} if keep_alive else {}
+    connector = BoundedConnector(
+        limit=0, resolver=NoDnsResolver(), force_close=not keep_alive, **idle
+    )
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -67,6 +67,9 @@
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.3  # a reachable backend server accepts within a few ms
+# An idle connection may have gone silent without a reset, which only a run that stalls shows. Of
+# those that went silent, none is left after this time.
+IDLE_TIMEOUT_S = 2.0
 # Orders get a response within a few ms, or are carried out late without a response.
 ORDER_TIMEOUT_S = 0.05
 REPORT_TIMEOUT_S = 0.5
@@ -115,7 +118,9 @@
     async def on_start(self):
         """Open one session with a connection pool and one without."""
         timeout = ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
-        self.session = await self.add_async_context(open_session(timeout))
+        self.session = await self.add_async_context(
+            open_session(timeout, idle_timeout_s=IDLE_TIMEOUT_S)
+        )
         self.unpooled_session = await self.add_async_context(
             open_session(timeout, keep_alive=False)
         )
--- a/medlarbeam/platform/tests/test_silent_connections.py
+++ b/medlarbeam/platform/tests/test_silent_connections.py
@@ -1,7 +1,7 @@
 """Open connections that go silent for good, without a reset, while new ones work.
 
-Guards against changes in the store that are seen late, and leases that end, because one silent
-connection after the other is waited for.
+Guards against changes in the store that are seen late, leases that end, and requests that fail,
+because one silent connection after the other is waited for.
 """
 
 import asyncio
@@ -14,6 +14,7 @@
 from medlarbeam.soak.proxy import FaultProxy
 
 IDLE_CONNECTIONS = 6
+CONTACT_S = 3.0  # after which a silence has to be over
 
 
 def find_store_client(deployment):
@@ -71,3 +72,33 @@
         return calls
 
     assert run(scenario) <= 8
+
+
+READS = 8
+
+
+def test_requests_are_served_once_silent_connections_have_been_idle():
+    async def scenario(deployment, session):
+        proxies = []
+        for worker in (deployment.workers["l1"], deployment.workers["l2"]):
+            proxy = FaultProxy(worker.address)
+            await proxy.start()
+            worker.address = proxy.address
+            deployment.register(worker)
+            proxies.append(proxy)
+        servers = deployment.shell.node.fleet.servers
+        await wait_until(lambda: servers["l2"].entry.address == proxies[1].address)
+
+        async def read_all(name):
+            calls = [deployment.call(session, "read", f"{name}-{n}") for n in range(READS)]
+            return {status for status, _ in await asyncio.gather(*calls)}
+
+        before = await read_all("before")
+        counts = [proxy.silence() for proxy in proxies]
+        await asyncio.sleep(CONTACT_S)
+        after = [(await deployment.call(session, "read", f"after-{n}"))[0] for n in range(READS)]
+        return before, counts, set(after)
+
+    before, counts, after = run(scenario)
+    assert before == after == {200}
+    assert all(counts)
