--- a/medlarbeam/bench/gateway_fleet.py
+++ b/medlarbeam/bench/gateway_fleet.py
@@ -25,18 +25,17 @@
     ServerOrder,
 )
 from medlarbeam.classes.gateway_messages import (
-    EngineStateResult,
     EntryUpdated,
     GatewayRequest,
     LeaseRenewed,
     RunCompleted,
     RunRefused,
     RunStarted,
-    ServerOrderResult,
     StoreSnapshot,
     StoreSynced,
 )
 from medlarbeam.classes.record import Record
+from medlarbeam.classes.server_messages import EngineStateResult, ServerOrderResult
 from medlarbeam.classes.stream_timing import StreamTiming
 from medlarbeam.gateway.gateway import Gateway
 from medlarbeam.gateway.tests.crash_fleet import CrashFleet
--- a/medlarbeam/cli/tests/test_explain.py
+++ b/medlarbeam/cli/tests/test_explain.py
@@ -9,16 +9,14 @@
 from medlarbeam.classes.fleet import EngineState
 from medlarbeam.classes.gateway_effects import ServerOrder
 from medlarbeam.classes.gateway_messages import (
-    EngineStateResult,
     PauseRequest,
     RunCompleted,
     RunErrorResponse,
     RunInterrupted,
     RunRefused,
     RunStarted,
-    ServerLeaving,
-    ServerOrderResult,
 )
+from medlarbeam.classes.server_messages import EngineStateResult, ServerLeaving, ServerOrderResult
 from medlarbeam.cli.explain import (
     NO_OUTCOME,
     OUTCOMES,
--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -16,11 +16,11 @@
     EntryDeleted,
     EntryUpdated,
     NodeDatagram,
-    ProbeResult,
     StoreSetBack,
     StoreSnapshot,
 )
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
+from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.gateway.crash_evidence import (
     REQUEST_SCOPE,
     SuspicionRecord,
--- a/medlarbeam/gateway/leaving_servers.py
+++ b/medlarbeam/gateway/leaving_servers.py
@@ -4,8 +4,9 @@
 
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.gateway_effects import SendDatagram
-from medlarbeam.classes.gateway_messages import NodeDatagram, ServerLeaving
+from medlarbeam.classes.gateway_messages import NodeDatagram
 from medlarbeam.classes.peer_messages import LeavingServer, RateLimitReport
+from medlarbeam.classes.server_messages import ServerLeaving
 from medlarbeam.gateway.fleet_state import describe_server
 from medlarbeam.node.component import Component
 
--- a/medlarbeam/gateway/orders.py
+++ b/medlarbeam/gateway/orders.py
@@ -6,7 +6,7 @@
 from medlarbeam.algorithms.load_time_estimator import LoadTimeEstimator
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.gateway_effects import SendDatagram
-from medlarbeam.classes.gateway_messages import EngineStateResult, NodeDatagram, ServerOrderResult
+from medlarbeam.classes.gateway_messages import NodeDatagram
 from medlarbeam.classes.peer_messages import (
     AdapterDemand,
     AdapterHolding,
@@ -15,6 +15,7 @@
     UseReport,
 )
 from medlarbeam.classes.requests import Rank
+from medlarbeam.classes.server_messages import EngineStateResult, ServerOrderResult
 from medlarbeam.gateway.order_scheduler import OrderScheduler, load_residency_chart
 from medlarbeam.node.component import Component
 
--- a/medlarbeam/gateway/server_paths.py
+++ b/medlarbeam/gateway/server_paths.py
@@ -5,8 +5,9 @@
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.gateway_effects import ProbeServer
-from medlarbeam.classes.gateway_messages import NodeDatagram, ProbeResult
+from medlarbeam.classes.gateway_messages import NodeDatagram
 from medlarbeam.classes.peer_messages import PathReport
+from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.node.component import Component
 
 __all__ = ["ServerPaths"]
--- a/medlarbeam/gateway/tests/batching_fleet.py
+++ b/medlarbeam/gateway/tests/batching_fleet.py
@@ -5,13 +5,13 @@
 from medlarbeam.classes.fleet import AdapterKey, EngineState, OrderRight, RouteKind
 from medlarbeam.classes.gateway_effects import FetchEngineState, RenewLease
 from medlarbeam.classes.gateway_messages import (
-    EngineStateResult,
     GatewayRequest,
     LeaseRenewed,
     RunCompleted,
     RunStarted,
     StoreSynced,
 )
+from medlarbeam.classes.server_messages import EngineStateResult
 from medlarbeam.classes.stream_timing import StreamTiming
 from medlarbeam.gateway.tests.crash_fleet import CrashFleet
 from medlarbeam.gateway.tests.fleet_samples import make_config, make_route, make_server
--- a/medlarbeam/gateway/tests/crash_fleet.py
+++ b/medlarbeam/gateway/tests/crash_fleet.py
@@ -22,7 +22,6 @@
     GatewayRequest,
     LeaseRenewed,
     NodeDatagram,
-    ProbeResult,
     RunCompleted,
     RunInterrupted,
     RunRefused,
@@ -30,6 +29,7 @@
     StoreSnapshot,
     StoreSynced,
 )
+from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.gateway.gateway import Gateway
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_config, make_server, make_settings
 
--- a/medlarbeam/gateway/tests/leaving_schedule.py
+++ b/medlarbeam/gateway/tests/leaving_schedule.py
@@ -13,20 +13,16 @@
     StartFleetRun,
 )
 from medlarbeam.classes.gateway_messages import (
-    EngineStateResult,
     EntryDeleted,
     EntryUpdated,
     LeaseRenewed,
     NodeDatagram,
-    ProbeResult,
     RunCompleted,
     RunErrorResponse,
     RunInterrupted,
     RunRefused,
     RunStalled,
     RunStarted,
-    ServerLeaving,
-    ServerOrderResult,
     StoreSnapshot,
     StoreSynced,
     StoreUnavailable,
@@ -36,6 +32,12 @@
     LeavingServer,
     RateLimitReport,
 )
+from medlarbeam.classes.server_messages import (
+    EngineStateResult,
+    ProbeResult,
+    ServerLeaving,
+    ServerOrderResult,
+)
 from medlarbeam.gateway.tests.fleet_samples import (
     COLD,
     HOT,
--- a/medlarbeam/gateway/tests/pausing_fleet.py
+++ b/medlarbeam/gateway/tests/pausing_fleet.py
@@ -6,16 +6,15 @@
 from medlarbeam.classes.fleet import AdapterKey, EngineState, OrderRight, Service
 from medlarbeam.classes.gateway_effects import FetchEngineState, RenewLease, ServerOrder
 from medlarbeam.classes.gateway_messages import (
-    EngineStateResult,
     GatewayRequest,
     LeaseRenewed,
     PauseRequest,
     RunCompleted,
     RunRefused,
     RunStarted,
-    ServerOrderResult,
     StoreSynced,
 )
+from medlarbeam.classes.server_messages import EngineStateResult, ServerOrderResult
 from medlarbeam.gateway.tests.crash_fleet import FIRST_EVENT_S, RUN_S, CrashFleet
 from medlarbeam.gateway.tests.fleet_samples import make_config, make_engine, make_server
 
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -21,13 +21,13 @@
     EntryDeleted,
     EntryUpdated,
     NodeDatagram,
-    ProbeResult,
     RunCompleted,
     RunInterrupted,
     StoreSetBack,
     StoreSnapshot,
 )
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
+from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.exceptions import ErrorKind, RunState
 from medlarbeam.gateway.crash_evidence import SuspicionRecord, find_convictions
 from medlarbeam.gateway.crash_suspects import QUARANTINE_S, SUSPECT_S
--- a/medlarbeam/gateway/tests/test_fleet_state.py
+++ b/medlarbeam/gateway/tests/test_fleet_state.py
@@ -7,11 +7,11 @@
     EntryDeleted,
     EntryUpdated,
     LeaseRenewed,
-    ServerLeaving,
     StoreSetBack,
     StoreSnapshot,
     StoreUnavailable,
 )
+from medlarbeam.classes.server_messages import ServerLeaving
 from medlarbeam.gateway.fleet_state import EXPIRY_HEARTBEATS, EXPIRY_MARGIN_S
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.gateway.tests.fleet_samples import (
--- a/medlarbeam/gateway/tests/test_forwarded_streams.py
+++ b/medlarbeam/gateway/tests/test_forwarded_streams.py
@@ -14,13 +14,8 @@
     SendDatagram,
     StartFleetRun,
 )
-from medlarbeam.classes.gateway_messages import (
-    NodeDatagram,
-    ProbeResult,
-    RunInterrupted,
-    RunRefused,
-    RunStarted,
-)
+from medlarbeam.classes.gateway_messages import NodeDatagram, RunInterrupted, RunRefused, RunStarted
+from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.gateway.stream_origins import StreamOrigins
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_harness, make_server
 from medlarbeam.gateway.tests.test_forwarding import FAR, NEAR, fail_to_connect
--- a/medlarbeam/gateway/tests/test_forwarding.py
+++ b/medlarbeam/gateway/tests/test_forwarding.py
@@ -20,7 +20,6 @@
     CallerDisconnected,
     NodeDatagram,
     PauseRequest,
-    ProbeResult,
     RunCompleted,
     RunErrorResponse,
     RunInterrupted,
@@ -29,6 +28,7 @@
     RunStarted,
 )
 from medlarbeam.classes.peer_messages import DeathReport, PathReport
+from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.exceptions import RunState
 from medlarbeam.gateway.forwarding import Forwarding
 from medlarbeam.gateway.server_paths import ServerPaths
--- a/medlarbeam/gateway/tests/test_holding_reports.py
+++ b/medlarbeam/gateway/tests/test_holding_reports.py
@@ -4,8 +4,9 @@
 
 from medlarbeam.classes.fleet import EngineState
 from medlarbeam.classes.gateway_effects import FetchEngineState, SendDatagram
-from medlarbeam.classes.gateway_messages import EngineStateResult, NodeDatagram
+from medlarbeam.classes.gateway_messages import NodeDatagram
 from medlarbeam.classes.peer_messages import HoldingReport
+from medlarbeam.classes.server_messages import EngineStateResult
 from medlarbeam.gateway.tests.fleet_samples import (
     COLD,
     HOT,
--- a/medlarbeam/gateway/tests/test_leaving_servers.py
+++ b/medlarbeam/gateway/tests/test_leaving_servers.py
@@ -16,8 +16,9 @@
     SendDatagram,
     StartFleetRun,
 )
-from medlarbeam.classes.gateway_messages import RunCompleted, RunStarted, ServerLeaving
+from medlarbeam.classes.gateway_messages import RunCompleted, RunStarted
 from medlarbeam.classes.peer_messages import RateLimitReport
+from medlarbeam.classes.server_messages import ServerLeaving
 from medlarbeam.exceptions import RunState
 from medlarbeam.gateway.crash_suspects import CrashSuspects
 from medlarbeam.gateway.fleet_state import FleetState
--- a/medlarbeam/gateway/tests/test_order_decisions.py
+++ b/medlarbeam/gateway/tests/test_order_decisions.py
@@ -7,8 +7,8 @@
 from medlarbeam.algorithms.load_time_estimator import LoadTimeEstimator
 from medlarbeam.classes.fleet import AdapterKey, BaseModel, Engine, EngineState
 from medlarbeam.classes.gateway_effects import FetchEngineState
-from medlarbeam.classes.gateway_messages import ServerOrderResult
 from medlarbeam.classes.peer_messages import UseReport
+from medlarbeam.classes.server_messages import ServerOrderResult
 from medlarbeam.gateway.order_scheduler import OrderScheduler, load_residency_chart
 from medlarbeam.gateway.tests.fleet_samples import make_server
 from medlarbeam.gateway.tests.naive_order_scheduler import NaiveOrderScheduler
--- a/medlarbeam/gateway/tests/test_order_scheduler.py
+++ b/medlarbeam/gateway/tests/test_order_scheduler.py
@@ -5,8 +5,8 @@
 from medlarbeam.algorithms.load_time_estimator import LoadTimeEstimator
 from medlarbeam.classes.fleet import AdapterKey, EngineState
 from medlarbeam.classes.gateway_effects import FetchEngineState, ServerOrder
-from medlarbeam.classes.gateway_messages import ServerOrderResult
 from medlarbeam.classes.peer_messages import UseReport
+from medlarbeam.classes.server_messages import ServerOrderResult
 from medlarbeam.gateway.order_scheduler import OrderScheduler, load_residency_chart
 from medlarbeam.gateway.remote_uses import USE_TTL_S, RemoteUses
 from medlarbeam.gateway.tests.fleet_samples import ADAPTER_CAPACITY, make_engine, make_server
--- a/medlarbeam/gateway/tests/test_server_pauses.py
+++ b/medlarbeam/gateway/tests/test_server_pauses.py
@@ -18,16 +18,15 @@
     StartFleetRun,
 )
 from medlarbeam.classes.gateway_messages import (
-    EngineStateResult,
     EntryUpdated,
     PauseRequest,
     RunCompleted,
     RunRefused,
     RunStalled,
     RunStarted,
-    ServerOrderResult,
     StoreSnapshot,
 )
+from medlarbeam.classes.server_messages import EngineStateResult, ServerOrderResult
 from medlarbeam.exceptions import RunState
 from medlarbeam.gateway.server_pauses import MAX_PAUSE_S, PRIORITY_BAND_S
 from medlarbeam.gateway.tests.fleet_samples import (
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -24,13 +24,15 @@
     StartFleetRun,
 )
 from medlarbeam.classes.gateway_messages import (
-    EngineStateResult,
-    ProbeResult,
     RunCompleted,
     RunErrorResponse,
     RunInterrupted,
     RunRefused,
     RunStarted,
+)
+from medlarbeam.classes.server_messages import (
+    EngineStateResult,
+    ProbeResult,
     ServerLeaving,
     ServerOrderResult,
 )
