--- a/medlarbeam/gateway/tests/test_stream_origins.py
+++ b/medlarbeam/gateway/tests/test_stream_origins.py
@@ -192,6 +192,31 @@
         assert refusal.failure.run_state is RunState.NOT_RUN
 
 
+def stand_still(harness, seconds):
+    """Let time pass in which the process does not run."""
+    harness.now += seconds
+
+
+def hear_other_stream(harness):
+    harness.deliver(NodeDatagram(report("n2", "id-9")))
+
+
+# Steps by which a node misses that a second version joins, which began the stream elsewhere.
+OUT_OF_STEP = [
+    ("cut-off-for-seconds", [(lambda harness: harness.pass_time(5.0),)]),
+    ("stood-still-for-seconds", [(stand_still, 5.0)]),
+    ("reads-datagrams-from-before-it-stood-still", [(stand_still, 8.0), (hear_other_stream,)]),
+]
+
+
+@pytest.mark.parametrize("steps", [o[1] for o in OUT_OF_STEP], ids=[o[0] for o in OUT_OF_STEP])
+def test_take_up_at_a_node_that_was_out_of_step_is_not_joined(steps):
+    harness = make_harness(servers=MIXED[:2], nodes=[PEER])
+    for step, *arguments in steps:
+        step(harness, *arguments)
+    assert take_up(harness) == ""
+
+
 OWN_STREAMS = [
     ("open-stream", []),
     ("broken-stream", [lambda run: RunInterrupted(run, "reset", 3, True)] * 2),
