--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from asyncio.subprocess import DEVNULL, create_subprocess_exec
+from pathlib import Path
 
 from aiohttp.web import AppRunner
 from orjson import dumps
@@ -16,6 +17,7 @@
 
 __all__ = ["ADAPTERS", "ADAPTER_CAPACITY", "Deployment", "GatewayProcess"]
 
+SOURCE_TREE = Path(__file__).resolve().parent.parent.parent
 HOST = "soak.example"
 ADAPTER_CAPACITY = 3
 ADAPTERS = 8
@@ -23,6 +25,7 @@
 STOP_TIMEOUT_S = 10.0
 DRAIN_S = 2.0
 CRASH_DOWN_S = 1.5
+HEARTBEAT_S = 1.2  # between two writes of the entry of a worker
 ORDER_GAP_S = 3.0  # minimum gap between orders of two holders of the order right
 ENGINE = {
     "slots": 4,
@@ -54,13 +57,21 @@
     build_route("pay", "non_idempotent", "ledger", attempts=1),
     build_route("chat", "streaming", "llm", resumable=True, gapAimMs=250),
     build_route("draft", "streaming", "llm", attempts=1, gapAimMs=250, priority=2),
+    build_route("story", "streaming", "llm", resumable=True, gapAimMs=500, timeoutMs=8000),
 ]
 
 
 class GatewayProcess:
-    """A gateway process with its settings file, log file and proxy to the store."""
+    """A gateway process with its settings file, log file and proxy to the store.
+
+    Attributes
+    ----------
+    build : pathlib.Path
+        Directory of the source tree whose gateway it runs.
+    """
 
     __slots__ = (
+        "build",
         "front_address",
         "log",
         "name",
@@ -70,7 +81,8 @@
         "store_proxy",
     )
 
-    def __init__(self, name, front_address, ready_address, settings_path, log, store_proxy):
+    def __init__(self, name, front_address, ready_address, settings_path, log, store_proxy, build):
+        self.build = build
         self.name = name
         self.front_address = front_address
         self.ready_address = ready_address
@@ -83,7 +95,13 @@
         """Start the gateway as a child process."""
         env = {**os.environ, "MEDLARBEAM_CONFIG": str(self.settings_path)}
         self.process = await create_subprocess_exec(
-            sys.executable, "-m", "medlarbeam.platform", env=env, stdin=DEVNULL, stdout=self.log
+            sys.executable,
+            "-m",
+            "medlarbeam.platform",
+            env=env,
+            stdin=DEVNULL,
+            stdout=self.log,
+            cwd=self.build,
         )
 
     def send_signal(self, number):
@@ -113,15 +131,22 @@
     rng : random.Random
     gateways, engines : int
         Number of gateway processes and of LLM workers.
+    builds : list of pathlib.Path
+        Source trees whose gateways run, in turn; this one by default.
 
     Attributes
     ----------
+    states : dict of str to str
+        State in the entry of each worker that runs and is registered.
+    sequence : int
+        Counts the heartbeats.
     drains : list of FaultInterval
         Periods in which the entry of a worker says that it drains, until its next incarnation.
     """
 
     __slots__ = (
         "arrivals",
+        "builds",
         "crashed_at",
         "draining",
         "drains",
@@ -135,12 +160,17 @@
         "rng",
         "runner",
         "runs",
+        "sequence",
+        "states",
         "store",
         "version",
         "workers",
     )
 
-    def __init__(self, folder, rng, gateways=3, engines=3):
+    def __init__(self, folder, rng, gateways=3, engines=3, builds=(SOURCE_TREE,)):
+        self.builds = list(builds)
+        self.states = {}
+        self.sequence = 0
         self.folder = folder
         self.rng = rng
         self.runs = []
@@ -168,11 +198,8 @@
         host, _, port = address.rpartition(":")
         await asyncio.get_running_loop().create_server(self.runner.server, host, int(port))
         for worker in self.workers.values():
-            await worker.start()
-            proxy = self.proxies[worker.name] = FaultProxy(worker.address)
-            await proxy.start()
-            self.register(worker.name)
-            self.restarts.append(asyncio.create_task(self.keep_restarting(worker.name)))
+            await self.start_worker(worker)
+        self.restarts.append(asyncio.create_task(self.keep_writing_entries()))
         self.write_config(ROUTES)
         for index in range(self.gateway_count):
             await self._add_gateway(f"gw-{index}", f"fd-{index % 2}", address)
@@ -202,8 +229,9 @@
             encoding="utf-8",
         )
         log = (self.folder / f"{name}.log").open("wb")
+        build = self.builds[len(self.gateways) % len(self.builds)]
         gateway = self.gateways[name] = GatewayProcess(
-            name, front_address, ready_address, path, log, proxy
+            name, front_address, ready_address, path, log, proxy, build
         )
         await gateway.start()
 
@@ -219,8 +247,53 @@
             worker.stop()
         await self.runner.cleanup()
 
+    async def start_worker(self, worker):
+        """Start a worker behind a proxy, and register it."""
+        await worker.start()
+        proxy = self.proxies[worker.name] = FaultProxy(worker.address)
+        await proxy.start()
+        self.register(worker.name)
+        self.restarts.append(asyncio.create_task(self.keep_restarting(worker.name)))
+
+    async def keep_writing_entries(self):
+        """Write the entry of each registered worker again at each heartbeat."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self.sequence += 1
+            for name, state in list(self.states.items()):
+                self.register(name, state)
+
+    def deregister(self, name):
+        """Delete the entry of a worker."""
+        self.states.pop(name, None)
+        self.store.delete(f"servers/{name}")
+
+    def take_down(self, name):
+        """Reset all connections of a worker and refuse new ones; it writes no heartbeats."""
+        self.states.pop(name, None)
+        self.proxies[name].stop()
+
+    async def bring_up(self, name, software, registration_s):
+        """Start a worker again under its name and at its address, as a new start.
+
+        Parameters
+        ----------
+        name, software : str
+        registration_s : float
+            Time (s) from its first connection to the write of its entry.
+        """
+        worker = self.workers[name]
+        worker.software = software
+        worker.incarnation += 1
+        worker.order_count = 0
+        worker.adapters.clear()
+        await self.proxies[name].start()
+        await asyncio.sleep(registration_s)
+        self.register(name)
+
     def register(self, name, state="ready"):
         """Write the registration of a worker to the store."""
+        self.states[name] = state
         is_engine = name.startswith("engine")
         document = {
             "service": "llm" if is_engine else "ledger",
@@ -228,6 +301,8 @@
             "zone": f"fd-{int(name[-1]) % 2}",
             "slots": 4,
             "state": state,
+            "seq": self.sequence,
+            "version": self.workers[name].software,
             "born": self.workers[name].incarnation,
             "models": [{"name": "m0", "version": 1, "adapters": []}] if is_engine else [],
         }
@@ -254,6 +329,7 @@
         while True:
             await worker.crashed.wait()
             self.crashed_at.append(asyncio.get_running_loop().time())
+            self.states.pop(name, None)
             proxy.stop()
             await asyncio.sleep(CRASH_DOWN_S)
             worker.crashed.clear()
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -201,7 +201,7 @@
                 deployment.workers[target].leaving_header = LEAVING_HEADER
             await asyncio.sleep(LEAVE_STEP_S)
         await asyncio.sleep(duration_s + 3.0 - LEAVE_STEP_S)
-        deployment.store.delete(f"servers/{target}")
+        deployment.deregister(target)
         await asyncio.sleep(DEREGISTERED_S)
         deployment.draining.discard(target)
         deployment.restart_worker(target)
@@ -429,7 +429,7 @@
     log.info("proxy to %s forwards normally again", proxy.target)
 
 
-async def inject_faults(deployment, rng, seconds, pause_s):
+async def inject_faults(deployment, rng, seconds, pause_s, faults=FAULTS):
     """Inject random faults, which may overlap; return the list of `FaultInterval`.
 
     Parameters
@@ -438,6 +438,7 @@
     rng : random.Random
     seconds, pause_s : float
         Period during which faults are started, and the mean pause between two of them.
+    faults : list of Fault
     """
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
@@ -456,7 +457,7 @@
 
     tasks = []
     while loop.time() < end:
-        fault = rng.choice(FAULTS)
+        fault = rng.choice(faults)
         target = fault.choose(deployment, rng)
         # A gateway process is subject to at most one fault at a time.
         conflicting = [
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 from medlarbeam.classes.record import Record
+from medlarbeam.soak.long_streams import LONG_STREAM_PATH, send_long_stream
 from medlarbeam.standins.platform_worker import RESPONDERS, PlatformWorker, encode_event
 
 __all__ = [
@@ -132,6 +133,10 @@
         Number of the start of the worker.
     crashed : asyncio.Event
         Set when the worker has to be taken down and restarted.
+    software : str
+        Version of the software of this start.
+    states_start : bool
+        Whether its reports state the start of the worker.
     has_room : bool
         Whether it lets requests wait; if not, it refuses those for which no place is free.
     falls : list of FallRecord
@@ -149,6 +154,8 @@
         "rng",
         "running",
         "runs",
+        "software",
+        "states_start",
     )
 
     def __init__(self, name, rng, runs, order_records, arrivals):
@@ -160,6 +167,8 @@
         self.order_records = order_records
         self.fault_probability = 0.0
         self.harmful_part = HARMFUL_PART
+        self.software = "v1"
+        self.states_start = True
         self.crashed = asyncio.Event()
         self.has_room = True
         self.running = 0
@@ -186,10 +195,16 @@
         self.runs.append(RunRecord(attempt, self.name, now))
         self.running += 1
         try:
+            if path.startswith(LONG_STREAM_PATH):
+                return await send_long_stream(self, writer, headers, body, fault)
             return await self._execute(writer, attempt, adapter, fault, headers)
         finally:
             self.running -= 1
 
+    def _build_report(self):
+        start = {"born": self.incarnation} if self.states_start else {}
+        return super()._build_report() | start
+
     def _record_refusal(self, now):
         """Count a refusal for lack of room; the worker crashes above its limit."""
         self.refused_at.append(now)
