Log which start of a backend server the first event of a stream is attributed to

The new line stream_begun has the start in the entry, since when that is known, the age of the connection, and the age of the copy of the store. Connections of clients record when they were established.

--- a/medlarbeam/checking/gateway_model.py
+++ b/medlarbeam/checking/gateway_model.py
@@ -400,7 +400,7 @@
 
 def copy_server(known):
     """Return a copy of a `KnownServer`."""
-    new = KnownServer(known.entry)
+    new = KnownServer(known.entry, known.known_at)
     new.stop_at = known.stop_at
     new.missing_since = known.missing_since
     new.draining = known.draining
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -1,5 +1,7 @@
 """Messages that the shell delivers to a gateway, in addition to those shared with `messages`."""
 
+from math import inf
+
 from medlarbeam.classes.record import Record
 
 __all__ = [
@@ -136,11 +138,14 @@
     origin : SoftwareVersion or None
         Version of the backend server, as stated by the node to which the request was forwarded;
         None if that node states none, or if the response comes from the backend server itself.
+    connected_at : float
+        Time (s) at which the connection of the run was established, -infinity if that was long ago.
     """
 
-    __slots__ = ("load", "origin", "run_id")
+    __slots__ = ("connected_at", "load", "origin", "run_id")
 
-    def __init__(self, run_id, load, origin=None):
+    def __init__(self, run_id, load, origin=None, connected_at=-inf):
+        self.connected_at = connected_at
         self.run_id = run_id
         self.load = load
         self.origin = origin
--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -56,17 +56,23 @@
     allow_resend : bool
         Whether the HTTP library may send the request again on a new connection.
 
+    Attributes
+    ----------
+    connected_at : float or None
+        Time (s) at which the connection on which the request was sent was established.
+
     Notes
     -----
     `sent` becomes True just before the first byte is written.
     """
 
-    __slots__ = ("allow_resend", "not_after", "read_clock", "sent")
+    __slots__ = ("allow_resend", "connected_at", "not_after", "read_clock", "sent")
 
     def __init__(self, read_clock=None, not_after=None, allow_resend=False):
         self.read_clock = read_clock
         self.not_after = not_after
         self.allow_resend = allow_resend
+        self.connected_at = None
         self.sent = False
 
     def permit_send(self):
@@ -98,7 +104,9 @@
 
     async def send(self, conn):
         """Send the request over `conn` if the guard permits it."""
-        CURRENT_GUARD.get().permit_send()
+        guard = CURRENT_GUARD.get()
+        guard.permit_send()
+        guard.connected_at = conn.protocol.connected_at
         return await super().send(conn)
 
 
@@ -108,21 +116,36 @@
     aiohttp parses all bytes that have arrived before anything else runs, and skips any number of
     interim responses.
 
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    read_clock : callable
+        Returns the monotonic time (s).
+
     Attributes
     ----------
+    connected_at : float or None
+        Time (s) at which the connection was established.
     message_count : int
         Heads that have arrived since the last request.
     received_bytes : int
         Bytes that have arrived on the connection.
     """
 
-    __slots__ = ("message_count", "received_bytes")
+    __slots__ = ("connected_at", "message_count", "read_clock", "received_bytes")
 
-    def __init__(self, loop):
+    def __init__(self, loop, read_clock):
         super().__init__(loop)
+        self.read_clock = read_clock
+        self.connected_at = None
         self.message_count = 0
         self.received_bytes = 0
 
+    def connection_made(self, transport):
+        """Record the time."""
+        self.connected_at = self.read_clock()
+        super().connection_made(transport)
+
     def set_response_params(self, **options):
         """Expect the response to the next request."""
         self.message_count = 0
@@ -152,9 +175,9 @@
 
     __slots__ = ()
 
-    def __init__(self, **options):
+    def __init__(self, read_clock, **options):
         super().__init__(**options)
-        self._factory = partial(BoundedResponseHandler, asyncio.get_running_loop())
+        self._factory = partial(BoundedResponseHandler, asyncio.get_running_loop(), read_clock)
 
 
 class NoDnsResolver(AbstractResolver):
@@ -173,7 +196,7 @@
         """Do nothing."""
 
 
-def open_session(timeout, keep_alive=True, idle_timeout_s=IDLE_TIMEOUT_S):
+def open_session(timeout, keep_alive=True, idle_timeout_s=IDLE_TIMEOUT_S, read_clock=None):
     """Return a client session.
 
     Parameters
@@ -184,6 +207,8 @@
         connection that the server is about to close.
     idle_timeout_s : float
         Time (s) after which an idle connection is not used again.
+    read_clock : callable or None
+        Returns the monotonic time (s) for `SendGuard.connected_at`; that of the loop by default.
 
     Notes
     -----
@@ -191,7 +216,11 @@
     """
     idle = {"keepalive_timeout": idle_timeout_s} if keep_alive else {}
     connector = BoundedConnector(
-        limit=0, resolver=NoDnsResolver(), force_close=not keep_alive, **idle
+        read_clock or asyncio.get_running_loop().time,
+        limit=0,
+        resolver=NoDnsResolver(),
+        force_close=not keep_alive,
+        **idle,
     )
     return ClientSession(
         connector=connector,
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -18,6 +18,7 @@
     LeaseRenewed,
     StoreSetBack,
     StoreSnapshot,
+    StoreSynced,
     StoreUnavailable,
 )
 from medlarbeam.gateway.route_table import RouteTable
@@ -50,6 +51,8 @@
     Parameters
     ----------
     entry : ServerRegistration
+    known_at : float
+        Time (s) at which this start of it was read for the first time.
 
     Attributes
     ----------
@@ -62,10 +65,11 @@
         read later does not cancel it.
     """
 
-    __slots__ = ("draining", "entry", "missing_since", "stop_at")
+    __slots__ = ("draining", "entry", "known_at", "missing_since", "stop_at")
 
-    def __init__(self, entry):
+    def __init__(self, entry, known_at):
         self.entry = entry
+        self.known_at = known_at
         self.stop_at = inf
         self.missing_since = inf
         self.draining = False
@@ -104,6 +108,8 @@
         Where an incarnation has announced that it leaves, as text, by name and start (ms), the
         oldest first. A store that is set back may list it as staying, even after a later
         incarnation was known.
+    copied_at : float
+        Time (s) up to which all changes of the store are known.
     membership_version : int
         Incremented whenever a backend server is added or removed.
     node_missing_since : dict of str to float
@@ -117,6 +123,7 @@
 
     __slots__ = (
         "config",
+        "copied_at",
         "doubtful_until",
         "era",
         "forget_at",
@@ -141,6 +148,7 @@
     def __init__(self, node):
         super().__init__(node)
         self.config = None
+        self.copied_at = -inf
         self.routes = RouteTable()
         self.keys = {}
         self.servers = {}
@@ -168,6 +176,7 @@
             EntryDeleted: self.handle_entry_deleted,
             StoreSetBack: self.handle_set_back,
             StoreSnapshot: self.handle_snapshot,
+            StoreSynced: self.handle_synced,
             StoreUnavailable: self.handle_store_unavailable,
             LeaseRenewed: self.handle_lease_renewed,
         }
@@ -176,6 +185,10 @@
         """Return whether requests can be routed."""
         return self.config is not None
 
+    def handle_synced(self, message, now, out):
+        """Record up to which time all changes of the store are known."""
+        self.copied_at = max(self.copied_at, message.sent_at)
+
     def handle_store_unavailable(self, message, now, out):
         """Record that the store did not respond."""
         if now - self.store_unavailable_at > OUTAGE_RELEVANCE_S:
@@ -274,7 +287,7 @@
         if is_stale and entry.started_at_ms < known.entry.started_at_ms:
             return  # the copy has an earlier start of the backend server
         if known is None or known.entry.started_at_ms != entry.started_at_ms:
-            known = self.servers[entry.name] = KnownServer(entry)
+            known = self.servers[entry.name] = KnownServer(entry, now)
             self.membership_version += 1
             out.emit(LogEvent("server_known", describe_server(entry)))
         had_left = known.missing_since <= now and known.stop_at <= now
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -152,6 +152,26 @@
             f"total_s={now - self.arrived_at:.3f}{timing}"
         )
 
+    def describe_stream_start(self, message, fleet, now):
+        """Return as text what attributes the first event of a stream to a start of its server.
+
+        Parameters
+        ----------
+        message : RunStarted
+        fleet : FleetState
+        now : float
+        """
+        known = fleet.servers.get(self.server.name)
+        start = self.server.started_at_ms
+        is_current = known is not None and known.entry.started_at_ms == start
+        known_s = f"{now - known.known_at:.3f}" if is_current else "replaced"
+        return (
+            f"run={self.run_id} server={self.server.name} software={self.server.software} "
+            f"start={start} start_known_s={known_s} connected_s={now - message.connected_at:.3f} "
+            f"store_copy_s={now - fleet.copied_at:.3f} attempt={self.request.attempt_id} "
+            f"resumes={self.request.resumed_attempt}"
+        )
+
     def measure(self, now):
         """Return the `RecordRequestMetrics` of a request that ends at `now` (s)."""
         started_at, sent_at = self.response_started_at, self.first_sent_at
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -5,6 +5,7 @@
 from medlarbeam.algorithms.direct_routing import AdapterAffinityRouting
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
+from medlarbeam.classes.fleet import RouteKind
 from medlarbeam.classes.gateway_effects import (
     AbortResponse,
     CancelFleetRun,
@@ -282,6 +283,9 @@
             self.node.origins.record_start(relay, relay.server.software_version(), now)
             self.node.health.record_response(relay.server.name, now)
             self._record_load(relay, message, now, out)
+            if relay.route.kind is RouteKind.STREAM:
+                detail = relay.describe_stream_start(message, self.node.fleet, now)
+                out.emit(LogEvent("stream_begun", detail, relay.request.request_id))
             self.chart.fire(relay, "started", self, now, out, message)
 
     def _record_load(self, relay, message, now, out):
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -121,10 +121,10 @@
         """Open one session with a connection pool and one without."""
         timeout = ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
         self.session = await self.add_async_context(
-            open_session(timeout, idle_timeout_s=IDLE_TIMEOUT_S)
+            open_session(timeout, idle_timeout_s=IDLE_TIMEOUT_S, read_clock=self.driver.read_clock)
         )
         self.unpooled_session = await self.add_async_context(
-            open_session(timeout, keep_alive=False)
+            open_session(timeout, keep_alive=False, read_clock=self.driver.read_clock)
         )
 
     def effects(self):
@@ -164,7 +164,7 @@
         guard = SendGuard()
         try:
             with apply_send_guard(guard):
-                message = await self._send_and_relay(effect, exchange)
+                message = await self._send_and_relay(effect, exchange, guard)
         except Exception as error:  # every run must end with exactly one message
             has_partial_response = exchange.stream is not None
             reason = describe_error(error)
@@ -182,7 +182,7 @@
             self.runs.pop(effect.run_id, None)
         self.driver.deliver(message)
 
-    async def _send_and_relay(self, effect, exchange):
+    async def _send_and_relay(self, effect, exchange, guard):
         now = self.driver.read_clock()
         if effect.is_stream and exchange.timing is None:
             exchange.timing = StreamTiming(now)
@@ -211,7 +211,7 @@
                     return RunRefused(effect.run_id, response.status, refusal, load, pause)
                 check_response(response, exchange)
                 if effect.is_stream and response.status == 200:
-                    await self._relay_stream(effect, exchange, response, protocol, timer)
+                    await self._relay_stream(effect, exchange, response, protocol, timer, guard)
                     check_response_end(response, protocol)
                     exchange.finish(exchange.stream)
                     return RunCompleted(effect.run_id, response.status, load, exchange.timing)
@@ -230,7 +230,7 @@
         exchange.error_responses[effect.run_id] = buffered
         return RunErrorResponse(effect.run_id, response.status, load)
 
-    async def _relay_stream(self, effect, exchange, response, protocol, timer):
+    async def _relay_stream(self, effect, exchange, response, protocol, timer, guard):
         splitter = EventSplitter(exchange.last_event)
         timing = exchange.timing
         headers = build_stream_headers(response, effect, exchange)
@@ -259,7 +259,7 @@
                 is_forwarded = effect.forwarded_runs is not None
                 origin = parse_origin(response.headers) if is_forwarded else None
                 load = parse_load(response.headers)
-                self.driver.deliver(RunStarted(effect.run_id, load, origin))
+                self.driver.deliver(RunStarted(effect.run_id, load, origin, guard.connected_at))
             timer.pause()
             await exchange.stream.write(data)
             timing.record_write(self.driver.read_clock() - now)
