Wait for a current copy of the store before a take-up is bound to the only known version

Cause: a gateway that knew of one version bound any take-up to it, as long as it had read the store within 6 s or heard a datagram within 3 s. Neither says that no other version joined since. The class of fault is the absence of a record that is taken for knowledge, without asking how old the copy is in which it is absent.

Change: with one known version and no record of the stream, the take-up waits until the copy of the store is as new as its arrival. SyncStore reads the changes beside the watch, one call for all that wait. Without an answer within 0.5 s, with a store that is known to be away, or within two heartbeats of a set-back, the take-up is refused as not run. A server under a new id is used only once its entry was read, so the entry of each version that can have begun the stream is in such a copy. The rule of 6 s and 3 s is gone.

--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -23,6 +23,7 @@
     "ServerOrder",
     "StartFleetRun",
     "StopListening",
+    "SyncStore",
     "WithdrawQuarantine",
     "WithdrawSoftwareVersion",
 ]
@@ -330,6 +331,15 @@
         self.server = server
 
 
+class SyncStore(Record):
+    """Read the changes of the store now; `StoreSynced` or `StoreUnavailable` follows."""
+
+    __slots__ = ()
+
+    def __init__(self):
+        pass
+
+
 class SendDatagram(Record):
     """Send a message to another node as a datagram, without delivery guarantee."""
 
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -38,6 +38,7 @@
 # An older copy of the store may list a backend server that has left since. Its entry expires after
 # this many failed heartbeats and some time for the event to be read.
 EXPIRY_HEARTBEATS = 3
+REWRITE_HEARTBEATS = 2  # within which a backend server has written an entry again that was lost
 EXPIRY_MARGIN_S = 0.9
 # A backend server whose entry is missing is remembered for this long, so that a store that is set
 # back to a copy from a few seconds before does not bring it back.
@@ -109,7 +110,9 @@
         oldest first. A store that is set back may list it as staying, even after a later
         incarnation was known.
     copied_at : float
-        Time (s) up to which all changes of the store are known.
+        Time (s) up to which all changes of the store are known, -infinity if that is unknown.
+    trusted_at : float
+        Time (s) at which backend servers have written again what a set-back of the store lost.
     membership_version : int
         Incremented whenever a backend server is added or removed.
     node_missing_since : dict of str to float
@@ -143,12 +146,14 @@
         "settled_era",
         "store_unavailable_at",
         "store_unavailable_since",
+        "trusted_at",
     )
 
     def __init__(self, node):
         super().__init__(node)
         self.config = None
         self.copied_at = -inf
+        self.trusted_at = -inf
         self.routes = RouteTable()
         self.keys = {}
         self.servers = {}
@@ -187,7 +192,8 @@
 
     def handle_synced(self, message, now, out):
         """Record up to which time all changes of the store are known."""
-        self.copied_at = max(self.copied_at, message.sent_at)
+        if message.sent_at >= self.trusted_at:
+            self.copied_at = message.sent_at
 
     def handle_store_unavailable(self, message, now, out):
         """Record that the store did not respond."""
@@ -210,6 +216,8 @@
         self.era = message.era
         self.revision = 0
         self.is_set_back = True
+        self.copied_at = -inf
+        self.trusted_at = now + REWRITE_HEARTBEATS * self.node.settings.heartbeat_s
         self.keys = {key: EntryUpdated(key, known.value, 0) for key, known in self.keys.items()}
         out.emit(LogEvent("store_set_back", f"era={message.era}", level="warning"))
 
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -4,6 +4,7 @@
 from math import inf
 
 from medlarbeam.classes.gateway_effects import RecordRequestMetrics
+from medlarbeam.exceptions import ErrorKind
 
 __all__ = ["RETRY_AFTER_S", "ElapsedTimes", "Relay", "RelayTimers"]
 
@@ -62,10 +63,15 @@
         Result of the request, see `RecordRequestMetrics`.
     next_check_at : float
         Time (s) of the valid timer of the relay.
+    copy_needed_at : float or None
+        Time (s) up to which the copy of the store must be known before the stream may go on.
+    refusal_kind : ErrorKind
+        Kind of the failure if the request is not sent.
     """
 
     __slots__ = (
         "arrived_at",
+        "copy_needed_at",
         "deadline_at",
         "error_run_id",
         "excluded",
@@ -77,6 +83,7 @@
         "outcome",
         "paused_by",
         "reason",
+        "refusal_kind",
         "refused_by",
         "request",
         "response_started_at",
@@ -120,6 +127,8 @@
         self.timing = None
         self.sent_at = -inf
         self.next_check_at = inf
+        self.copy_needed_at = None
+        self.refusal_kind = ErrorKind.NO_SERVER
 
     def find_wait_limit(self):
         """Return the time (s) until which the request may wait for a backend server."""
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -30,6 +30,7 @@
 from medlarbeam.gateway.run_refusals import RunRefusals
 from medlarbeam.gateway.server_selector import ServerSelector
 from medlarbeam.gateway.shared_retry_budget import SharedRetryBudget
+from medlarbeam.gateway.stream_origins import COPY_WAIT_S
 from medlarbeam.node.component import Component
 
 __all__ = ["Relays"]
@@ -110,7 +111,7 @@
             failure = Failure(ErrorKind.SHUTTING_DOWN, "it might not end before this node stops")
             self._refuse(request, failure, RETRY_AFTER_S, out)
             return
-        failure = self.node.origins.bind(relay, now)
+        failure = self.node.origins.bind(relay, now, out)
         if failure is not None:
             self._refuse(request, failure, 0.0, out)
             return
@@ -143,16 +144,15 @@
             self._fire_and_process(relay, "deadline", now, out)
             return
         self.node.pauses.leave(relay)
+        if self._is_unbound(relay, self.node.origins.bind_waiting, now, out):
+            return
         node = self.node.forwarding.choose_node(relay, now)
         if node is not None:
             self._stop_waiting(relay)
             self.timers.set(relay, relay.deadline_at + RESPONSE_SLACK_S)
             self.node.forwarding.send(relay, node, now, out)
             return
-        failure = self.node.origins.bind_rest(relay, now)
-        if failure is not None:
-            relay.reason = failure.reason
-            self._fire_and_process(relay, "unroutable", now, out)
+        if self._is_unbound(relay, self.node.origins.bind_rest, now, out):
             return
         choice = self.selector.choose(relay, now)
         reason = self.selector.find_missing_software(relay, now)
@@ -175,6 +175,17 @@
         else:
             self._start_run(relay, choice.entry, now, out)
 
+    def _is_unbound(self, relay, bind, now, out):
+        """Return whether `bind` has not bound a stream, which then ends or waits for the store."""
+        failure = bind(relay, now, out)
+        if failure is not None:
+            relay.reason, relay.refusal_kind = failure.reason, failure.kind
+            relay.retry_after_s = 0.0
+            self._fire_and_process(relay, "unroutable", now, out)
+        elif self.node.origins.is_waiting(relay):
+            self._wait(relay, relay.copy_needed_at + COPY_WAIT_S)
+        return failure is not None or self.node.origins.is_waiting(relay)
+
     def _wait_for_server(self, relay, now, out):
         limit = relay.arrived_at + relay.route.latency_goal_s * NO_SERVER_WAIT_SHARE
         blocking = self.selector.find_blocking_pause(relay, now)
@@ -464,7 +475,7 @@
         elif relay.is_response_started or relay.runs:
             self.fail_interrupted(relay, now, out, message)
         else:
-            failure = Failure(ErrorKind.NO_SERVER, relay.reason, RunState.NOT_RUN)
+            failure = Failure(relay.refusal_kind, relay.reason, RunState.NOT_RUN)
             self._fail(relay, failure, relay.retry_after_s, out)
 
     def fail_quarantined(self, relay, now, out, message):
--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -13,6 +13,7 @@
 from medlarbeam.classes.gateway_effects import (
     PublishSoftwareVersion,
     PublishStreams,
+    SyncStore,
     WithdrawSoftwareVersion,
 )
 from medlarbeam.classes.gateway_messages import (
@@ -21,12 +22,13 @@
     NodeDatagram,
     StoreSetBack,
     StoreSnapshot,
+    StoreSynced,
+    StoreUnavailable,
 )
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
-from medlarbeam.gateway.order_rights import RIGHT_VALIDITY_S
 from medlarbeam.node.component import Component
 
-__all__ = ["RETENTION_S", "StreamOrigins"]
+__all__ = ["COPY_WAIT_S", "RETENTION_S", "StreamOrigins"]
 
 # A caller takes a stream up again within its deadline, some seconds after it broke off. A version
 # whose servers have left matters for the same time.
@@ -41,7 +43,8 @@
 PUBLISH_INTERVAL_S = 0.03  # for each node
 WRITE_STEP_S = 0.5  # between nodes that write the entry of a version; a written one is seen sooner
 REVIEW_INTERVAL_S = 5.0
-SILENCE_S = 3.0  # without a datagram of another node, after which this one may be cut off
+# For the store to answer; it takes some ms, or 0.25 s if it is slow. Callers wait 2 s for an event.
+COPY_WAIT_S = 0.5
 MAX_REPORTED = 48  # streams in a datagram
 MAX_PUBLISHED = 20_000  # streams in an entry of the store, about 20 bytes each
 MAX_ORIGINS = 50_000  # about 300 bytes each
@@ -84,6 +87,8 @@
         Entries of the store that name versions, by key.
     versions : dict of str to list of SoftwareVersion
         Versions in `present_at` by service.
+    waiting : dict of str to Relay
+        Relays that wait until the copy of the store is known up to a time, by request id.
     write_at : dict of SoftwareVersion to float
         Time (s) at which this node writes or deletes the entry of a version.
     unreported, published : list of str
@@ -101,6 +106,7 @@
         "review_at",
         "unreported",
         "versions",
+        "waiting",
         "write_at",
     )
 
@@ -110,6 +116,7 @@
         self.present_at = {}
         self.entries = {}
         self.versions = {}
+        self.waiting = {}
         self.write_at = {}
         self.unreported = []
         self.published = []
@@ -125,6 +132,8 @@
             EntryDeleted: self.handle_entry_deleted,
             StoreSnapshot: self.handle_snapshot,
             StoreSetBack: self.handle_set_back,
+            StoreSynced: self.handle_synced,
+            StoreUnavailable: self.handle_unavailable,
             NodeDatagram: self.handle_datagram,
         }
 
@@ -231,30 +240,33 @@
 
     # Origins of streams
 
-    def bind(self, relay, now):
+    def bind(self, relay, now, out):
         """Bind a relay that takes up a stream to the service and version that have begun it.
 
         Returns
         -------
         Failure or None
-            Why the stream cannot go on.
+            Why the stream cannot go on. It may also have to wait, see `is_waiting`.
         """
         request = relay.request
         if relay.route.kind is not RouteKind.STREAM or not request.last_event:
             return None
         if request.origin is not None:
             self._note_attempt(request.resumed_attempt, request.origin, False, now)
-        return self._bind_to_origin(relay, request.resumed_attempt, now)
+        return self._bind_to_origin(relay, request.resumed_attempt, now, out)
 
-    def bind_rest(self, relay, now):
-        """Bind a relay whose caller has a part of the stream, unless the start has bound it.
+    def bind_waiting(self, relay, now, out):
+        """Bind a relay that has waited for the store since `bind` or `bind_rest`."""
+        if not self.is_waiting(relay):
+            return None
+        bind = self.bind_rest if relay.is_response_started else self.bind
+        return bind(relay, now, out)
 
-        That is the case after the loss of a node that has not stated the origin of the stream.
+    def bind_rest(self, relay, now, out):
+        """Bind a relay whose caller has a part of the stream, unless the start has bound it.
 
-        Returns
-        -------
-        Failure or None
-            Why the stream cannot go on.
+        That is the case after the loss of a node that has not stated the origin of the stream; see
+        `bind`.
         """
         if (
             relay.software is not None
@@ -262,12 +274,19 @@
             or not relay.is_response_started
         ):
             return None
-        return self._bind_to_origin(relay, relay.request.attempt_id, now)
+        return self._bind_to_origin(relay, relay.request.attempt_id, now, out)
+
+    def is_waiting(self, relay):
+        """Return whether a relay waits until the copy of the store is new enough."""
+        return relay.request.request_id in self.waiting
 
-    def _bind_to_origin(self, relay, attempt, now):
+    def _bind_to_origin(self, relay, attempt, now, out):
+        self.waiting.pop(relay.request.request_id, None)
         route = relay.route
-        version = self._find(attempt, route, now)
+        version = self._find(attempt, relay, now, out)
         reason = ""
+        if self.is_waiting(relay):
+            return None
         if version is None:
             versions = ", ".join(str(v) for v in self._list_versions(route)) or "unknown ones"
             reason = f"it is not known which of {versions} began {attempt!r}"
@@ -279,20 +298,35 @@
         relay.software = version.software
         return None
 
-    def _find(self, attempt, route, now):
-        """Return the `SoftwareVersion` that has begun a stream, None if it is not known."""
+    def _find(self, attempt, relay, now, out):
+        """Return the `SoftwareVersion` that has begun a stream, None if it is not known.
+
+        If only one version is known, no other one can have begun the stream before `now`, provided
+        that the copy of the store is as new as that. If it is older, the relay waits.
+        """
         origin = self.origins.get(attempt)
         if origin is not None:
             return origin.version
-        versions = self._list_versions(route)
-        return versions[0] if len(versions) == 1 and not self._is_cut_off(now) else None
+        versions = self._list_versions(relay.route)
+        if len(versions) != 1:
+            return None
+        fleet = self.node.fleet
+        if relay.copy_needed_at is None:
+            relay.copy_needed_at = now
+        if fleet.copied_at >= relay.copy_needed_at:
+            return versions[0]
+        if fleet.store_unavailable_since is None and now < relay.copy_needed_at + COPY_WAIT_S:
+            self.waiting[relay.request.request_id] = relay
+            out.emit(SyncStore())
+        return None
+
+    def handle_synced(self, message, now, out):
+        """Bind the relays for which the copy of the store is new enough now."""
+        self.node.relays.timers.advance(self.waiting.values(), now)
 
-    def _is_cut_off(self, now):
-        """Return whether another node may know a version of which this one cannot have heard."""
-        is_store_known = now - self.node.rights.find_confirmed_at() <= RIGHT_VALIDITY_S
-        is_alone = self.node.fleet.nodes.keys() <= {self.node.settings.name}
-        is_heard = now - self.node.reachability.heard_at <= SILENCE_S
-        return not (is_store_known or is_alone or is_heard)
+    def handle_unavailable(self, message, now, out):
+        """Refuse the relays that wait for the store."""
+        self.node.relays.timers.advance(self.waiting.values(), now)
 
     def record_start(self, relay, version, now):
         """Record the version that has brought the first event of a stream, and bind it to that.
@@ -324,6 +358,7 @@
 
     def record_end(self, relay, now):
         """Record that a stream has ended at this node; its caller may take it up again."""
+        self.waiting.pop(relay.request.request_id, None)
         origin = self.origins.get(relay.request.attempt_id)
         if origin is not None and origin.is_own:
             is_served = relay.outcome == "served"
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -15,6 +15,7 @@
     Service,
     ServiceRoute,
 )
+from medlarbeam.classes.gateway_effects import SyncStore
 from medlarbeam.classes.gateway_messages import (
     EntryUpdated,
     GatewayRequest,
@@ -129,6 +130,13 @@
         self.deliver(StoreSynced(self.now))
         self.deliver(LeaseRenewed(self.now, is_new, revision))
 
+    def answer_sync(self):
+        """Let the store answer that nothing has changed, if the gateway asks it; return effects."""
+        if self.find(SyncStore):
+            self.deliver(StoreSynced(self.now))
+            self.effects += self.gateway.tick(self.now)
+        return self.effects
+
     def write_entry(self, key, value):
         """Pass an entry of the store, with a new revision."""
         self.revision += 1
--- a/medlarbeam/platform/store_client.py
+++ b/medlarbeam/platform/store_client.py
@@ -16,6 +16,7 @@
     RecordSettledEra,
     ReleaseRights,
     RenewLease,
+    SyncStore,
     WithdrawQuarantine,
     WithdrawSoftwareVersion,
 )
@@ -117,6 +118,7 @@
         self.is_registered = False
         self.registration_revision = 0
         self.is_renewing = False
+        self.is_syncing = False
         self.release_task = None
 
     async def on_start(self):
@@ -150,6 +152,7 @@
             PublishSoftwareVersion: lambda effect: self.spawn(self._publish_version(effect)),
             WithdrawSoftwareVersion: lambda effect: self.spawn(self._withdraw_version(effect)),
             PublishStreams: lambda effect: self.spawn(self._publish_streams(effect)),
+            SyncStore: lambda effect: self.spawn(self._sync()),
         }
 
     async def _call(self, method, path, params=None, body=None, watch_s=0.0):
@@ -283,16 +286,37 @@
         self.driver.deliver(StoreSnapshot(current, revision, self.era or 0))
         self.known_revision = revision
 
-    async def _watch(self):
-        after = self.known_revision
-        params = {"pathPrefix": "", "after": str(after), "waitMs": str(int(WATCH_TIMEOUT_S * 1000))}
-        response = await self._call("GET", "/kv-watch", params, watch_s=WATCH_TIMEOUT_S)
+    async def _watch(self, wait_s=WATCH_TIMEOUT_S):
+        params = {"pathPrefix": "", "after": str(self.known_revision)}
+        params["waitMs"] = str(int(wait_s * 1000))
+        response = await self._call("GET", "/kv-watch", params, watch_s=wait_s)
         revision = read_field(response, "storeRevision", int)
         for item in read_field(response, "events", list, []):
-            message = self._decode_item(item)
-            if message is not None:
-                self.driver.deliver(message)
-        self.known_revision = max(after, revision)
+            # A call that was sent at the same time may have brought the event already.
+            if read_field(item, "revision", int) > self.known_revision:
+                message = self._decode_item(item)
+                if message is not None:
+                    self.driver.deliver(message)
+        self.known_revision = max(self.known_revision, revision)
+
+    async def _sync(self):
+        """Read the changes of the store beside the watch, which may pause or wait for others."""
+        if self.is_syncing or not self.known_revision:
+            return
+        self.is_syncing = True
+        sent_at = self.driver.read_clock()
+        message = None
+        try:
+            await self._watch(wait_s=0.0)
+            message = StoreSynced(sent_at)
+        except StoreSetBackError:
+            pass  # the replication reads all entries again
+        except (StoreError, FormatError) as error:
+            message = StoreUnavailable(f"sync: {error}")
+        finally:
+            self.is_syncing = False
+        if message is not None:
+            self.driver.deliver(message)
 
     def _decode_item(self, item):
         """Convert a store item or watch event into a message, None for keys that are not used."""
