--- a/medlarbeam/soak/proxy.py
+++ b/medlarbeam/soak/proxy.py
@@ -22,6 +22,14 @@
 }
 
 
+def reset_writer(writer):
+    """Reset a connection: with a linger time of 0 the kernel sends RST instead of FIN."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class FaultProxy:
     """Forwards TCP connections to `target` according to the current `mode`.
 
@@ -73,11 +81,7 @@
     def reset(self):
         """Reset all open connections."""
         for writer in list(self.writers):
-            linger = struct.pack("ii", 1, 0)  # makes the kernel send RST instead of FIN
-            sock = writer.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            reset_writer(writer)
 
     async def _serve(self, reader, writer):
         host, _, port = self.target.rpartition(":")
@@ -94,6 +98,8 @@
             )
         except (OSError, asyncio.IncompleteReadError) as error:
             log.debug("connection to target %s failed: %s", self.target, error)
+            for side in (writer, upstream_writer):
+                reset_writer(side)  # a reset is no regular end of a response without a length
         finally:
             self.writers -= {writer, upstream_writer}
             self.silent -= {writer, upstream_writer}
