Attribute responses to starts of backend servers

The rest of a stream came from another version, or a stream was recorded under the wrong one, so that its take-ups went to a third server of that.

Cause: the version of a server was known from its entry, by name, and applied to whatever process answered at its address: for 0.7 to 1.1 s after each restart, and as long as a gateway is without the store. The class of fault is knowledge of one incarnation that is kept under a name which outlives it.

Change: a connection belongs to one start. ServerStarts attributes a response to the start in the entry only if its connection was established while that start is confirmed to have run: by a report of the server that states its start, by the copy of the store a heartbeat later, or by data on another connection of the start. The rest of a stream is held back until then, and rejected otherwise; a new stream is passed on, but its origin is neither used nor reported before. A server that states another start than its entry gets no rests until the new entry is read, which is asked for at once. A gateway that forwards is told an unknown origin as such, in a form that earlier builds refuse the rest for.

Why it works: starts of a server follow one another. If the connection has answered a request that was sent after the entry was read, its start is that of the entry or later; if the start of the entry still ran when the connection was established, it is no later.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -5,6 +5,7 @@
 from medlarbeam.classes.record import Record
 
 __all__ = [
+    "UNKNOWN_ORIGIN",
     "AdapterKey",
     "BaseModel",
     "Engine",
@@ -417,6 +418,11 @@
         return f"{self.service}@{self.software}"
 
 
+# Stated for a stream whose origin is not known. No service has this name, so a node of an earlier
+# build, which takes it for a version, does not let the stream go on either.
+UNKNOWN_ORIGIN = SoftwareVersion("?", "")
+
+
 class VersionStreams(Record):
     """Attempt ids (list of str) of streams that the `SoftwareVersion` `version` has begun."""
 
--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -79,6 +79,8 @@
         stands for; None if `server` is a backend server.
     origin : SoftwareVersion or None
         Version that has begun the stream, for the node to which the rest of it is forwarded.
+    needs_acceptance : bool
+        Whether the response is held back until `AcceptRun`; see `RunAnswered`.
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "first_event_timeout_s",
         "forwarded_runs",
         "is_stream",
+        "needs_acceptance",
         "needs_new_connection",
         "origin",
         "priority",
@@ -110,7 +113,9 @@
         event_gap_timeout_s,
         forwarded_runs=None,
         origin=None,
+        needs_acceptance=False,
     ):
+        self.needs_acceptance = needs_acceptance
         self.forwarded_runs = forwarded_runs
         self.origin = origin
         self.first_event_timeout_s = first_event_timeout_s
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -3,7 +3,12 @@
 from math import inf
 
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.fleet import RouteKind, ServerRegistration, SoftwareVersion
+from medlarbeam.classes.fleet import (
+    UNKNOWN_ORIGIN,
+    RouteKind,
+    ServerRegistration,
+    SoftwareVersion,
+)
 from medlarbeam.classes.gateway_effects import CancelFleetRun, StartFleetRun
 from medlarbeam.classes.gateway_messages import (
     RunCompleted,
@@ -138,7 +143,9 @@
         if relay is not None:
             relay.is_response_started = True
             relay.record_response_start(now)
-            if message.origin is not None:
+            if message.origin == UNKNOWN_ORIGIN:
+                self.node.origins.record_unknown(relay)
+            elif message.origin is not None:
                 self.node.origins.record_start(relay, message.origin, now)
             self._fire(relay, "started", message, now, out)
 
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -17,6 +17,7 @@
 from medlarbeam.gateway.server_limits import ServerLimits
 from medlarbeam.gateway.server_paths import ServerPaths
 from medlarbeam.gateway.server_pauses import ServerPauses
+from medlarbeam.gateway.server_starts import ServerStarts
 from medlarbeam.gateway.stalled_runs import StalledRuns
 from medlarbeam.gateway.stream_origins import StreamOrigins
 from medlarbeam.node.component import ComponentHost
@@ -62,6 +63,7 @@
         "rng",
         "settings",
         "stalls",
+        "starts",
         "uses",
     )
 
@@ -69,6 +71,7 @@
         self.settings = settings
         self.rng = rng
         self.fleet = FleetState(self)
+        self.starts = ServerStarts(self)
         self.origins = StreamOrigins(self)
         self.leaving = LeavingServers(self)
         self.reachability = NodeReachability(self)
@@ -91,6 +94,7 @@
         super().__init__(
             [
                 self.fleet,
+                self.starts,
                 self.origins,
                 self.leaving,
                 self.reachability,
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -63,6 +63,9 @@
         Result of the request, see `RecordRequestMetrics`.
     next_check_at : float
         Time (s) of the valid timer of the relay.
+    connected_at : float
+        Time (s) at which the connection of the current run was established, infinity before its
+        first event.
     copy_needed_at : float or None
         Time (s) up to which the copy of the store must be known before the stream may go on.
     refusal_kind : ErrorKind
@@ -71,6 +74,7 @@
 
     __slots__ = (
         "arrived_at",
+        "connected_at",
         "copy_needed_at",
         "deadline_at",
         "error_run_id",
@@ -127,6 +131,7 @@
         self.timing = None
         self.sent_at = -inf
         self.next_check_at = inf
+        self.connected_at = inf
         self.copy_needed_at = None
         self.refusal_kind = ErrorKind.NO_SERVER
 
@@ -161,6 +166,17 @@
             f"total_s={now - self.arrived_at:.3f}{timing}"
         )
 
+    def describe_send(self, now):
+        """Return the fields of the current run as text for a log line."""
+        server, request = self.server, self.request
+        return (
+            f"run={self.run_id} server={server.name} software={server.software} "
+            f"route={self.route.name} resumes={request.resumed_attempt} "
+            f"adapter={request.key} send={self.sends} "
+            f"waited_s={now - self.arrived_at:.3f} attempt={request.attempt_id} "
+            f"parts={','.join(request.shared_parts)}"
+        )
+
     def describe_stream_start(self, message, fleet, now):
         """Return as text what attributes the first event of a stream to a start of its server.
 
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -5,7 +5,6 @@
 from medlarbeam.algorithms.direct_routing import AdapterAffinityRouting
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.fleet import RouteKind
 from medlarbeam.classes.gateway_effects import (
     AbortResponse,
     CancelFleetRun,
@@ -254,6 +253,7 @@
         relay.sends += 1
         relay.reason = ""
         relay.sent_at = now
+        relay.connected_at = inf
         if relay.first_sent_at is None:
             relay.first_sent_at = now
         self.relays_by_run[relay.run_id] = relay
@@ -267,17 +267,7 @@
         version = self.node.fleet.published_versions.get(relay.request.key, 0)
         out.emit(plan_run(relay, entry, version))
         self.load_requests.request_replica(relay, entry, now, out)
-        out.emit(
-            LogEvent(
-                "run_sent",
-                f"run={relay.run_id} server={entry.name} software={entry.software} "
-                f"route={relay.route.name} resumes={relay.request.resumed_attempt} "
-                f"adapter={relay.request.key} send={relay.sends} "
-                f"waited_s={now - relay.arrived_at:.3f} attempt={relay.request.attempt_id} "
-                f"parts={','.join(relay.request.shared_parts)}",
-                relay.request.request_id,
-            )
-        )
+        out.emit(LogEvent("run_sent", relay.describe_send(now), relay.request.request_id))
 
     def end_run(self, relay, now, out, message):
         """Record the end of the current run."""
@@ -291,21 +281,11 @@
         if relay is not None:
             relay.is_response_started = True
             relay.record_response_start(now)
-            self.node.origins.record_start(relay, relay.server.software_version(), now)
+            self.node.starts.record_first_event(relay, message, now, out)
             self.node.health.record_response(relay.server.name, now)
-            self._record_load(relay, message, now, out)
-            if relay.route.kind is RouteKind.STREAM:
-                detail = relay.describe_stream_start(message, self.node.fleet, now)
-                out.emit(LogEvent("stream_begun", detail, relay.request.request_id))
+            self.node.health.record_statements(relay.server, message.load, now, out)
             self.chart.fire(relay, "started", self, now, out, message)
 
-    def _record_load(self, relay, message, now, out):
-        """Record the load and the limits in the headers of a response that has just begun."""
-        self.node.health.record_load(relay.server.name, message.load, now)
-        if message.load is not None:
-            self.node.limits.observe(relay.server.name, message.load.rate_limit, now)
-            self.node.refusals.observe(relay.server, message.load.refusal_limit, now, out)
-
     def handle_run_completed(self, message, now, out):
         """Record that the caller has received the whole response."""
         relay = self.relays_by_run.get(message.run_id)
@@ -313,7 +293,7 @@
             if relay.is_response_started:  # its limit is known since the start
                 self.node.health.record_load(relay.server.name, message.load, now)
             else:
-                self._record_load(relay, message, now, out)
+                self.node.health.record_statements(relay.server, message.load, now, out)
             self.node.health.record_outcome(relay.server.name, "succeeded", now, out)
             self.node.crashes.record_success(relay.request, now, out)
             self.node.prompts.record_stream(relay, message.timing)
@@ -325,7 +305,7 @@
         relay = self.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        self._record_load(relay, message, now, out)
+        self.node.health.record_statements(relay.server, message.load, now, out)
         event = "failed" if message.status >= 500 else "succeeded"
         self.node.health.record_outcome(relay.server.name, event, now, out)
         relay.runs += 1
@@ -338,7 +318,7 @@
         relay = self.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        self._record_load(relay, message, now, out)
+        self.node.health.record_statements(relay.server, message.load, now, out)
         self.refusals.record(relay, message, now, out)
         out.emit(
             LogEvent(
--- a/medlarbeam/gateway/run_plan.py
+++ b/medlarbeam/gateway/run_plan.py
@@ -18,6 +18,17 @@
     return relay.route.is_retryable() and relay.runs + 1 < relay.route.attempts
 
 
+def needs_acceptance(relay):
+    """Return whether a response must not be passed on before its start is known.
+
+    That is so for the rest of a stream, and for a stream of another node, which is told its origin
+    in the head of the response.
+    """
+    is_forwarded = relay.request.runs_elsewhere is not None and relay.route.resumable
+    is_stream = relay.route.kind is RouteKind.STREAM
+    return is_stream and (relay.software is not None or is_forwarded)
+
+
 def plan_run(relay, entry, version):
     """Return the `StartFleetRun` of the current run of a relay.
 
@@ -46,4 +57,5 @@
         not route.is_retryable() or entry.name in relay.refused_by,
         first_event_timeout_s,
         event_gap_timeout_s,
+        needs_acceptance=needs_acceptance(relay),
     )
--- a/medlarbeam/gateway/server_health.py
+++ b/medlarbeam/gateway/server_health.py
@@ -127,6 +127,13 @@
             record.load = load
             record.load_at = now
 
+    def record_statements(self, server, load, now, out):
+        """Record the load and the limits in the headers of a response that has just begun."""
+        self.record_load(server.name, load, now)
+        if load is not None:
+            self.node.limits.observe(server.name, load.rate_limit, now)
+            self.node.refusals.observe(server, load.refusal_limit, now, out)
+
     def record_outcome(self, name, event, now, out):
         """Record an outcome: ``succeeded``, ``failed`` or ``unreachable``."""
         record = self.record(name)
--- a/medlarbeam/gateway/server_selector.py
+++ b/medlarbeam/gateway/server_selector.py
@@ -51,8 +51,8 @@
         preferred = self._find_usable(names, relay.service, excluded, now)
         names = self.node.holdings.find_servers(key)
         holders = self._find_usable(names, relay.service, excluded, now)
-        preferred = [entry for entry in preferred if relay.may_use(entry)]
-        holders = [entry for entry in holders if relay.may_use(entry)]
+        preferred = [entry for entry in preferred if self._may_use(relay, entry)]
+        holders = [entry for entry in holders if self._may_use(relay, entry)]
         choice = self._choose_among(
             {e.name: e for e in preferred + holders}.values(), preferred, relay, now
         )
@@ -132,7 +132,12 @@
 
     def _list_allowed(self, relay, now):
         entries = self.node.fleet.usable_servers(relay.service, now)
-        return [entry for entry in entries if relay.may_use(entry)]
+        return [entry for entry in entries if self._may_use(relay, entry)]
+
+    def _may_use(self, relay, entry):
+        """Return whether the version that a server is known to run may run a request."""
+        is_bound = relay.software is not None
+        return relay.may_use(entry) and not (is_bound and self.node.starts.is_replaced(entry))
 
     def _find_all(self, relay, excluded, now):
         entries = self._list_allowed(relay, now)
--- a/medlarbeam/gateway/stalled_runs.py
+++ b/medlarbeam/gateway/stalled_runs.py
@@ -30,7 +30,11 @@
         relay = relays.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        may_move = has_attempt_left(relay) and relays.may_retry(relay, now, out, message)
+        may_move = (
+            has_attempt_left(relay)
+            and not self.node.origins.is_unknown(relay)
+            and relays.may_retry(relay, now, out, message)
+        )
         better = relays.selector.find_better_server(relay, now) if may_move else ""
         out.emit(
             LogEvent(
--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -55,6 +55,8 @@
 
     Attributes
     ----------
+    version : SoftwareVersion or None
+        None while it is not known which start of a server has begun the stream.
     is_own : bool
         Whether the stream went through this node, so that it reports the origin to the others.
     expires_at : float
@@ -194,7 +196,9 @@
             self.versions.setdefault(version.service, []).append(version)
         if any(len(v) > 1 and len(former.get(s, ())) < 2 for s, v in self.versions.items()):
             # Streams that began before there were several versions were not reported.
-            self.unreported = [name for name, origin in self.origins.items() if origin.is_own]
+            self.unreported = [
+                n for n, origin in self.origins.items() if origin.is_own and origin.version
+            ]
             self._schedule_reports(now)
 
     def _review(self, now, out):
@@ -265,8 +269,8 @@
     def bind_rest(self, relay, now, out):
         """Bind a relay whose caller has a part of the stream, unless the start has bound it.
 
-        That is the case after the loss of a node that has not stated the origin of the stream; see
-        `bind`.
+        That is the case after the loss of a node that has not stated the origin of the stream, and
+        while it is not known which start of a server has begun it; see `bind`.
         """
         if (
             relay.software is not None
@@ -289,7 +293,8 @@
             return None
         if version is None:
             versions = ", ".join(str(v) for v in self._list_versions(route)) or "unknown ones"
-            reason = f"it is not known which of {versions} began {attempt!r}"
+            reason = f"it is not known which of {versions}, or of starts unknown here, began "
+            reason += repr(attempt)
         elif version.service not in {target.service for target in route.targets}:
             reason = f"{version} began the stream, and the route leads to other services"
         if reason:
@@ -346,11 +351,23 @@
         if not relay.route.resumable or not attempt:
             return
         self._note_version(version, now)
-        self._remember(attempt, StreamOrigin(version, True, inf))
+        is_open = relay.request.request_id in self.node.relays.open_relays
+        self._remember(attempt, StreamOrigin(version, True, inf if is_open else now + RETENTION_S))
         if self.is_ambiguous(relay.route):
             self.unreported.append(attempt)
             self._schedule_reports(now)
 
+    def is_unknown(self, relay):
+        """Return whether it is not known which start of a server has begun a stream."""
+        origin = self.origins.get(relay.request.attempt_id)
+        return origin is not None and origin.version is None
+
+    def record_unknown(self, relay):
+        """Record that it is not known which start of a server has begun a stream."""
+        attempt = relay.request.attempt_id
+        if relay.route.resumable and attempt:
+            self._remember(attempt, StreamOrigin(None, True, inf))
+
     def _remember(self, attempt, origin):
         while len(self.origins) >= MAX_ORIGINS:
             del self.origins[next(iter(self.origins))]
@@ -410,7 +427,9 @@
 
     def _publish(self, now, out):
         """Write the streams that callers may take up again."""
-        open_streams = [n for n, o in self.origins.items() if o.is_own and o.expires_at > now]
+        open_streams = [
+            n for n, o in self.origins.items() if o.is_own and o.version and o.expires_at > now
+        ]
         open_streams = open_streams[-MAX_PUBLISHED:]
         if open_streams != self.published:
             self.published = open_streams
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -408,6 +408,13 @@
     return adapters
 
 
+def decode_start(document):
+    """Return the time (ms) at which the server of a report started, None if it states none."""
+    if "born" not in document:
+        return None
+    return read_whole_number(document, "born", 0, MAX_TIME_MS)
+
+
 def decode_engine_state(document):
     """Decode the report of an engine into an `EngineState`."""
     models = read_field(document, "models", list)
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -15,6 +15,7 @@
 from yarl import URL
 
 from medlarbeam.algorithms.read_pacing import ReadPacing
+from medlarbeam.classes.fleet import UNKNOWN_ORIGIN
 from medlarbeam.classes.gateway_effects import (
     CancelFleetRun,
     FetchEngineState,
@@ -36,6 +37,15 @@
     ServerLeaving,
     ServerOrderResult,
 )
+from medlarbeam.classes.server_starts import (
+    AcceptRun,
+    CheckServerStart,
+    RejectRun,
+    RunAnswered,
+    RunProgressed,
+    ServerStartResult,
+    WatchProgress,
+)
 from medlarbeam.classes.stream_timing import StreamTiming
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
 from medlarbeam.daemon.http_client import (
@@ -46,7 +56,7 @@
     read_body,
 )
 from medlarbeam.exceptions import FormatError
-from medlarbeam.platform.documents import decode_engine_state, decode_object
+from medlarbeam.platform.documents import decode_engine_state, decode_object, decode_start
 from medlarbeam.platform.event_splitter import EventSplitter
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
@@ -114,6 +124,8 @@
         self.settings = settings
         self.exchanges = exchanges
         self.runs = {}
+        self.held_runs = {}  # future of the decision on each response that is held back, by run id
+        self.watched_runs = set()
         self.session = None
         self.unpooled_session = None
 
@@ -136,6 +148,12 @@
             ServerOrder: lambda effect: self.spawn(self._send_order(effect)),
             ProbeServer: lambda effect: self.spawn(self._probe(effect)),
             FetchEngineState: lambda effect: self.spawn(self._fetch_state(effect)),
+            CheckServerStart: lambda effect: self.spawn(self._check_start(effect)),
+            AcceptRun: lambda effect: self._decide(effect.run_id, effect),
+            RejectRun: lambda effect: self._decide(effect.run_id, effect),
+            WatchProgress: lambda effect: self.watched_runs.update(
+                self.runs.keys() & effect.run_ids
+            ),
         }
 
     def start_run(self, effect):
@@ -180,6 +198,7 @@
                 message = RunRefused(effect.run_id, 0, f"nothing was sent: {reason}", None)
         finally:
             self.runs.pop(effect.run_id, None)
+            self.watched_runs.discard(effect.run_id)
         self.driver.deliver(message)
 
     async def _send_and_relay(self, effect, exchange, guard):
@@ -211,7 +230,11 @@
                     return RunRefused(effect.run_id, response.status, refusal, load, pause)
                 check_response(response, exchange)
                 if effect.is_stream and response.status == 200:
-                    await self._relay_stream(effect, exchange, response, protocol, timer, guard)
+                    origin = effect.server.software_version()
+                    if effect.needs_acceptance:
+                        origin = await self._wait_for_acceptance(effect, guard)
+                    headers = build_stream_headers(response, exchange, origin)
+                    await self._relay_stream(effect, exchange, response, headers, timer, guard)
                     check_response_end(response, protocol)
                     exchange.finish(exchange.stream)
                     return RunCompleted(effect.run_id, response.status, load, exchange.timing)
@@ -230,10 +253,28 @@
         exchange.error_responses[effect.run_id] = buffered
         return RunErrorResponse(effect.run_id, response.status, load)
 
-    async def _relay_stream(self, effect, exchange, response, protocol, timer, guard):
+    async def _wait_for_acceptance(self, effect, guard):
+        """Return the version that has written a response, once that may be passed on."""
+        decision = asyncio.get_running_loop().create_future()
+        self.held_runs[effect.run_id] = decision
+        try:
+            self.driver.deliver(RunAnswered(effect.run_id, guard.connected_at))
+            answer = await decision
+        finally:
+            del self.held_runs[effect.run_id]
+        if isinstance(answer, RejectRun):
+            raise BadResponseError(answer.reason)
+        return answer.origin or UNKNOWN_ORIGIN
+
+    def _decide(self, run_id, effect):
+        decision = self.held_runs.get(run_id)
+        if decision is not None and not decision.done():
+            decision.set_result(effect)
+
+    async def _relay_stream(self, effect, exchange, response, headers, timer, guard):
+        protocol = response.connection.protocol if response.connection else None
         splitter = EventSplitter(exchange.last_event)
         timing = exchange.timing
-        headers = build_stream_headers(response, effect, exchange)
         pacing = ReadPacing(self.driver.read_clock())
         received_before = protocol.received_bytes if protocol is not None else 0
         is_first = True
@@ -245,6 +286,9 @@
             received = protocol.received_bytes - received_before if protocol is not None else 0
             event_count = splitter.event_count - event_count
             wait_s = pacing.record(event_count, len(chunk), received, now)
+            if effect.run_id in self.watched_runs:
+                self.watched_runs.discard(effect.run_id)
+                self.driver.deliver(RunProgressed(effect.run_id))
             if not data:  # no progress for the stall timer
                 await asyncio.sleep(wait_s)
                 continue
@@ -341,19 +385,36 @@
             message = ServerOrderResult(effect, 0, describe_error(error))
         self.driver.deliver(message)
 
+    async def _read_report(self, server):
+        """Return the response to a request for the report of a server, and its body."""
+        with apply_send_guard(SendGuard(allow_resend=True)):
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                async with self.session.get(
+                    f"http://{server.address}/report",
+                    headers={"X-Expect-Instance": server.name},
+                    allow_redirects=False,
+                ) as response:
+                    self._report_leaving(server, response, "", "report")
+                    return response, await read_body(response, MAX_RESPONSE_BYTES)
+
+    async def _check_start(self, effect):
+        sent_at = self.driver.read_clock()
+        started_at_ms, reason = None, ""
+        try:
+            response, text = await self._read_report(effect.server)
+            if response.status == 200:
+                started_at_ms = decode_start(decode_object(text))
+            elif response.status != 404:  # which a server without reports responds
+                reason = f"HTTP {response.status}"
+        except Exception as error:  # every check must result in exactly one message
+            reason = describe_error(error)
+        self.driver.deliver(ServerStartResult(effect.server, started_at_ms, sent_at, reason))
+
     async def _fetch_state(self, effect):
         name = effect.server.name
         pause = None
         try:
-            with apply_send_guard(SendGuard(allow_resend=True)):
-                async with asyncio.timeout(REPORT_TIMEOUT_S):
-                    async with self.session.get(
-                        f"http://{effect.server.address}/report",
-                        headers={"X-Expect-Instance": name},
-                        allow_redirects=False,
-                    ) as response:
-                        self._report_leaving(effect.server, response, "", "report")
-                        text = await read_body(response, MAX_RESPONSE_BYTES)
+            response, text = await self._read_report(effect.server)
             pause = find_pause(response, "", name)
             if response.status != 200:
                 raise FormatError(f"HTTP {response.status}")
@@ -406,11 +467,11 @@
     return parse_pause(response.headers, attempt_id, server)
 
 
-def build_stream_headers(response, effect, exchange):
+def build_stream_headers(response, exchange, origin):
     """Return the headers of a stream for the caller, or for the node that forwards its request."""
     headers = response_headers(response.headers)
     if exchange.request.runs_elsewhere is not None:
-        headers += origin_headers(effect.server.software_version())
+        headers += origin_headers(origin)
     return headers
 
 
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -133,7 +133,7 @@
             "version": software,
             "slots": 4,
             "state": state,
-            "born": 1,
+            "born": worker.incarnation or 1,
             "models": models,
         }
         self.store.put(f"servers/{worker.name}", dumps(document))
@@ -334,6 +334,8 @@
         pair = ("w1", "w2") if name == "chat" else ("l1", "l2")
         if name == "chat":
             await deployment.call(session, name, "id-0")  # loads the adapter
+            # The check of the server's start would be another response with the header.
+            await wait_until(lambda: not deployment.shell.node.starts.waiting)
         deployment.store.injected_fault = store_fault
         for worker in (deployment.workers[n] for n in pair):
             worker.leaving_header = LEAVING_HEADER
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -148,7 +148,6 @@
         "falls",
         "fault_probability",
         "has_room",
-        "incarnation",
         "order_records",
         "refused_at",
         "rng",
@@ -202,8 +201,10 @@
             self.running -= 1
 
     def _build_report(self):
-        start = {"born": self.incarnation} if self.states_start else {}
-        return super()._build_report() | start
+        report = super()._build_report()
+        if not self.states_start:
+            del report["born"]
+        return report
 
     def _record_refusal(self, now):
         """Count a refusal for lack of room; the worker crashes above its limit."""
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -75,6 +75,8 @@
         pause.
     request_count : int
         Number of requests of callers that have arrived.
+    incarnation : int or None
+        Start that its reports state, None to state none.
     """
 
     __slots__ = (
@@ -85,6 +87,7 @@
         "executed_attempts",
         "fences",
         "harmful_part",
+        "incarnation",
         "leaving_header",
         "name",
         "order_count",
@@ -107,6 +110,7 @@
         self.fences = []
         self.adapters = set()
         self.harmful_part = ""
+        self.incarnation = 1
         self.leaving_header = b""
         self.rate_limit = None
         self.refusal_limit = None
@@ -203,7 +207,8 @@
 
     def _build_report(self):
         model = {"name": "m0", "version": 1, "adapters": [f"{a}@1" for a in self.adapters]}
-        return {"models": [model], "seq": self.order_count, "busy": False, "coming": []}
+        start = {"born": self.incarnation} if self.incarnation is not None else {}
+        return {"models": [model], "seq": self.order_count, "busy": False, "coming": []} | start
 
     def handle_order(self, order):
         """Carry out a load or unload order and return the HTTP status."""
