Read pacing: allow for all the text that a connection reads ahead

Cause: ReadPacing counts what was received beyond the text that was read, less READ_AHEAD_BYTES, as framing, one event per 32 bytes. The rest was charged as framing: a trace showed 606,208 to 622,592 bytes read ahead and waits of 0.256 to 0.289 s, during which no event reached the stall timer, whose limit is 0.5 s in that test. The bound of 768 KiB would have been charged 2.8 s.

Change: READ_AHEAD_BYTES is 768 KiB. Endless framing is still paced; 256 KiB more of it are free once a stream.

The new tests failed before the change (780,288 bytes read ahead, 524,288 allowed). test_endless_responses.py and test_faulty_peers.py pass.

--- a/medlarbeam/algorithms/read_pacing.py
+++ b/medlarbeam/algorithms/read_pacing.py
@@ -10,7 +10,9 @@
 # each chunk of a body.
 TEXT_BYTES_PER_EVENT = 16384
 FRAMING_BYTES_PER_EVENT = 32
-READ_AHEAD_BYTES = 512 << 10  # of text, which may have been received and wait to be read
+# Text that may have been received and wait to be read: aiohttp stops reading above 512 KiB, after a
+# read of 256 KiB at most.
+READ_AHEAD_BYTES = 768 << 10
 
 
 class ReadPacing:
--- a/medlarbeam/platform/tests/test_endless_responses.py
+++ b/medlarbeam/platform/tests/test_endless_responses.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from medlarbeam.algorithms.read_pacing import BURST_EVENTS, EVENTS_PER_S, ReadPacing
+from medlarbeam.algorithms.read_pacing import (
+    BURST_EVENTS,
+    EVENTS_PER_S,
+    READ_AHEAD_BYTES,
+    ReadPacing,
+)
 from medlarbeam.daemon import http_client
 from medlarbeam.platform.tests.test_whole_path import BROKEN, run
 
@@ -100,6 +105,7 @@
     ("usual-stream-is-never-delayed", [(1, 900, 930, 0.04)] * 5000, 0.0),
     ("large-events-are-not-delayed", [(1, 1 << 20, 1 << 20, 0.04)] * 500, 0.0),
     ("text-that-was-read-ahead-is-no-framing", [(0, 1 << 14, 1 << 19, 0.0)], 0.0),
+    ("as-much-text-as-a-connection-reads-ahead", [(0, 1 << 14, 768 << 10, 0.0)], 0.0),
     ("events-that-have-piled-up-come-at-once", [(BURST, 0, 0, 0.0)], 0.0),
     ("more-events-than-the-burst", [(BURST, 0, 0, 0.0), (ONE_SECOND, 0, 0, 0.0)], 1.0),
     ("wait-is-over-after-its-time", [(BURST + ONE_SECOND, 0, 0, 0.0), (0, 0, 0, 1.0)], 0.0),
@@ -118,3 +124,48 @@
         received += received_bytes
         result = pacing.record(event_count, text_bytes, received, now)
     assert result == 0.0 if wait_s == 0.0 else result >= wait_s
+
+
+LARGE_BODY_BYTES = 4 << 20
+BODY_FRAMINGS = [
+    ("with-a-length", b"Content-Length: %d\r\n\r\n" % LARGE_BODY_BYTES, b""),
+    (
+        "in-one-chunk",
+        b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % LARGE_BODY_BYTES,
+        b"\r\n0\r\n\r\n",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("head_end", "body_end"), [f[1:] for f in BODY_FRAMINGS], ids=[f[0] for f in BODY_FRAMINGS]
+)
+def test_text_that_a_connection_reads_ahead_is_never_taken_for_framing(head_end, body_end):
+    """Guards against delays of sound streams of large events, which were taken for stalled runs."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 X\r\n" + head_end + bytes(LARGE_BODY_BYTES) + body_end)
+        await reader.read()
+        writer.close()
+
+    async def read_slowly(response):
+        text_bytes = ahead_bytes = 0
+        while text_bytes < LARGE_BODY_BYTES:
+            protocol = response.connection.protocol if response.connection else None
+            if protocol is not None:
+                ahead_bytes = max(ahead_bytes, protocol.received_bytes - text_bytes)
+            text_bytes += len(await response.content.read(1 << 14))
+            await asyncio.sleep(0.001)  # for what can be read ahead to arrive
+        return ahead_bytes
+
+    async def execute():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server, http_client.open_session(None) as session:
+            with http_client.apply_send_guard(http_client.SendGuard()):
+                async with session.get(f"http://127.0.0.1:{port}/") as response:
+                    return await read_slowly(response)
+
+    head_bytes = 1 << 10
+    assert 1 << 18 < asyncio.run(execute()) <= READ_AHEAD_BYTES + head_bytes
