Wait for a handover in place of refusing the request

Cause: after a handover the new owner starts no run until the earlier owner has pledged at the new epoch, or its pledge has expired (one ping, at most 1.02 pledges). The router counted each not_owner as one of three attempts and charged the retry budget; three attempts end after about 0.1 s. A request without a live backend server waited already.

Change: an attempt that ends with not_owner counts towards neither the maximum of attempts nor the retry budget; the backoff still grows to 0.5 s, and the request ends 0.5 s before its deadline at the latest.

--- a/medlarbeam/node/request_router.py
+++ b/medlarbeam/node/request_router.py
@@ -47,6 +47,8 @@
         Model of the attempt.
     models : list of str
         Acceptable models that are in the catalog.
+    refused_attempts : int
+        Number of attempts that met a handover and do not count towards the maximum.
     response_started : bool
         Whether text of `model` was sent to the caller; no other model may continue it.
     run_state : RunState
@@ -68,6 +70,7 @@
         "logged_kind",
         "model",
         "models",
+        "refused_attempts",
         "request",
         "response_started",
         "retry_at",
@@ -90,6 +93,7 @@
         self.load_wait_s = 0.0
         self.model = ""
         self.models = []
+        self.refused_attempts = 0
         self.response_started = False
         self.logged_kind = None
         self.retry_at = 0.0
@@ -245,9 +249,8 @@
         entry = self.open.get(request_id)
         if entry is None or not self.chart.has_tag(entry, "attempt"):
             return None
-        if entry.target != sender or entry.attempt != attempt:
-            return None
-        return entry
+        is_current = entry.target == sender and entry.attempt == attempt
+        return entry if is_current else None
 
     def _emit_ready_text(self, entry, out):
         text = entry.chunk_buffer.take_ready()
@@ -355,11 +358,13 @@
         """Return whether another attempt is allowed, and charge it to the retry budget."""
         if not ERROR_RESPONSES[entry.failure.kind].retryable or not self._is_repeatable(entry):
             return False
-        if entry.attempt >= self.node.settings.max_attempts:
-            return False
-        if now + RETRY_LIMIT_S >= entry.request.deadline:
+        is_suspect = self.node.crashes.check(entry.request, now) is not None
+        if is_suspect or now + RETRY_LIMIT_S >= entry.request.deadline:
             return False
-        if self.node.crashes.check(entry.request, now) is not None:
+        if entry.failure.kind is ErrorKind.NOT_OWNER:  # until a handover is complete
+            entry.refused_attempts += 1
+            return True
+        if entry.attempt - entry.refused_attempts >= self.node.settings.max_attempts:
             return False
         return self.budget.try_acquire(entry.domain, now)
 
@@ -379,16 +384,15 @@
     def complete_response(self, entry, now, out):
         """Complete the response."""
         self._release_attempt(entry)
-        self._finish_claim(entry, ClaimOutcome(*self._outcome_fields(entry)), now, out)
+        text = entry.chunk_buffer.text()
+        outcome = ClaimOutcome(entry.end.status, text, entry.model, entry.server)
+        self._finish_claim(entry, outcome, now, out)
         if not entry.response_started:
             out.emit(
                 ResponseStart(entry.request.request_id, entry.model, entry.server, entry.attempt)
             )
         self._end_request(entry, None, out, entry.end.status)
 
-    def _outcome_fields(self, entry):
-        return entry.end.status, entry.chunk_buffer.text(), entry.model, entry.server
-
     def respond_failure(self, entry, now, out):
         """End the response with `entry.failure` and the combined run state of all attempts."""
         self._respond_failure(entry, now, out, entry.failure)
--- a/medlarbeam/node/tests/test_whole_path.py
+++ b/medlarbeam/node/tests/test_whole_path.py
@@ -90,6 +90,33 @@
     assert check_cluster(cluster, faults_ended=False) == []
 
 
+def restart_node(cluster):
+    cluster.kill("n1")
+    cluster.run(cluster.now + 0.2)
+    cluster.start("n1")
+
+
+HANDOVERS = [
+    ("node-leaves", lambda cluster: cluster.deliver(cluster.hosts["n1"], Shutdown())),
+    ("node-is-killed-and-started", restart_node),
+]
+
+
+@pytest.mark.parametrize("seed", range(1, 6), ids=lambda s: f"seed-{s}")
+@pytest.mark.parametrize("begin", [h[1] for h in HANDOVERS], ids=[h[0] for h in HANDOVERS])
+def test_requests_wait_until_a_handover_is_complete(begin, seed):
+    """A request is refused though a backend server only changes its owner."""
+    cluster = make_cluster(seed)
+    begin(cluster)
+    responses = []
+    for number in range(40):
+        cluster.run(cluster.now + 0.1)
+        request = make_request(cluster, "n3", [MODELS[number % 3]], f"request {number}")
+        responses.append(cluster.send_request("n3", request))
+    assert [wait_for_end(cluster, r).failure for r in responses] == [None] * 40
+    assert check_cluster(cluster, faults_ended=False) == []
+
+
 REFUSALS = [
     ("unknown-version", {"models": ["a0@9"]}, ErrorKind.UNKNOWN_ADAPTER),
     ("unknown-service", {"models": [], "service": "bank"}, ErrorKind.UNKNOWN_SERVICE),
