Soak: links of their own for each gateway

The entry of a worker named one proxy for all gateways, so that no fault cut off a single gateway from the workers, and gateways reached one another without a proxy. Each gateway now reads the store through a front of its own, which replaces the addresses of workers and of other gateways by those of its links. Faults of a worker go on to act on the links of all gateways.

--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -10,6 +10,7 @@
 from aiohttp.web import AppRunner
 from orjson import dumps
 
+from medlarbeam.soak.links import PeerLink, WorkerLinks, build_store_front
 from medlarbeam.soak.proxy import FaultProxy
 from medlarbeam.soak.worker import SoakWorker
 from medlarbeam.standins.free_ports import find_free_addresses
@@ -73,6 +74,7 @@
     __slots__ = (
         "build",
         "front_address",
+        "is_starting",
         "log",
         "name",
         "process",
@@ -90,9 +92,20 @@
         self.log = log
         self.store_proxy = store_proxy
         self.process = None
+        self.is_starting = False
 
     async def start(self):
-        """Start the gateway as a child process."""
+        """Start the gateway as a child process, unless one runs."""
+        # Faults of one gateway and of all overlap, and each of them starts it again.
+        if self.is_starting or (self.process is not None and self.process.returncode is None):
+            return
+        self.is_starting = True
+        try:
+            await self._spawn()
+        finally:
+            self.is_starting = False
+
+    async def _spawn(self):
         env = {**os.environ, "MEDLARBEAM_CONFIG": str(self.settings_path)}
         self.process = await create_subprocess_exec(
             sys.executable,
@@ -138,6 +151,12 @@
     ----------
     states : dict of str to str
         State in the entry of each worker that runs and is registered.
+    proxies : dict of str to WorkerLinks
+        Links of all gateways to each worker.
+    peer_links : dict of str to dict of str to PeerLink
+        Links of each gateway to each other one.
+    worker_cuts : dict of str to str
+        Kind of the cut of each gateway that is cut off from all workers; see `GatewayLink.cut`.
     sequence : int
         Counts the heartbeats.
     drains : list of FaultInterval
@@ -151,19 +170,21 @@
         "draining",
         "drains",
         "folder",
-        "gateway_count",
+        "gateway_names",
         "gateways",
         "harmful_requests",
         "orders",
+        "peer_links",
         "proxies",
         "restarts",
         "rng",
-        "runner",
+        "runners",
         "runs",
         "sequence",
         "states",
         "store",
         "version",
+        "worker_cuts",
         "workers",
     )
 
@@ -186,27 +207,30 @@
         self.harmful_requests = []
         self.restarts = []
         self.gateways = {}
-        self.gateway_count = gateways
-        self.runner = None
+        self.gateway_names = [f"gw-{index}" for index in range(gateways)]
+        self.peer_links = {}
+        self.worker_cuts = {}
+        self.runners = []
         self.version = 0
 
     async def __aenter__(self):
-        # A call without a response from the store would delay the shutdown by a minute.
-        self.runner = AppRunner(self.store.build_app(), shutdown_timeout=1.0)
-        await self.runner.setup()
-        (address,) = find_free_addresses(1)
-        host, _, port = address.rpartition(":")
-        await asyncio.get_running_loop().create_server(self.runner.server, host, int(port))
         for worker in self.workers.values():
             await self.start_worker(worker)
         self.restarts.append(asyncio.create_task(self.keep_writing_entries()))
         self.write_config(ROUTES)
-        for index in range(self.gateway_count):
-            await self._add_gateway(f"gw-{index}", f"fd-{index % 2}", address)
+        free = find_free_addresses(5 * len(self.gateway_names))
+        addresses = {name: free[5 * i : 5 * i + 5] for i, name in enumerate(self.gateway_names)}
+        for name in self.gateway_names:
+            links = {n: PeerLink(a[2]) for n, a in addresses.items() if n != name}
+            self.peer_links[name] = links
+            for link in links.values():
+                await link.start()
+        for index, name in enumerate(self.gateway_names):
+            await self._add_gateway(name, f"fd-{index % 2}", addresses[name])
         async with asyncio.timeout(START_TIMEOUT_S):
             while (
                 len(self.store.items)
-                < self.gateway_count + len(self.workers) + 1 + self._count_engines()
+                < len(self.gateway_names) + len(self.workers) + 1 + self._count_engines()
             ):
                 await asyncio.sleep(0.05)
         return self
@@ -214,8 +238,36 @@
     def _count_engines(self):
         return sum(1 for name in self.workers if name.startswith("engine"))
 
-    async def _add_gateway(self, name, domain, store_address):
-        front_address, ready_address, peers, metrics = find_free_addresses(4)
+    def list_worker_links(self, gateway):
+        """Return the links of a gateway to the workers, by their names."""
+        return {name: group.links[gateway] for name, group in self.proxies.items()}
+
+    def cut_from_workers(self, gateway, kind):
+        """Cut a gateway off from all workers, also from those that come; see `GatewayLink.cut`."""
+        self.worker_cuts[gateway] = kind
+        for link in self.list_worker_links(gateway).values():
+            link.cut(kind)
+
+    async def reconnect_to_workers(self, gateway):
+        """End the cut of a gateway."""
+        del self.worker_cuts[gateway]
+        for link in self.list_worker_links(gateway).values():
+            await link.restore()
+
+    async def _start_store_front(self, gateway, address):
+        app = build_store_front(
+            self.store, lambda: self.list_worker_links(gateway), self.peer_links[gateway]
+        )
+        # A call without a response from the store would delay the shutdown by a minute.
+        runner = AppRunner(app, shutdown_timeout=1.0)
+        self.runners.append(runner)
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        await asyncio.get_running_loop().create_server(runner.server, host, int(port))
+
+    async def _add_gateway(self, name, domain, addresses):
+        front_address, ready_address, peers, metrics, store_address = addresses
+        await self._start_store_front(name, store_address)
         proxy = FaultProxy(store_address)
         await proxy.start()
         path = self.folder / f"{name}.toml"
@@ -245,12 +297,16 @@
         for name, worker in self.workers.items():
             self.proxies[name].stop()
             worker.stop()
-        await self.runner.cleanup()
+        for link in (link for links in self.peer_links.values() for link in links.values()):
+            link.stop()
+        await asyncio.gather(*(runner.cleanup() for runner in self.runners))
 
     async def start_worker(self, worker):
-        """Start a worker behind a proxy, and register it."""
+        """Start a worker behind a link of each gateway, and register it."""
         await worker.start()
-        proxy = self.proxies[worker.name] = FaultProxy(worker.address)
+        proxy = self.proxies[worker.name] = WorkerLinks(worker.address, self.gateway_names)
+        for gateway, kind in self.worker_cuts.items():
+            proxy.links[gateway].cut(kind)
         await proxy.start()
         self.register(worker.name)
         self.restarts.append(asyncio.create_task(self.keep_restarting(worker.name)))
--- a/medlarbeam/soak/proxy.py
+++ b/medlarbeam/soak/proxy.py
@@ -73,6 +73,10 @@
         self.server.close()
         self.reset()
 
+    def is_blocked(self, direction):
+        """Return whether bytes to the server (0) or to the client (1) are held back."""
+        return not MODES[self.mode][direction]
+
     def silence(self):
         """Let the open connections go silent for good; new ones work. Return their number."""
         self.silent |= self.writers
@@ -111,7 +115,7 @@
             if writer in self.silent:
                 self.lost_connections.add(id(writer))
                 continue
-            while not MODES[self.mode][direction]:
+            while self.is_blocked(direction):
                 await asyncio.sleep(REOPEN_POLL_S)
             if self.mode == "delayed":
                 await asyncio.sleep(DELAY_S)
