Soak: late bytes of workers

No worker went on with a stream after a stall, or wrote the end of an earlier stream before the next answer on a kept connection. A worker may now do both for a share of its long streams.

--- a/medlarbeam/soak/long_streams.py
+++ b/medlarbeam/soak/long_streams.py
@@ -19,6 +19,8 @@
 LONG_EVENT_PAUSE_S = 0.15
 BREAK_SHARE = 0.06  # of the streams, which break off although the worker goes on
 UNFRAMED_SHARE = 0.15  # of the streams, whose bodies end with the connection
+MAX_STALL_S = 3.0  # after which a worker goes on, whether or not the stream was moved meanwhile
+LATE_KINDS = ("stall", "end", "event", "answer")
 BREAKS = ("in_event", "in_chunk", "in_head", "in_end", "between_events")
 
 
@@ -76,6 +78,28 @@
     return rng.choice(BREAKS) if fault != "good" or rng.random() < BREAK_SHARE else ""
 
 
+def choose_late(worker):
+    """Return which late bytes a stream has, as a member of `LATE_KINDS`, or "" for none."""
+    if worker.late_share and worker.rng.random() < worker.late_share:
+        return worker.rng.choice(LATE_KINDS)
+    return ""
+
+
+def build_late_bytes(kind, head, piece):
+    """Return the bytes of a stream that come again before the next answer on its connection.
+
+    Parameters
+    ----------
+    kind : str
+        Member of `LATE_KINDS`: ``end``, the last chunk; ``event``, with the last event before it;
+        ``answer``, a whole answer with that event. Nothing for the others.
+    head, piece : bytes
+        Head of the answer, and the chunk of the last event.
+    """
+    parts = {"end": b"", "event": piece, "answer": head + piece}
+    return parts[kind] + b"0\r\n\r\n" if kind in parts else b""
+
+
 async def send_long_stream(worker, writer, headers, body, fault):
     """Send the events after ``Last-Event-Id``; return whether the connection stays open.
 
@@ -91,6 +115,7 @@
     first = int(headers.get("last-event-id", 0)) + 1
     rng = worker.rng
     break_kind = choose_break(rng, fault)
+    late_kind = choose_late(worker)
     break_at = rng.randint(first, LONG_EVENTS) if first <= LONG_EVENTS else first
     is_chunked = rng.random() >= UNFRAMED_SHARE
     framing = b"Transfer-Encoding: chunked" if is_chunked else b"Connection: close"
@@ -101,9 +126,11 @@
         return False
     writer.write(head)
     # The start is that of the beginning: a worker that is restarted closes its connections.
+    piece = b""
     source = (worker.software, worker.name, worker.incarnation, body.decode())
     for number in range(first, LONG_EVENTS + 1):
-        await asyncio.sleep(LONG_EVENT_PAUSE_S)
+        is_late = late_kind == "stall" and number == break_at
+        await asyncio.sleep(rng.uniform(0.0, MAX_STALL_S) if is_late else LONG_EVENT_PAUSE_S)
         event = LongEvent(number, *source).encode()
         piece = encode_chunk(event) if is_chunked else event
         if number == break_at and break_kind in ("in_event", "in_chunk", "between_events"):
@@ -119,4 +146,5 @@
         return False
     if is_chunked:
         writer.write(b"0\r\n\r\n")
+        worker.late_bytes[writer] = build_late_bytes(late_kind, head, piece)
     return is_chunked
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from weakref import WeakKeyDictionary
 
 from medlarbeam.classes.record import Record
 from medlarbeam.soak.long_streams import LONG_STREAM_PATH, send_long_stream
@@ -140,6 +141,10 @@
     has_room : bool
         Whether it lets requests wait; if not, it refuses those for which no place is free.
     falls : list of FallRecord
+    late_share : float
+        Share of the long streams with late bytes.
+    late_bytes : weakref.WeakKeyDictionary
+        Bytes that are written before the answer to the next request, by writer.
     """
 
     __slots__ = (
@@ -148,6 +153,8 @@
         "falls",
         "fault_probability",
         "has_room",
+        "late_bytes",
+        "late_share",
         "order_records",
         "refused_at",
         "rng",
@@ -173,6 +180,12 @@
         self.running = 0
         self.refused_at = deque()
         self.falls = []
+        self.late_share = 0.0
+        self.late_bytes = WeakKeyDictionary()
+
+    async def _handle_request(self, writer, path, headers, body):
+        writer.write(self.late_bytes.pop(writer, b""))
+        return await super()._handle_request(writer, path, headers, body)
 
     async def respond(self, writer, path, headers, body):
         """Execute a request if it is addressed to this worker and its adapter is loaded."""
