--- a/medlarbeam/soak/release_faults.py
+++ b/medlarbeam/soak/release_faults.py
@@ -6,7 +6,7 @@
 from medlarbeam.soak.faults import FAULTS, Fault, WorkerLink
 from medlarbeam.soak.worker import SoakWorker
 
-__all__ = ["STREAM_FAULTS", "Release", "Replacement", "WorkerCrash"]
+__all__ = ["RELEASE_FAULTS", "Release", "Replacement", "WorkerCrash"]
 
 log = logging.getLogger(__name__)
 
@@ -105,7 +105,7 @@
 
 DISTURBANCES = {"kill", "terminate", "freeze", "store_link", "store_loss", "worker_link", "store"}
 # Releases are drawn more often, since each one changes a part of the workers only.
-STREAM_FAULTS = [
+RELEASE_FAULTS = [
     Release(),
     Release(),
     Replacement(),
--- a/medlarbeam/soak/streams.py
+++ b/medlarbeam/soak/streams.py
@@ -14,7 +14,6 @@
 from medlarbeam.soak.deployment import SOURCE_TREE, Deployment
 from medlarbeam.soak.faults import inject_faults
 from medlarbeam.soak.records import EndTime
-from medlarbeam.soak.release_faults import STREAM_FAULTS
 from medlarbeam.soak.stream_callers import StreamCaller
 from medlarbeam.soak.stream_checker import (
     check_streams,
@@ -22,6 +21,7 @@
     count_take_ups,
     list_joined,
 )
+from medlarbeam.soak.stream_faults import STREAM_FAULTS
 
 __all__ = ["StreamSoakConfig", "main", "run_stream_soak"]
 
