--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -37,6 +37,15 @@
 }
 
 
+def choose_host(process_id):
+    """Return a loopback address of its own for the gateways of a process.
+
+    Other programs take free ports of 127.0.0.1, also those of a gateway that is started again.
+    """
+    first = 64 | process_id >> 16 & 63
+    return f"127.{first}.{process_id >> 8 & 255}.{process_id & 255}"
+
+
 def build_route(name, kind, service, **fields):
     """Return the configuration document of a route."""
     return {
@@ -218,7 +227,11 @@
             await self.start_worker(worker)
         self.restarts.append(asyncio.create_task(self.keep_writing_entries()))
         self.write_config(ROUTES)
-        free = find_free_addresses(5 * len(self.gateway_names))
+        host = choose_host(os.getpid())
+        free = [
+            f"{host}:{a.rpartition(':')[2]}"
+            for a in find_free_addresses(5 * len(self.gateway_names))
+        ]
         addresses = {name: free[5 * i : 5 * i + 5] for i, name in enumerate(self.gateway_names)}
         for name in self.gateway_names:
             links = {n: PeerLink(a[2]) for n, a in addresses.items() if n != name}
@@ -273,7 +286,8 @@
         path = self.folder / f"{name}.toml"
         ports = [int(a.rpartition(":")[2]) for a in (peers, metrics)]
         path.write_text(
-            f'nodeName = "{name}"\nip = "127.0.0.1"\nzone = "{domain}"\ninternalPorts = {ports}\n'
+            f'nodeName = "{name}"\nip = "{peers.rpartition(":")[0]}"\n'
+            f'zone = "{domain}"\ninternalPorts = {ports}\n'
             f'[listen]\nfront = "{front_address}"\nreadyAddr = "{ready_address}"\n'
             f"[bounds]\nleaseMs = {int(ORDER_GAP_S * 1000)}\ndrainMs = {int(DRAIN_S * 1000)}\n"
             "graceS = 8\nretryBudgetExtra = 60\n"
