--- a/medlarbeam/soak/stream_callers.py
+++ b/medlarbeam/soak/stream_callers.py
@@ -11,9 +11,9 @@
 __all__ = ["BROKEN", "COMPLETE", "REFUSED", "StreamCaller", "StreamRecord", "StreamTry"]
 
 DEADLINE_S = 8.0
-MAX_TRIES = 8
+MAX_TRIES = 16
 MAX_GAP_S = 2.0  # without an event, after which a caller gives a try up
-RETRY_PAUSE_S = 0.2
+RETRY_PAUSE_S = 0.2  # after a try without an event
 MEAN_PAUSE_S = 0.1
 COMPLETE = "complete"
 BROKEN = "broken"
@@ -124,7 +124,7 @@
             if one.events and not after:
                 origin = attempt
             gateway = self.rng.choice([g for g in self.gateways if g is not gateway] or [gateway])
-            if one.end == REFUSED:
+            if one.end == REFUSED or not one.events:
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _try(self, record, one, gateway, origin, deadline):
