--- a/medlarbeam/soak/links.py
+++ b/medlarbeam/soak/links.py
@@ -82,6 +82,8 @@
 class DatagramRelay(asyncio.DatagramProtocol):
     """Passes the datagrams to a gateway on, unless their link is cut."""
 
+    __slots__ = ("link", "transport")
+
     def __init__(self, link):
         self.link = link
         self.transport = None
