--- a/medlarbeam/soak/tests/test_streams.py
+++ b/medlarbeam/soak/tests/test_streams.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from medlarbeam.soak.release_faults import STREAM_FAULTS
 from medlarbeam.soak.stream_checker import check_streams
+from medlarbeam.soak.stream_faults import STREAM_FAULTS
 from medlarbeam.soak.streams import StreamSoakConfig, run_stream_soak
 
 FAULT_NAMES = {"release", "store_link", "store_loss", "kill"}
