--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -5,6 +5,7 @@
 from medlarbeam.algorithms.routing import rank_servers
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import (
+    UNKNOWN_ORIGIN,
     RouteKind,
     SoftwareVersion,
     StreamReport,
@@ -184,8 +185,8 @@
             self._review(now, out)
 
     def _note_version(self, version, now):
-        """Note a version that may be in service."""
-        if version not in self.present_at:
+        """Note a version that may be in service; a node of an earlier build may report none."""
+        if version not in self.present_at and version != UNKNOWN_ORIGIN:
             self.present_at[version] = now
             self._index_versions(now)
 
