Move the checks of server responses to a module of their own, and share the log of soak runs

No change of behaviour; the mutant of test_pause_sources.py that replaces NOT_RUN does so in the new module.

--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -59,19 +59,25 @@
 from medlarbeam.platform.documents import decode_engine_state, decode_object, decode_start
 from medlarbeam.platform.event_splitter import EventSplitter
 from medlarbeam.platform.headers import (
-    ATTEMPT_ID,
     INSTANCE_ID,
-    NOT_RUN,
-    SIGNATURE,
     origin_headers,
     parse_leaving,
     parse_load,
     parse_origin,
-    parse_pause,
     response_headers,
     run_headers,
 )
 from medlarbeam.platform.http_front_end import parse_address
+from medlarbeam.platform.server_responses import (
+    BadResponseError,
+    IncompleteResponseError,
+    check_response,
+    check_response_end,
+    check_status,
+    find_answer_source,
+    find_pause,
+    find_refusal,
+)
 from medlarbeam.platform.stall_timer import StallTimer
 
 __all__ = ["ServerClient"]
@@ -93,14 +99,6 @@
 NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
-class BadResponseError(Exception):
-    """The response is malformed or does not belong to the request that was sent."""
-
-
-class IncompleteResponseError(BadResponseError):
-    """The connection ended before a response without a length was complete."""
-
-
 CONNECTION_ERRORS = (
     ClientOSError,
     ClientPayloadError,
@@ -402,10 +400,9 @@
         started_at_ms, reason = None, ""
         try:
             response, text = await self._read_report(effect.server)
-            if response.status == 200:
+            if response.status != 404:  # which a server without reports responds
+                check_status(response)
                 started_at_ms = decode_start(decode_object(text))
-            elif response.status != 404:  # which a server without reports responds
-                reason = f"HTTP {response.status}"
         except Exception as error:  # every check must result in exactly one message
             reason = describe_error(error)
         self.driver.deliver(ServerStartResult(effect.server, started_at_ms, sent_at, reason))
@@ -416,8 +413,7 @@
         try:
             response, text = await self._read_report(effect.server)
             pause = find_pause(response, "", name)
-            if response.status != 200:
-                raise FormatError(f"HTTP {response.status}")
+            check_status(response)
             message = EngineStateResult(name, decode_engine_state(decode_object(text)), "")
         except Exception as error:  # every state request must result in exactly one message
             message = EngineStateResult(name, None, describe_error(error), pause)
@@ -434,68 +430,9 @@
         response.close()
 
 
-def find_refusal(response, exchange):
-    """Return why the backend server did not run the request, "" if it did not refuse it.
-
-    A refusal that names another attempt was written once more for an earlier request of the
-    connection; the request of this exchange may run.
-    """
-    attempt_id = exchange.request.attempt_id
-    if response.headers.get(ATTEMPT_ID, attempt_id) != attempt_id:
-        return ""
-    if NOT_RUN in response.headers or response.status in (421, 429):
-        return f"refused with HTTP {response.status}"
-    return ""
-
-
-def find_answer_source(response, refusal, is_stream):
-    """Return the kind of an answer to a run, see `ServerLeaving`."""
-    if refusal:
-        return "refusal"
-    if not 200 <= response.status < 300:
-        return "failure"
-    return "stream" if is_stream else "success"
-
-
-def find_pause(response, attempt_id, server):
-    """Return the `PauseRequest` of a backend server that turned a request away, or None.
-
-    Other statuses than 503 refuse one request, and a 503 without `NOT_RUN` may come from a run.
-    """
-    if response.status != 503 or NOT_RUN not in response.headers:
-        return None
-    return parse_pause(response.headers, attempt_id, server)
-
-
 def build_stream_headers(response, exchange, origin):
     """Return the headers of a stream for the caller, or for the node that forwards its request."""
     headers = response_headers(response.headers)
     if exchange.request.runs_elsewhere is not None:
         headers += origin_headers(origin)
     return headers
-
-
-def check_response(response, exchange):
-    """Raise BadResponseError unless the headers show a signed response to this request."""
-    if response.headers.get(ATTEMPT_ID, "") != exchange.request.attempt_id:
-        response.close()
-        raise BadResponseError("the response has the attempt id of another request")
-    if "Content-Encoding" in response.headers:
-        response.close()
-        raise BadResponseError("the response has an unsupported Content-Encoding")
-    if 200 <= response.status < 300 and SIGNATURE not in response.headers:
-        response.close()
-        raise BadResponseError("the response is not signed")
-
-
-def check_response_end(response, protocol):
-    """Raise BadResponseError if a response without a length ended with a connection reset.
-
-    For such a response aiohttp treats any close of the connection as the end of the body, even
-    after a reset.
-    """
-    headers = response.headers
-    if "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "").lower():
-        return
-    if protocol is not None and isinstance(protocol.exception(), ClientOSError):
-        raise IncompleteResponseError("connection reset in a response without a length")
--- /dev/null
+++ b/medlarbeam/platform/server_responses.py
@@ -0,0 +1,90 @@
+"""Checks of the responses of backend servers."""
+
+from aiohttp import ClientOSError
+
+from medlarbeam.exceptions import FormatError
+from medlarbeam.platform.headers import ATTEMPT_ID, NOT_RUN, SIGNATURE, parse_pause
+
+__all__ = [
+    "BadResponseError",
+    "IncompleteResponseError",
+    "check_response",
+    "check_response_end",
+    "check_status",
+    "find_answer_source",
+    "find_pause",
+    "find_refusal",
+]
+
+
+class BadResponseError(Exception):
+    """The response is malformed or does not belong to the request that was sent."""
+
+
+class IncompleteResponseError(BadResponseError):
+    """The connection ended before a response without a length was complete."""
+
+
+def find_refusal(response, exchange):
+    """Return why the backend server did not run the request, "" if it did not refuse it.
+
+    A refusal that names another attempt was written once more for an earlier request of the
+    connection; the request of this exchange may run.
+    """
+    attempt_id = exchange.request.attempt_id
+    if response.headers.get(ATTEMPT_ID, attempt_id) != attempt_id:
+        return ""
+    if NOT_RUN in response.headers or response.status in (421, 429):
+        return f"refused with HTTP {response.status}"
+    return ""
+
+
+def find_answer_source(response, refusal, is_stream):
+    """Return the kind of an answer to a run, see `ServerLeaving`."""
+    if refusal:
+        return "refusal"
+    if not 200 <= response.status < 300:
+        return "failure"
+    return "stream" if is_stream else "success"
+
+
+def find_pause(response, attempt_id, server):
+    """Return the `PauseRequest` of a backend server that turned a request away, or None.
+
+    Other statuses than 503 refuse one request, and a 503 without `NOT_RUN` may come from a run.
+    """
+    if response.status != 503 or NOT_RUN not in response.headers:
+        return None
+    return parse_pause(response.headers, attempt_id, server)
+
+
+def check_status(response):
+    """Raise FormatError unless a call was successful."""
+    if response.status != 200:
+        raise FormatError(f"HTTP {response.status}")
+
+
+def check_response(response, exchange):
+    """Raise BadResponseError unless the headers show a signed response to this request."""
+    if response.headers.get(ATTEMPT_ID, "") != exchange.request.attempt_id:
+        response.close()
+        raise BadResponseError("the response has the attempt id of another request")
+    if "Content-Encoding" in response.headers:
+        response.close()
+        raise BadResponseError("the response has an unsupported Content-Encoding")
+    if 200 <= response.status < 300 and SIGNATURE not in response.headers:
+        response.close()
+        raise BadResponseError("the response is not signed")
+
+
+def check_response_end(response, protocol):
+    """Raise BadResponseError if a response without a length ended with a connection reset.
+
+    For such a response aiohttp treats any close of the connection as the end of the body, even
+    after a reset.
+    """
+    headers = response.headers
+    if "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return
+    if protocol is not None and isinstance(protocol.exception(), ClientOSError):
+        raise IncompleteResponseError("connection reset in a response without a length")
--- a/medlarbeam/platform/tests/test_pause_sources.py
+++ b/medlarbeam/platform/tests/test_pause_sources.py
@@ -5,8 +5,8 @@
 import pytest
 from multidict import CIMultiDict
 
-from medlarbeam.platform import headers, server_client
-from medlarbeam.platform.server_client import find_pause
+from medlarbeam.platform import headers, server_responses
+from medlarbeam.platform.server_responses import find_pause
 from medlarbeam.platform.tests import test_headers
 
 
@@ -70,7 +70,7 @@
     ),
     (
         "request-that-ran-counts",
-        server_client,
+        server_responses,
         "NOT_RUN",
         "Retry-After",
         lambda: check_status(503, {}, False),
--- a/medlarbeam/soak/__main__.py
+++ b/medlarbeam/soak/__main__.py
@@ -1,12 +1,9 @@
 """Command line of the soak: ``python -m medlarbeam.soak --seed 1``."""
 
 import asyncio
-import logging
 import sys
 from math import inf
-from pathlib import Path
 from random import Random
-from tempfile import mkdtemp
 from typing import Annotated
 
 import cappa
@@ -16,6 +13,7 @@
 from medlarbeam.soak.deployment import Deployment
 from medlarbeam.soak.faults import inject_faults
 from medlarbeam.soak.records import EndTime
+from medlarbeam.soak.run_log import start_run_log
 
 __all__ = ["main", "run_soak"]
 
@@ -96,13 +94,7 @@
     """Run the soak and print the violations of each seed; exit with status 1 if there are any."""
     failed = 0
     for number in range(seed, seed + seeds):
-        folder = Path(mkdtemp(prefix=f"medlarbeam-soak-{number}-"))
-        logging.basicConfig(
-            level=logging.INFO,
-            filename=folder / "soak.log",
-            format="%(created).3f %(message)s",
-            force=True,
-        )
+        folder = start_run_log("soak", number)
         history = asyncio.run(
             run_soak(number, SoakConfig(seconds, gateways, callers, pause), folder)
         )
--- a/medlarbeam/soak/streams.py
+++ b/medlarbeam/soak/streams.py
@@ -1,12 +1,10 @@
 """Soak of long streams through releases: ``python -m medlarbeam.soak.streams --seed 1``."""
 
 import asyncio
-import logging
 import sys
 from math import inf
 from pathlib import Path
 from random import Random
-from tempfile import mkdtemp
 from typing import Annotated
 
 import cappa
@@ -14,6 +12,7 @@
 from medlarbeam.soak.deployment import SOURCE_TREE, Deployment
 from medlarbeam.soak.faults import inject_faults
 from medlarbeam.soak.records import EndTime
+from medlarbeam.soak.run_log import start_run_log
 from medlarbeam.soak.stream_callers import StreamCaller
 from medlarbeam.soak.stream_checker import (
     check_streams,
@@ -142,13 +141,7 @@
     chosen = [f for f in STREAM_FAULTS if not faults or f.name in faults.split(",")]
     failed = 0
     for number in range(seed, seed + seeds):
-        folder = Path(mkdtemp(prefix=f"medlarbeam-streams-{number}-"))
-        logging.basicConfig(
-            level=logging.INFO,
-            filename=folder / "soak.log",
-            format="%(created).3f %(message)s",
-            force=True,
-        )
+        folder = start_run_log("streams", number)
         streams = asyncio.run(run_stream_soak(number, config, folder, chosen))
         violations = list(check_streams(streams))
         taken_up, went_on = count_take_ups(streams)
