Trust a backend server again when it has started again under its name

Callers: a server that had crashed and was back, with its new entry read, got no work for up to 8 s while others could take it, and its service ran with less capacity. Cause: the health record was kept by name, so the failures and the backoff of the former start held for the new one. Servers that came back under a new name had a new record. Change: FleetState tells ServerHealth when an entry is of another start; the record is replaced. Runs that are still open are counted until they end. No run with real processes.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -297,6 +297,7 @@
         if known is None or known.entry.started_at_ms != entry.started_at_ms:
             known = self.servers[entry.name] = KnownServer(entry, now)
             self.membership_version += 1
+            self.node.health.begin_start(entry.name)
             out.emit(LogEvent("server_known", describe_server(entry)))
         had_left = known.missing_since <= now and known.stop_at <= now
         if known.entry.software != entry.software:
--- a/medlarbeam/gateway/server_health.py
+++ b/medlarbeam/gateway/server_health.py
@@ -93,6 +93,13 @@
             record = self.records[name] = HealthRecord(name, self.chart.initial)
         return record
 
+    def begin_start(self, name):
+        """Forget what the former start of a backend server has shown, but not its open runs."""
+        former = self.records.pop(name, None)
+        self.suspects.discard(name)
+        if former is not None and former.open_runs:
+            self.record(name).open_runs = former.open_runs
+
     def open_run(self, name, now):
         """Count a run that is sent; in the state ``trial`` it is the trial run."""
         record = self.record(name)
