Tell the state report of another start of an engine from a late one

Callers: requests for an engine that had started again under its name while it changed weights found no base model there until its new entry was read, which takes as long as an outage of the store. Its state was read again with each answer meanwhile, without a delay. Cause: the order scheduler took a report with fewer orders for one from before the last order. A restart clears the count. A report of the former start that came late was applied to the new one in the same way, if it had more orders. Change: EngineState has the start that the report states (`born`). Reports that state no start are handled as before. No run with real processes.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -317,11 +317,21 @@
         Version of each adapter that is being loaded.
     is_changing_weights : bool
         Whether the engine is loading or unloading the weights of a base model.
+    started_at_ms : int or None
+        Wall clock time at which the engine started (ms), None if it states none.
     """
 
-    __slots__ = ("adapters", "is_changing_weights", "loading", "models", "orders")
+    __slots__ = (
+        "adapters",
+        "is_changing_weights",
+        "loading",
+        "models",
+        "orders",
+        "started_at_ms",
+    )
 
-    def __init__(self, orders, models, adapters, loading, is_changing_weights):
+    def __init__(self, orders, models, adapters, loading, is_changing_weights, started_at_ms=None):
+        self.started_at_ms = started_at_ms
         self.orders = orders
         self.models = models
         self.adapters = adapters
--- a/medlarbeam/gateway/order_scheduler.py
+++ b/medlarbeam/gateway/order_scheduler.py
@@ -42,6 +42,8 @@
         Residencies by a tag of their states, as of the last change of a residency.
     wanted : list of LoadDemand or None
         Demands for adapters without a residency; None if it has to be found again.
+    started_at_ms : int
+        Latest start (ms) of which a state report was read.
     capacity : int
         Adapters that fit into `capacity_engine` beside the base models that it holds.
 
@@ -82,12 +84,14 @@
         "reported_runs",
         "residencies",
         "serial",
+        "started_at_ms",
         "tagged",
         "wanted",
     )
 
     def __init__(self, entry, fence, chart, load_estimator, now):
         self.entry = entry
+        self.started_at_ms = entry.started_at_ms
         self.fence = fence
         self.chart = chart
         self.load_estimator = load_estimator
@@ -134,7 +138,19 @@
         if state is None or self.pending is not None:
             self.not_before = now + REPORT_LAG_S
             return
+        started_at_ms = state.started_at_ms
+        if started_at_ms is not None and started_at_ms < self.started_at_ms:
+            self.not_before = now + REREAD_DELAY_S
+            return  # of a former start
+        if started_at_ms is not None and started_at_ms > self.started_at_ms:
+            # Its entry is not read yet. It counts orders anew, and holds nothing of before.
+            self.started_at_ms = started_at_ms
+            self.orders = None
+            self.min_orders = 0
+            self.residencies = {}
+            self.recently_unloaded.clear()
         if self.orders is not None and state.orders < self.orders:
+            self.not_before = now + REREAD_DELAY_S
             return  # the report is older than the last order
         is_stale = state.orders < self.min_orders
         if self.orders is None and is_stale and now - self.invalidated_at < REPORT_LAG_S:
--- a/medlarbeam/gateway/tests/test_order_scheduler.py
+++ b/medlarbeam/gateway/tests/test_order_scheduler.py
@@ -196,6 +196,55 @@
     assert harness.scheduler.orders == expected
 
 
+def make_state(orders, started_at_ms, held=(), *, is_changing_weights=False):
+    """Return the report of an engine that holds its base model unless it is changing that."""
+    models = {"m0"} if orders and not is_changing_weights else set()
+    held = dict.fromkeys(held, 1)
+    return EngineState(orders, models, held, {}, is_changing_weights, started_at_ms)
+
+
+LOADED, LOADING = make_state(4, 1, KEYS[:2]), make_state(1, 1, is_changing_weights=True)
+STARTS = [
+    ("later-start-has-lost-the-load-of-its-base-model", LOADING, make_state(0, 2), 0, []),
+    ("later-start-holds-nothing-of-before", LOADED, make_state(0, 2), 0, []),
+    ("later-start-has-as-many-orders", LOADED, make_state(4, 2, KEYS[5:6]), 4, KEYS[5:6]),
+    ("former-start-had-more-orders", LOADED, make_state(9, 0, KEYS[5:6]), 4, KEYS[:2]),
+    ("older-report-of-the-same-start", LOADED, make_state(3, 1, KEYS[:1]), 4, KEYS[:2]),
+    ("start-that-is-not-stated", LOADED, make_state(5, None, KEYS[:1]), 5, KEYS[:1]),
+]
+
+
+@pytest.mark.parametrize(
+    ("before", "state", "orders", "held"), [s[1:] for s in STARTS], ids=[s[0] for s in STARTS]
+)
+def test_report_of_another_start(before, state, orders, held):
+    """A restarted engine was taken for a late report, and stayed without its base model."""
+    harness = Harness(orders=0)
+    harness.scheduler.apply_state(before, harness.now)
+    harness.now += 1.0
+    harness.scheduler.apply_state(state, harness.now)
+    assert harness.scheduler.orders == orders
+    assert list(harness.scheduler.residencies) == list(held)
+
+
+EARLIER = [("of-a-former-start", 9, 0), ("of-the-same-start", 0, 1)]
+
+
+@pytest.mark.parametrize(
+    ("orders", "started_at_ms"), [e[1:] for e in EARLIER], ids=[e[0] for e in EARLIER]
+)
+def test_state_is_not_read_again_at_once_after_an_earlier_report(orders, started_at_ms):
+    """After a restart the state was read again with each answer, without a delay."""
+    harness = Harness(orders=0)
+    harness.scheduler.apply_state(LOADING, harness.now)
+    harness.now += 1.0
+    assert isinstance(harness.decide(), FetchEngineState)
+    harness.scheduler.apply_state(make_state(orders, started_at_ms), harness.now)
+    assert harness.decide() is None
+    harness.now += 0.1
+    assert isinstance(harness.decide(), FetchEngineState)
+
+
 REMOTE = [
     ("use-by-another-node-prevents-eviction", 0.1, None),
     ("expired-use-report-allows-eviction", USE_TTL_S + 0.1, False),
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -429,4 +429,5 @@
         decode_adapters(models),
         loading,
         read_field(document, "busy", bool, False),
+        decode_start(document),
     )
