Forget the adapters of the former start of a backend server

Callers: requests for an adapter went to a server that had started again under its name, held nothing and refused them. That lasted until the holder of its order right reported, or one refusal for each adapter and gateway without one; each repeat draws on the shared retry budget. Cause: holding reports were kept by name, and an entry was only used for a server without a report. Change: the entry of a new start replaces the report, with a serial above it, so that a repeated report of before is not applied. Result: medlarbeam/gateway/tests/test_restarted_servers.py; 4 of 6 new cases fail without the change, all pass with it. No run with real processes.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -298,6 +298,7 @@
             known = self.servers[entry.name] = KnownServer(entry, now)
             self.membership_version += 1
             self.node.health.begin_start(entry.name)
+            self.node.holdings.begin_start(entry, now)
             out.emit(LogEvent("server_known", describe_server(entry)))
         had_left = known.missing_since <= now and known.stop_at <= now
         if known.entry.software != entry.software:
--- a/medlarbeam/gateway/holdings.py
+++ b/medlarbeam/gateway/holdings.py
@@ -72,12 +72,24 @@
         for entry in message.entries:
             self.handle_entry_updated(entry, now, out)
 
+    def begin_start(self, entry, now):
+        """Replace the report on the former start of a backend server by the new entry.
+
+        It gets a serial above that report's, which may arrive once more.
+        """
+        known = self.reports.get(entry.name)
+        if known is not None:
+            self._apply_entry(entry, known.fence, known.serial + 1, now)
+
+    def _apply_entry(self, entry, fence, serial, now):
+        holdings = [AdapterHolding(k, version, 0.0) for k, version in entry.adapters.items()]
+        self.apply_report(HoldingReport("", entry.name, fence, serial, holdings), now)
+
     def handle_entry_updated(self, message, now, out):
         """Use the adapters in the entry of a backend server until its holder sends a report."""
         entry = message.value
         if isinstance(entry, ServerRegistration) and entry.name not in self.reports:
-            holdings = [AdapterHolding(k, version, 0.0) for k, version in entry.adapters.items()]
-            self.apply_report(HoldingReport("", entry.name, 0, 0, holdings), now)
+            self._apply_entry(entry, 0, 0, now)
 
     def apply_report(self, report, now):
         """Apply a `HoldingReport` unless a newer one is known."""
--- a/medlarbeam/gateway/tests/test_restarted_servers.py
+++ b/medlarbeam/gateway/tests/test_restarted_servers.py
@@ -3,8 +3,14 @@
 import pytest
 
 from medlarbeam.classes.gateway_effects import StartFleetRun
-from medlarbeam.classes.gateway_messages import EntryUpdated, RunInterrupted, StoreSnapshot
-from medlarbeam.gateway.tests.fleet_samples import make_harness, make_server
+from medlarbeam.classes.gateway_messages import (
+    EntryUpdated,
+    NodeDatagram,
+    RunInterrupted,
+    StoreSnapshot,
+)
+from medlarbeam.classes.peer_messages import AdapterHolding, HoldingReport
+from medlarbeam.gateway.tests.fleet_samples import COLD, HOT, make_harness, make_server
 from medlarbeam.node.component import Outbox
 
 LEDGERS = [make_server(name, "ledger") for name in ("l1", "l2")]
@@ -77,3 +83,49 @@
     assert harness.gateway.health.count_runs("l1") == 2
     harness.deliver(RunInterrupted(runs[0].run_id, "reset", 0, False))
     assert harness.gateway.health.count_runs("l1") == 1
+
+
+HOLDINGS = [
+    ("entry", write_entry, 2, (), False),
+    ("snapshot", read_snapshot, 2, (), False),
+    ("new-start-that-holds-it-too", write_entry, 2, (HOT,), True),
+    ("entry-of-the-same-start", write_entry, 1, (), True),
+]
+
+
+@pytest.mark.parametrize(
+    ("pass_entry", "started_at_ms", "adapters", "is_held"),
+    [h[1:] for h in HOLDINGS],
+    ids=[h[0] for h in HOLDINGS],
+)
+def test_new_start_holds_what_its_entry_says(pass_entry, started_at_ms, adapters, is_held):
+    """Requests went to a restarted server for adapters that it held before, and were refused."""
+    harness = make_harness(servers=[make_server("w1", "llm")])
+    holdings = [AdapterHolding(key, 1, 0.0) for key in (HOT, COLD)]
+    harness.deliver(NodeDatagram(HoldingReport("n2", "w1", 7, 5, holdings, running=9)))
+    pass_entry(harness, make_server("w1", "llm", started_at_ms=started_at_ms, adapters=adapters))
+    harness.send_request("chat", HOT)
+    assert bool(harness.find(StartFleetRun)) is is_held
+    held = harness.gateway.holdings
+    is_same = started_at_ms == 1
+    assert (held.find("w1", COLD) is not None) is is_same
+    assert held.find_running("w1", harness.now) == (9 if is_same else 0)
+
+
+REPORTS = [
+    ("report-from-before-the-restart", 5, False),
+    ("first-report-on-the-new-start", 6, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("serial", "is_held"), [r[1:] for r in REPORTS], ids=[r[0] for r in REPORTS]
+)
+def test_report_after_a_new_start(serial, is_held):
+    """A report that was repeated on its way was taken for one on the new start."""
+    harness = make_harness(servers=[make_server("w1", "llm")])
+    holdings = [AdapterHolding(COLD, 1, 0.0)]
+    harness.deliver(NodeDatagram(HoldingReport("n2", "w1", 7, 5, holdings)))
+    write_entry(harness, make_server("w1", "llm", started_at_ms=2, adapters=()))
+    harness.deliver(NodeDatagram(HoldingReport("n2", "w1", 7, serial, holdings)))
+    assert (harness.gateway.holdings.find("w1", COLD) is not None) is is_held
