Close the orders of events in which a response was still attributed to another start

- The first copy of the store after an outage confirmed starts that could not write their entries meanwhile.
It does so two heartbeats after the end of the outage (FleetState.registered_at).
- Data that waited for a slow caller counted as written when it was read.
RunProgressed has the time at which it arrived, and data confirms the time 0.25 s before, since a lost segment is sent again after 0.2 s.
- A gateway that did not know the origin of a stream told nobody, so that another one with one registered version joined it before the new entry was written.
It reports such streams as unknown, and withdraws that when it knows more.
Nor is the only registered version used while a server has stated a start whose entry is not read.
- The rest of a stream of unknown origin was forwarded without an origin.
- Origins that stayed unknown were kept for ever, and one of a repeated attempt id could not be encoded in a report.
- After a set-back of the store take-ups waited 0.5 s and asked it with each of its answers, in place of being refused at once.
- Servers that name a limit or pause were never asked for their start, and streams of other gateways were delayed there.
Data on known connections confirms their starts, they are asked later, and servers that leave are asked too.
- A forwarded stream was bound before its first event.

The soak draws the time until a worker writes its entry up to a heartbeat (0.3 s before), and a gateway that has just ended gets no signal.

--- a/medlarbeam/classes/server_starts.py
+++ b/medlarbeam/classes/server_starts.py
@@ -31,12 +31,20 @@
 
 
 class RunProgressed(Record):
-    """A run for which `WatchProgress` asked has brought data."""
+    """A run for which `WatchProgress` asked has brought data.
 
-    __slots__ = ("run_id",)
+    Parameters
+    ----------
+    run_id : str
+    received_at : float
+        Time (s) at which data last arrived on its connection; it may have waited to be read.
+    """
+
+    __slots__ = ("received_at", "run_id")
 
-    def __init__(self, run_id):
+    def __init__(self, run_id, received_at):
         self.run_id = run_id
+        self.received_at = received_at
 
 
 class ServerStartResult(Record):
--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -128,17 +128,20 @@
         Time (s) at which the connection was established.
     message_count : int
         Heads that have arrived since the last request.
+    received_at : float or None
+        Time (s) at which bytes have last arrived.
     received_bytes : int
         Bytes that have arrived on the connection.
     """
 
-    __slots__ = ("connected_at", "message_count", "read_clock", "received_bytes")
+    __slots__ = ("connected_at", "message_count", "read_clock", "received_at", "received_bytes")
 
     def __init__(self, loop, read_clock):
         super().__init__(loop)
         self.read_clock = read_clock
         self.connected_at = None
         self.message_count = 0
+        self.received_at = None
         self.received_bytes = 0
 
     def connection_made(self, transport):
@@ -159,6 +162,8 @@
 
     def data_received(self, data):
         """Parse what has arrived, up to the limit of heads."""
+        if data:
+            self.received_at = self.read_clock()
         self.received_bytes += len(data)
         for start in range(0, len(data) or 1, PARSED_BYTES):
             super().data_received(data[start : start + PARSED_BYTES])
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -103,6 +103,8 @@
         Newest era in which a node has waited for the end of the rights of earlier eras.
     is_set_back : bool
         Whether the entries are from before the store was set back.
+    store_returned_at : float
+        Time (s) of the end of the last outage of the store.
     store_unavailable_since : float or None
         Time (s) of the first call without a response since the last renewal of the lease.
     left : dict
@@ -111,6 +113,9 @@
         incarnation was known.
     copied_at : float
         Time (s) up to which all changes of the store are known, -infinity if that is unknown.
+    registered_at : float
+        Time (s) up to which the entries of all starts of backend servers are known: a start writes
+        its entry within a heartbeat, if the store is available.
     trusted_at : float
         Time (s) at which backend servers have written again what a set-back of the store lost.
     membership_version : int
@@ -137,6 +142,7 @@
         "node_missing_since",
         "nodes",
         "published_versions",
+        "registered_at",
         "registration_revision",
         "revision",
         "right_seen_at",
@@ -144,6 +150,7 @@
         "routes",
         "servers",
         "settled_era",
+        "store_returned_at",
         "store_unavailable_at",
         "store_unavailable_since",
         "trusted_at",
@@ -153,6 +160,7 @@
         super().__init__(node)
         self.config = None
         self.copied_at = -inf
+        self.registered_at = -inf
         self.trusted_at = -inf
         self.routes = RouteTable()
         self.keys = {}
@@ -170,6 +178,7 @@
         self.is_set_back = False
         self.doubtful_until = {}
         self.forget_at = inf
+        self.store_returned_at = -inf
         self.store_unavailable_at = -inf
         self.store_unavailable_since = None
         self.membership_version = 0
@@ -192,8 +201,12 @@
 
     def handle_synced(self, message, now, out):
         """Record up to which time all changes of the store are known."""
+        rewrite_s = REWRITE_HEARTBEATS * self.node.settings.heartbeat_s
         if message.sent_at >= self.trusted_at:
             self.copied_at = message.sent_at
+            is_away = self.store_unavailable_since is not None
+            if not is_away and message.sent_at >= self.store_returned_at + rewrite_s:
+                self.registered_at = message.sent_at - self.node.settings.heartbeat_s
 
     def handle_store_unavailable(self, message, now, out):
         """Record that the store did not respond."""
@@ -208,6 +221,7 @@
         if self.store_unavailable_since is not None:
             away_s = now - self.store_unavailable_since
             self.store_unavailable_since = None
+            self.store_returned_at = now
             out.emit(LogEvent("store_heard", f"away_s={away_s:.3f}"))
 
     def handle_set_back(self, message, now, out):
@@ -217,6 +231,7 @@
         self.revision = 0
         self.is_set_back = True
         self.copied_at = -inf
+        self.registered_at = -inf
         self.trusted_at = now + REWRITE_HEARTBEATS * self.node.settings.heartbeat_s
         self.keys = {key: EntryUpdated(key, known.value, 0) for key, known in self.keys.items()}
         out.emit(LogEvent("store_set_back", f"era={message.era}", level="warning"))
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -144,7 +144,8 @@
             relay.is_response_started = True
             relay.record_response_start(now)
             if message.origin == UNKNOWN_ORIGIN:
-                self.node.origins.record_unknown(relay)
+                if relay.software is None:
+                    self.node.origins.record_unknown(relay, now)
             elif message.origin is not None:
                 self.node.origins.record_start(relay, message.origin, now)
             self._fire(relay, "started", message, now, out)
--- a/medlarbeam/gateway/server_starts.py
+++ b/medlarbeam/gateway/server_starts.py
@@ -26,9 +26,9 @@
 
 MAX_HOLD_S = 0.5  # for which a response is held back; callers give up after gaps of 2 s
 CHECK_RETRY_S = 0.25  # after a check without a result
-# Bytes that a process has sent before it ended do not arrive later than this, unless the link was
-# held up, and then no connection to its successor is established either.
-MAX_TRANSIT_S = 0.05
+# Bytes that a process has sent before it ended may arrive this much later: a lost segment is sent
+# again after 0.2 s at the earliest.
+MAX_TRANSIT_S = 0.25
 RETENTION_S = 30.0  # for which a caller may take up a stream that is not attributed yet
 CLEANUP_INTERVAL_S = 30.0
 
@@ -188,11 +188,11 @@
             self._settle(pending, now, out)
         else:
             if not is_held:
-                self.node.origins.record_unknown(relay)
+                self.node.origins.record_unknown(relay, now)
             record.pending.append(pending)
             self.waiting.add(relay.server.name)
             self._check(record, now, out)
-            if not record.states_start:
+            if not record.states_start or not self._may_ask(record.entry, now):
                 self._pass_unbound(record, now, out)
 
     def is_replaced(self, entry):
@@ -201,6 +201,17 @@
         is_known = record is not None and record.entry.started_at_ms == entry.started_at_ms
         return is_known and record.is_replaced
 
+    def has_unread_start(self, service):
+        """Return whether a server of `service` has stated a start whose entry is not read yet."""
+        servers = self.node.fleet.servers
+        return any(
+            record.is_replaced
+            and record.entry.service == service
+            and name in servers
+            and servers[name].entry.started_at_ms == record.entry.started_at_ms
+            for name, record in self.records.items()
+        )
+
     def _find_record(self, entry):
         """Return the `StartRecord` of the start in `entry`, None if a later start is known."""
         known = self.node.fleet.servers.get(entry.name)
@@ -212,20 +223,20 @@
         return record
 
     def _find_confirmed_at(self, record):
-        fleet = self.node.fleet
-        known = fleet.servers.get(record.entry.name)
-        if known is None or known.missing_since < inf:
+        known = self.node.fleet.servers.get(record.entry.name)
+        if known is None or known.entry.started_at_ms != record.entry.started_at_ms:
             return record.confirmed_at
-        return max(record.confirmed_at, fleet.copied_at - self.node.settings.heartbeat_s)
+        return max(record.confirmed_at, self.node.fleet.registered_at)
 
     def _settle(self, pending, now, out):
         """Act on a response that was written by the start in the entry of its server."""
         if self._has_ended(pending):
             return
         version = pending.server.software_version()
-        self.node.origins.record_start(pending.relay, version, now)
         if pending.is_held:
             out.emit(AcceptRun(pending.run_id, version))
+        else:
+            self.node.origins.record_start(pending.relay, version, now)
 
     def _has_ended(self, pending):
         """Return whether a response that was held back is not wanted any more."""
@@ -248,11 +259,9 @@
                 "warning",
             )
         )
-        if not is_bound:
-            self.node.origins.record_unknown(relay)
         if not pending.is_held:
-            return
-        if is_bound:
+            self.node.origins.record_unknown(relay, now)
+        elif is_bound:
             reason = f"it is not known which start of {server.name} responded: {reason}"
             out.emit(RejectRun(pending.run_id, reason))
         else:
@@ -264,7 +273,7 @@
     def _pass_unbound(self, record, now, out):
         """Pass new streams of other nodes' callers on without an origin, rather than delay them."""
         unbound = [run for run in record.pending if run.is_held and run.relay.software is None]
-        self._give_up_some(unbound, record, "the server states no start", now, out)
+        self._give_up_some(unbound, record, "the server does not state its start", now, out)
 
     def _give_up_some(self, runs, record, reason, now, out):
         record.pending = [run for run in record.pending if run not in runs]
@@ -297,18 +306,18 @@
         """Look for evidence that a start is still the running one."""
         if not record.states_start:
             self._watch_progress(record, out)
-        elif not record.is_checking and self._may_ask(record.entry, now):
+        elif not self._may_ask(record.entry, now):
+            record.check_at = now + CHECK_RETRY_S
+            self._watch_progress(record, out)
+        elif not record.is_checking:
             record.is_checking = True
             record.check_at = inf
             out.emit(CheckServerStart(record.entry))
 
     def _may_ask(self, entry, now):
         """Return whether a server takes requests that are not of callers."""
-        node = self.node
         return not (
-            node.pauses.is_paused(entry, now)
-            or node.limits.is_limited(entry.name)
-            or node.fleet.is_leaving(entry.name, entry.started_at_ms)
+            self.node.pauses.is_paused(entry, now) or self.node.limits.is_limited(entry.name)
         )
 
     def _watch_progress(self, record, out):
@@ -316,12 +325,11 @@
         confirmed_at = self._find_confirmed_at(record)
         name = record.entry.name
         runs = [run.run_id for run in record.pending if not run.has_progressed]
-        if not record.states_start:
-            runs += [
-                run_id
-                for run_id, relay in self.node.relays.relays_by_run.items()
-                if relay.server.name == name and relay.connected_at <= confirmed_at
-            ]
+        runs += [
+            run_id
+            for run_id, relay in self.node.relays.relays_by_run.items()
+            if relay.server.name == name and relay.connected_at <= confirmed_at
+        ]
         if runs:
             out.emit(WatchProgress(runs))
 
@@ -355,7 +363,7 @@
         record = self.records.get(relay.server.name) if relay is not None else None
         if record is None or not record.pending:
             return
-        written_at = now - MAX_TRANSIT_S
+        written_at = message.received_at - MAX_TRANSIT_S
         known = self.node.fleet.servers.get(record.entry.name)
         for run in record.pending:
             if run.run_id == message.run_id and known is not None and written_at >= known.known_at:
--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -58,18 +58,21 @@
     ----------
     version : SoftwareVersion or None
         None while it is not known which start of a server has begun the stream.
+    is_doubt_reported : bool
+        Whether the other nodes were told that it is not known.
     is_own : bool
         Whether the stream went through this node, so that it reports the origin to the others.
     expires_at : float
         Time (s), infinity while the stream is open at this node.
     """
 
-    __slots__ = ("expires_at", "is_own", "version")
+    __slots__ = ("expires_at", "is_doubt_reported", "is_own", "version")
 
     def __init__(self, version, is_own, expires_at):
         self.version = version
         self.is_own = is_own
         self.expires_at = expires_at
+        self.is_doubt_reported = False
 
 
 class StreamOrigins(Component):
@@ -257,12 +260,17 @@
         if relay.route.kind is not RouteKind.STREAM or not request.last_event:
             return None
         if request.origin is not None:
-            self._note_attempt(request.resumed_attempt, request.origin, False, now)
+            version = None if request.origin == UNKNOWN_ORIGIN else request.origin
+            self._note_attempt(request.resumed_attempt, version, False, now)
         return self._bind_to_origin(relay, request.resumed_attempt, now, out)
 
     def bind_waiting(self, relay, now, out):
-        """Bind a relay that has waited for the store since `bind` or `bind_rest`."""
-        if not self.is_waiting(relay):
+        """Bind a relay that has waited for the store since `bind` or `bind_rest`.
+
+        The rest of a stream of unknown origin is not forwarded either: another node may know less.
+        """
+        is_unknown = relay.is_response_started and self.is_unknown(relay)
+        if not self.is_waiting(relay) and not is_unknown:
             return None
         bind = self.bind_rest if relay.is_response_started else self.bind
         return bind(relay, now, out)
@@ -307,21 +315,24 @@
     def _find(self, attempt, relay, now, out):
         """Return the `SoftwareVersion` that has begun a stream, None if it is not known.
 
-        If only one version is known, no other one can have begun the stream before `now`, provided
-        that the copy of the store is as new as that. If it is older, the relay waits.
+        If only one version is registered, no other one can have begun the stream before `now`,
+        provided that the copy of the store is as new as that. If it is older, the relay waits. A
+        server that serves before its entry is written is found out by the node that used it, which
+        reports the streams of that server as unknown.
         """
         origin = self.origins.get(attempt)
         if origin is not None:
             return origin.version
         versions = self._list_versions(relay.route)
-        if len(versions) != 1:
+        if len(versions) != 1 or self.node.starts.has_unread_start(versions[0].service):
             return None
         fleet = self.node.fleet
         if relay.copy_needed_at is None:
             relay.copy_needed_at = now
         if fleet.copied_at >= relay.copy_needed_at:
             return versions[0]
-        if fleet.store_unavailable_since is None and now < relay.copy_needed_at + COPY_WAIT_S:
+        wait_until = relay.copy_needed_at + COPY_WAIT_S
+        if fleet.store_unavailable_since is None and max(now, fleet.trusted_at) < wait_until:
             self.waiting[relay.request.request_id] = relay
             out.emit(SyncStore())
         return None
@@ -352,9 +363,9 @@
         if not relay.route.resumable or not attempt:
             return
         self._note_version(version, now)
-        is_open = relay.request.request_id in self.node.relays.open_relays
-        self._remember(attempt, StreamOrigin(version, True, inf if is_open else now + RETENTION_S))
-        if self.is_ambiguous(relay.route):
+        former = self.origins.get(attempt)
+        self._remember(attempt, StreamOrigin(version, True, self._find_expiry(relay, now)))
+        if self.is_ambiguous(relay.route) or former is not None and former.is_doubt_reported:
             self.unreported.append(attempt)
             self._schedule_reports(now)
 
@@ -363,11 +374,21 @@
         origin = self.origins.get(relay.request.attempt_id)
         return origin is not None and origin.version is None
 
-    def record_unknown(self, relay):
-        """Record that it is not known which start of a server has begun a stream."""
+    def record_unknown(self, relay, now):
+        """Record that it is not known which start of a server has begun a stream.
+
+        Other nodes are told with the next report if it is not known until then, since they may
+        know of one version only.
+        """
         attempt = relay.request.attempt_id
         if relay.route.resumable and attempt:
-            self._remember(attempt, StreamOrigin(None, True, inf))
+            self._remember(attempt, StreamOrigin(None, True, self._find_expiry(relay, now)))
+            self.unreported.append(attempt)
+            self.report_at = min(self.report_at, now + self._find_report_interval())
+
+    def _find_expiry(self, relay, now):
+        is_open = relay.request.request_id in self.node.relays.open_relays
+        return inf if is_open else now + RETENTION_S
 
     def _remember(self, attempt, origin):
         while len(self.origins) >= MAX_ORIGINS:
@@ -392,8 +413,9 @@
         is_own = report.node == self.node.settings.name
         for item in report.streams:
             self._note_version(item.version, now)
+            version = None if item.version == UNKNOWN_ORIGIN else item.version
             for attempt in item.attempts:
-                self._note_attempt(attempt, item.version, is_own, now)
+                self._note_attempt(attempt, version, is_own, now)
 
     def _note_attempt(self, attempt, version, is_own, now):
         """Remember the origin of a stream of another node or process, if it is not known yet."""
@@ -402,30 +424,45 @@
             self._remember(attempt, StreamOrigin(version, is_own, now + RETENTION_S))
         elif origin.expires_at < inf and not origin.is_own:
             origin.expires_at = now + RETENTION_S
+            origin.version = origin.version or version
 
     # Reports
 
     def _schedule_reports(self, now):
         count = len(self.node.fleet.nodes)
-        report_s = max(MIN_REPORT_INTERVAL_S, REPORT_INTERVAL_S * count)
         publish_s = max(MIN_PUBLISH_INTERVAL_S, PUBLISH_INTERVAL_S * count)
-        self.report_at = min(self.report_at, now + report_s)
+        self.report_at = min(self.report_at, now + self._find_report_interval())
         self.publish_at = min(self.publish_at, now + publish_s)
 
+    def _find_report_interval(self):
+        return max(MIN_REPORT_INTERVAL_S, REPORT_INTERVAL_S * len(self.node.fleet.nodes))
+
     def _group(self, attempts):
         """Return `attempts` as a list of `VersionStreams`."""
         groups = {}
         for attempt in attempts:
-            groups.setdefault(self.origins[attempt].version, []).append(attempt)
+            version = self.origins[attempt].version or UNKNOWN_ORIGIN
+            groups.setdefault(version, []).append(attempt)
         return [VersionStreams(version, names) for version, names in groups.items()]
 
     def _report(self, out):
-        attempts = [attempt for attempt in self.unreported if attempt in self.origins]
+        attempts = [a for a in dict.fromkeys(self.unreported) if self._must_report(a)]
         self.unreported = []
+        for attempt in attempts:
+            origin = self.origins[attempt]
+            origin.is_doubt_reported = origin.version is None
         for start in range(0, len(attempts), MAX_REPORTED):
             streams = self._group(attempts[start : start + MAX_REPORTED])
             self.node.fleet.broadcast(StreamReport(self.node.settings.name, streams), out)
 
+    def _must_report(self, attempt):
+        """Return whether other nodes need the origin of a stream, or that it is not known."""
+        origin = self.origins.get(attempt)
+        if origin is None:
+            return False
+        is_ambiguous = origin.version and len(self.versions.get(origin.version.service, ())) > 1
+        return origin.version is None or is_ambiguous or origin.is_doubt_reported
+
     def _publish(self, now, out):
         """Write the streams that callers may take up again."""
         open_streams = [
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -284,9 +284,9 @@
             received = protocol.received_bytes - received_before if protocol is not None else 0
             event_count = splitter.event_count - event_count
             wait_s = pacing.record(event_count, len(chunk), received, now)
-            if effect.run_id in self.watched_runs:
+            if effect.run_id in self.watched_runs and protocol is not None:
                 self.watched_runs.discard(effect.run_id)
-                self.driver.deliver(RunProgressed(effect.run_id))
+                self.driver.deliver(RunProgressed(effect.run_id, protocol.received_at))
             if not data:  # no progress for the stall timer
                 await asyncio.sleep(wait_s)
                 continue
--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from asyncio.subprocess import DEVNULL, create_subprocess_exec
+from contextlib import suppress
 from pathlib import Path
 
 from aiohttp.web import AppRunner
@@ -129,7 +130,8 @@
     def send_signal(self, number):
         """Send a signal to the process if it is still running."""
         if self.process.returncode is None:
-            os.kill(self.process.pid, number)
+            with suppress(ProcessLookupError):  # it has ended, and its status was not read yet
+                os.kill(self.process.pid, number)
 
     async def stop(self):
         """Terminate the process, by SIGKILL after `STOP_TIMEOUT_S`; return its exit status."""
--- a/medlarbeam/soak/release_faults.py
+++ b/medlarbeam/soak/release_faults.py
@@ -11,7 +11,7 @@
 log = logging.getLogger(__name__)
 
 MAX_DOWN_S = 0.8
-MAX_REGISTRATION_S = 0.3  # from the start of a worker to the write of its entry
+MAX_REGISTRATION_S = 1.1  # from the start of a worker to the write of its entry
 MAX_STEP_S = 0.6  # between two workers of a release
 EXIT_S = 2.5  # from the announcement of a drain to the end of the worker
 
--- a/medlarbeam/soak/stream_checker.py
+++ b/medlarbeam/soak/stream_checker.py
@@ -3,7 +3,14 @@
 from medlarbeam.soak.long_streams import LONG_EVENTS
 from medlarbeam.soak.stream_callers import COMPLETE, REFUSED
 
-__all__ = ["MAX_JOINED", "check_streams", "count_take_ups", "describe_stream", "list_joined"]
+__all__ = [
+    "MAX_JOINED",
+    "check_streams",
+    "count_refusals",
+    "count_take_ups",
+    "describe_stream",
+    "list_joined",
+]
 
 MAX_JOINED = 2  # streams of a run that hold events of two software versions
 
