Keep a pause that a new start of a backend server may have asked for

Cause: the answer was recorded for the start in the entry that was known, and the pause ended with the new entry. Change: a pause whose last answer came later than a heartbeat before the copy of the store was last known to be current is kept for the new start. The price: a pause of the former start within that time holds until its end too. No run with real processes.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -314,6 +314,7 @@
             self.membership_version += 1
             self.node.health.begin_start(entry.name)
             self.node.holdings.begin_start(entry, now)
+            self.node.pauses.begin_start(entry, self.copied_at)
             out.emit(LogEvent("server_known", describe_server(entry)))
         had_left = known.missing_since <= now and known.stop_at <= now
         if known.entry.software != entry.software:
--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -39,6 +39,8 @@
         The incarnation of the server that asked for the pause.
     since, until : float
         Start and end (s) of the pause.
+    asked_at : float
+        Time (s) of the last response that asked for a pause.
     source : str
         Request or call whose response asked for the end that holds, as text.
     text : str
@@ -57,6 +59,7 @@
 
     __slots__ = (
         "answers",
+        "asked_at",
         "entry",
         "next_send_at",
         "queue",
@@ -74,6 +77,7 @@
         self.state = state
         self.since = now
         self.until = now
+        self.asked_at = now
         self.source = ""
         self.text = ""
         self.answers = 0
@@ -130,6 +134,16 @@
             if pause is not None and not self._is_current(pause):
                 self._end(pause, "forgotten", "the server has restarted", now, out)
 
+    def begin_start(self, entry, copied_at):
+        """Keep a pause that the new start of a backend server may have asked for.
+
+        It may have answered before its entry was read: it has not started earlier than a heartbeat
+        before `copied_at`, the time (s) up to which the copy of the store was known to be current.
+        """
+        pause = self.pauses.get(entry.name)
+        if pause is not None and pause.asked_at > copied_at - self.node.settings.heartbeat_s:
+            pause.entry = entry
+
     def _is_current(self, pause):
         known = self.node.fleet.servers.get(pause.entry.name)
         return known is not None and known.entry.started_at_ms == pause.entry.started_at_ms
@@ -164,6 +178,7 @@
             pause = self.pauses[entry.name] = ServerPause(entry, self.chart.initial, now)
         was_paused = not is_new and self.chart.has_tag(pause, "paused")
         pause.answers += 1
+        pause.asked_at = now
         until = self._find_end_of_answers(pause, now + pause_s)
         if until != pause.until:
             pause.until = until
