--- a/medlarbeam/checking/gateway_model.py
+++ b/medlarbeam/checking/gateway_model.py
@@ -186,6 +186,7 @@
         "is_mute",
         "lifecycle",
         "orders",
+        "pauses",
         "relays",
         "rights",
         "rng",
@@ -197,7 +198,7 @@
         self.settings = settings
         self.rng = Random(1)
         self.lifecycle = RunningLifecycle()
-        self.relays = self.orders = self.health = self.holdings = IgnoredCalls()
+        self.relays = self.orders = self.health = self.holdings = self.pauses = IgnoredCalls()
         self.fleet = fleet_class(self)
         self.rights = rights_class(self)
         self.session = StoreSession()
@@ -211,7 +212,7 @@
         new.settings = self.settings
         new.rng = self.rng
         new.lifecycle = self.lifecycle
-        new.relays = new.orders = new.health = new.holdings = self.relays
+        new.relays = new.orders = new.health = new.holdings = new.pauses = self.relays
         new.session = self.session.copy()
         new.is_cut = self.is_cut
         new.is_frozen = self.is_frozen
--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -200,9 +200,7 @@
             self.versions.setdefault(version.service, []).append(version)
         if any(len(v) > 1 and len(former.get(s, ())) < 2 for s, v in self.versions.items()):
             # Streams that began before there were several versions were not reported.
-            self.unreported = [
-                n for n, origin in self.origins.items() if origin.is_own and origin.version
-            ]
+            self.unreported = [name for name, origin in self.origins.items() if origin.is_own]
             self._schedule_reports(now)
 
     def _review(self, now, out):
