Withdraw the doubt about a stream that others were told of

While one version was registered, a stream that had been reported as unknown stayed so at the other nodes, and its attribution wrote all open streams to the store. The origin keeps that the doubt was reported, and only a datagram follows. The new test fails in its case with one version before.

--- a/medlarbeam/gateway/stream_origins.py
+++ b/medlarbeam/gateway/stream_origins.py
@@ -362,10 +362,14 @@
             return
         self._note_version(version, now)
         former = self.origins.get(attempt)
-        self._remember(attempt, StreamOrigin(version, True, self._find_expiry(relay, now)))
-        if self.is_ambiguous(relay.route) or former is not None and former.is_doubt_reported:
+        origin = StreamOrigin(version, True, self._find_expiry(relay, now))
+        origin.is_doubt_reported = former is not None and former.is_doubt_reported
+        self._remember(attempt, origin)
+        if self.is_ambiguous(relay.route):
             self.unreported.append(attempt)
             self._schedule_reports(now)
+        elif origin.is_doubt_reported:
+            self._report_soon(attempt, now)
 
     def is_unknown(self, relay):
         """Return whether it is not known which start of a server has begun a stream."""
@@ -381,8 +385,11 @@
         attempt = relay.request.attempt_id
         if relay.route.resumable and attempt:
             self._remember(attempt, StreamOrigin(None, True, self._find_expiry(relay, now)))
-            self.unreported.append(attempt)
-            self.report_at = min(self.report_at, now + self._find_report_interval())
+            self._report_soon(attempt, now)
+
+    def _report_soon(self, attempt, now):
+        self.unreported.append(attempt)
+        self.report_at = min(self.report_at, now + self._find_report_interval())
 
     def _find_expiry(self, relay, now):
         is_open = relay.request.request_id in self.node.relays.open_relays
--- a/medlarbeam/gateway/tests/test_server_starts.py
+++ b/medlarbeam/gateway/tests/test_server_starts.py
@@ -230,6 +230,21 @@
     )
 
 
+@pytest.mark.parametrize("servers", [MIXED, MIXED[:2]], ids=["two-versions", "one-version"])
+def test_doubt_that_others_were_told_of_is_withdrawn(servers):
+    harness = make_harness(servers=servers, nodes=[PEER])
+    pass_quietly(harness, 5.0)
+    start = begin(harness)
+    sent, published = list_reports(harness.pass_time(0.2))
+    assert (sent, published) == ({"id-1": UNKNOWN_ORIGIN}, {})
+    state_same(harness, start.server)
+    version = start.server.software_version()
+    sent, published = list_reports(harness.pass_time(0.6))
+    assert sent == {"id-1": version}
+    assert published == ({"id-1": version} if len(servers) > 2 else {})
+    assert list_reports(harness.pass_time(1.0))[0] == {}
+
+
 def test_stalled_stream_of_unknown_start_is_not_moved():
     harness = make_fleet()
     start = begin(harness)
