Log which suspicions a served request clears

The log could not tell whether a part had been suspected and cleared, or never suspected. suspicion_cleared names the crashes that the served request outweighs.

--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -184,7 +184,11 @@
             del self.served_parts[next(iter(self.served_parts))]
         if self.records:
             for fingerprint in list_request_fingerprints(request):
-                self._fire(fingerprint, "succeeded", now, out)
+                record = self.records.get(fingerprint)
+                if record is not None:
+                    detail = f"{fingerprint} deaths={','.join(record.deaths)}"
+                    out.emit(LogEvent("suspicion_cleared", detail, request.request_id))
+                    self._fire(fingerprint, "succeeded", now, out)
 
     def record_cancelled_run(self, relay, now):
         """Record that the current run of `relay` was cancelled; it may crash the server yet."""
