--- a/medlarbeam/gateway/tests/crash_fleet.py
+++ b/medlarbeam/gateway/tests/crash_fleet.py
@@ -23,7 +23,6 @@
     LeaseRenewed,
     NodeDatagram,
     RunCompleted,
-    RunInterrupted,
     RunRefused,
     RunStarted,
     StoreSnapshot,
@@ -31,6 +30,7 @@
 )
 from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.gateway.gateway import Gateway
+from medlarbeam.gateway.tests.crash_ways import WAYS
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_config, make_server, make_settings
 
 HARMFUL = "bad0"
@@ -70,6 +70,10 @@
     gateways, engines : int
     loss : float
         Share of the datagrams that are lost.
+    way : CrashWay
+        How engines crash.
+    harm : float
+        Probability with which a harmful request crashes its engine.
 
     Attributes
     ----------
@@ -87,6 +91,7 @@
         "engines",
         "events",
         "gateways",
+        "harm",
         "harmful_sends",
         "is_harmful",
         "log",
@@ -99,11 +104,14 @@
         "sent",
         "serial",
         "store",
+        "way",
     )
 
-    def __init__(self, seed, gateways=4, engines=9, loss=0.0):
+    def __init__(self, seed, gateways=4, engines=9, loss=0.0, way=WAYS[0], harm=1.0):
         self.rng = Random(seed)
         self.loss = loss
+        self.way = way
+        self.harm = harm
         self.now = 100.0
         self.serial = count(1)
         self.revision = 10
@@ -214,10 +222,14 @@
 
     def _start_run(self, name, effect):
         engine = self.engines.get(effect.server.name)
-        if engine is None or not engine.is_up:  # no engine of this name: a node, to forward to
+        if engine is None or not engine.is_up and self.way.name in ("refused", "closed-unframed"):
+            # No engine of this name: a node, to forward to.
             refusal = RunRefused(effect.run_id, 0, "connection refused", None)
             self.call_at(self.now + 0.001, self.deliver, name, refusal)
             return
+        if not engine.is_up:
+            self.way.end_run(self, name, effect.run_id)
+            return
         engine.runs[effect.run_id] = name
         self.call_at(self.now + FIRST_EVENT_S, self._begin, engine, effect)
 
@@ -228,8 +240,9 @@
         self.begun.setdefault(effect.request_id, self.now)
         if self.is_harmful[effect.request_id]:
             self.harmful_sends.append(self.now)
-            self.call_at(self.now + CRASH_S, self.crash, engine)
-            return
+            if self.rng.random() < self.harm:
+                self.call_at(self.now + CRASH_S, self.crash, engine)
+                return
         self.deliver(name, RunStarted(effect.run_id, None))
         self.call_at(self.now + RUN_S, self._complete, engine, effect.run_id)
 
@@ -243,24 +256,23 @@
             engine.runs.pop(effect.run_id, None)
 
     def crash(self, engine):
-        """Crash an engine: its connections are lost, and it restarts under a new name."""
+        """Crash an engine; it restarts under a new name."""
         if not engine.is_up:
             return
         engine.is_up = False
         self.crashed_at.append(self.now)
         runs, engine.runs = engine.runs, {}
         for run_id, name in runs.items():
-            self.call_at(self.now + 0.001, self.deliver, name, self._interrupt(run_id))
+            self.way.end_run(self, name, run_id)
         self.call_at(self.now + RESTART_S, self._restart, engine)
         self.call_at(self.now + LAPSE_S, self.write_entry, f"servers/{engine.entry.name}", None)
 
-    def _interrupt(self, run_id):
-        return RunInterrupted(run_id, "connection lost", 0, False, is_connection_lost=True)
-
     def _probe(self, name, effect):
-        is_up = self.engines[effect.server.name].is_up
-        result = ProbeResult(effect.server.name, not is_up, "probed", is_up)
-        self.call_at(self.now + 0.002, self.deliver, name, result)
+        entry = effect.server
+        result, after_s = ProbeResult(entry.name, False, "probed", True), 0.002
+        if not self.engines[entry.name].is_up:
+            result, after_s = self.way.answer_probe(entry)
+        self.call_at(self.now + after_s, self.deliver, name, result)
 
     def _restart(self, engine):
         name = f"{engine.entry.name}.{next(self.serial)}"
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -32,6 +32,7 @@
 from medlarbeam.gateway.crash_evidence import SuspicionRecord, find_convictions
 from medlarbeam.gateway.crash_suspects import QUARANTINE_S, SUSPECT_S
 from medlarbeam.gateway.tests.crash_fleet import CrashFleet
+from medlarbeam.gateway.tests.crash_ways import WAYS
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_harness, make_server
 
 CONTACT_S = 3.0
@@ -62,6 +63,11 @@
     fleet.schedule_load(start, start + 20, harmless_per_s, 0.0)
     fleet.schedule_load(start + harm_after_s, start + 20, 0.0, harmful_per_s)
     fleet.run_until(start + 25)
+    check_harmful_part(fleet, start + 20)
+
+
+def check_harmful_part(fleet, end):
+    """Check that harmful requests stop reaching engines, and that others still begin there."""
     assert len(fleet.crashed_at) >= 2
     crashes = fleet.crashed_at[:5]
     late = [at for at in fleet.harmful_sends if at > crashes[-1] + CONTACT_S]
@@ -69,12 +75,27 @@
     harmless = [
         request_id
         for request_id, at in fleet.sent.items()
-        if crashes[-1] + 2 * CONTACT_S < at < start + 20 and not fleet.is_harmful[request_id]
+        if crashes[-1] + 2 * CONTACT_S < at < end and not fleet.is_harmful[request_id]
     ]
     assert harmless
     assert sum(r in fleet.begun for r in harmless) >= 0.95 * len(harmless)
 
 
+# Guards against crashes that no gateway takes for one, as no connection is refused.
+UNREFUSED = [way for way in WAYS if way.name != "refused"]
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("way", UNREFUSED, ids=[way.name for way in UNREFUSED])
+def test_harmful_prompt_part_is_found_however_servers_die(way, seed):
+    fleet = CrashFleet(seed, way=way)
+    start = fleet.now
+    fleet.schedule_load(start, start + 20, 60.0, 0.0)
+    fleet.schedule_load(start + HARM_AFTER_S, start + 20, 0.0, 5.7)
+    fleet.run_until(start + 25)
+    check_harmful_part(fleet, start + 20)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_crashes_at_the_same_moment_quarantine_no_prompt_part(seed):
     """A third of the engines lose power at once, under harmless requests."""
