--- a/medlarbeam/standins/platform_store.py
+++ b/medlarbeam/standins/platform_store.py
@@ -160,7 +160,7 @@
     def delete(self, key):
         """Delete an item."""
         self.revision += 1
-        del self.items[key]
+        self.items.pop(key, None)
         self.history.append({"key": key, "revision": self.revision, "deleted": True})
 
     def revoke_all_leases(self):
