Find crashes out by answers of servers, and count what speaks for a part against them

Cause: a crash was known by one sign only, a refused connection. A response without a length counted as complete when its server had died, so that the harmful run was missing from the reports and the runs beside it were accused. A proxy that accepts and closes, or a machine that went dark, counted as alive. One complete run erased all crashes at all gateways; reports were sent once, and a gateway that started had none; crashes of a whole service were taken for a lost path and dropped.

Change: an inquiry for each start of a server that loses runs, falls silent under them, or closes a connection that ends a response (chart crash_inquiry). It asks on a new connection: only an answer that states the start shows that the server lives; a refused connection, another start or no answer for 1.5 s shows a crash, the last until the same start answers. The end of a response without a length is held back until then. Runs that complete weigh against the crashes. Reports are repeated and sent to nodes that start; each run counts once, crashes are compared by their times, and a request that is moved and crashes the next server counts in any case.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -209,13 +209,23 @@
 
 
 class Service(Record):
-    """A service in the configuration; `engine` is None for a plain service."""
+    """A service in the configuration.
 
-    __slots__ = ("engine", "name")
+    Parameters
+    ----------
+    name : str
+    engine : Engine or None
+        None for a plain service.
+    health_path : str
+        Path at which its servers tell their health, "" for none.
+    """
+
+    __slots__ = ("engine", "health_path", "name")
 
-    def __init__(self, name, engine):
+    def __init__(self, name, engine, health_path=""):
         self.name = name
         self.engine = engine
+        self.health_path = health_path
 
 
 class FleetConfig(Record):
--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -356,12 +356,21 @@
 
 
 class ProbeServer(Record):
-    """Check whether a backend server still accepts connections."""
+    """Check on a new connection whether a backend server accepts connections, or answers.
 
-    __slots__ = ("server",)
+    Parameters
+    ----------
+    server : ServerRegistration
+    asked_path : str or None
+        Path to ask for, "" for the report of a server with an engine, None for a connection
+        without a request.
+    """
 
-    def __init__(self, server):
+    __slots__ = ("asked_path", "server")
+
+    def __init__(self, server, asked_path=None):
         self.server = server
+        self.asked_path = asked_path
 
 
 class PublishQuarantine(Record):
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -475,14 +475,17 @@
         Ids of the parts of its prompt that other requests may share.
     served_parts : list of str
         Those of them with which the sender has seen another request served before.
+    ran_s : float
+        Time (s) from its send to the crash, 0 if unknown, as from nodes of earlier builds.
     """
 
-    __slots__ = ("fingerprint", "served_parts", "shared_parts")
+    __slots__ = ("fingerprint", "ran_s", "served_parts", "shared_parts")
 
-    def __init__(self, fingerprint, shared_parts, served_parts=()):
+    def __init__(self, fingerprint, shared_parts, served_parts=(), ran_s=0.0):
         self.fingerprint = fingerprint
         self.shared_parts = shared_parts
         self.served_parts = list(served_parts)
+        self.ran_s = ran_s
 
 
 class DeathReport(Record):
@@ -498,11 +501,14 @@
     served_age_s : float
         Time (s) since a backend server has last served a request of the sender completely.
     runs : list of LostRun
+    is_retracted : bool
+        Whether the server turned out not to have crashed.
     """
 
-    __slots__ = ("age_s", "death_id", "node", "runs", "served_age_s")
+    __slots__ = ("age_s", "death_id", "is_retracted", "node", "runs", "served_age_s")
 
-    def __init__(self, node, death_id, age_s, served_age_s, runs):
+    def __init__(self, node, death_id, age_s, served_age_s, runs, is_retracted=False):
+        self.is_retracted = is_retracted
         self.node = node
         self.death_id = death_id
         self.age_s = age_s
--- a/medlarbeam/classes/server_messages.py
+++ b/medlarbeam/classes/server_messages.py
@@ -2,7 +2,13 @@
 
 from medlarbeam.classes.record import Record
 
-__all__ = ["EngineStateResult", "ProbeResult", "ServerLeaving", "ServerOrderResult"]
+__all__ = [
+    "EngineStateResult",
+    "ProbeResult",
+    "RunClosed",
+    "ServerLeaving",
+    "ServerOrderResult",
+]
 
 
 class ServerLeaving(Record):
@@ -87,12 +93,56 @@
     reason : str
     is_accepted : bool
         Whether the connection was accepted.
+    asked_path : str or None
+        As in the effect.
+    is_answered : bool
+        Whether the server has answered; only this shows that more than a proxy is there.
+    started_at_ms : int or None
+        Wall clock time at which the server states to have started (ms), None if it states none.
+    is_other_server : bool
+        Whether another server has answered at the address.
     """
 
-    __slots__ = ("is_accepted", "is_refused", "reason", "server")
-
-    def __init__(self, server, is_refused, reason, is_accepted=False):
-        self.is_accepted = is_accepted
+    __slots__ = (
+        "asked_path",
+        "is_accepted",
+        "is_answered",
+        "is_other_server",
+        "is_refused",
+        "reason",
+        "server",
+        "started_at_ms",
+    )
+
+    def __init__(
+        self,
+        server,
+        is_refused,
+        reason,
+        is_accepted=False,
+        asked_path=None,
+        is_answered=False,
+        started_at_ms=None,
+        is_other_server=False,
+    ):
         self.server = server
         self.is_refused = is_refused
         self.reason = reason
+        self.is_accepted = is_accepted
+        self.asked_path = asked_path
+        self.is_answered = is_answered
+        self.started_at_ms = started_at_ms
+        self.is_other_server = is_other_server
+
+
+class RunClosed(Record):
+    """A response without a length has ended with its connection.
+
+    Its end is held back until `AcceptRun` or `RejectRun`, since it may have been cut short by the
+    end of its server.
+    """
+
+    __slots__ = ("run_id",)
+
+    def __init__(self, run_id):
+        self.run_id = run_id
--- a/medlarbeam/gateway/crash_evidence.py
+++ b/medlarbeam/gateway/crash_evidence.py
@@ -1,10 +1,12 @@
 """Evidence against what requests contain that ran on crashed backend servers."""
 
+from bisect import bisect_left
 from math import inf
 
 __all__ = [
     "PART_SCOPE",
     "REQUEST_SCOPE",
+    "ServedTimes",
     "SuspicionRecord",
     "find_convictions",
     "format_fingerprint",
@@ -21,6 +23,7 @@
 # The same for a prompt part. Each strike is under another request: one request alone does not show
 # which of its parts is the cause.
 PART_STRIKES = 2
+STRIKES = {REQUEST_SCOPE: REQUEST_STRIKES, PART_SCOPE: PART_STRIKES}
 # Crashes that suffice if another part was in flight at the same ones, or if nothing was served.
 AMBIGUOUS_STRIKES = 5
 MIN_STRIKE_GAP_S = 0.05  # backend servers that fail together crash within a few ms
@@ -29,7 +32,12 @@
 MIN_WEIGHT = 1.0
 # Weight of a crash under a prompt part with which requests were served before it.
 SERVED_WEIGHT = 0.5
+# Complete runs for each crash that clear a fingerprint. One that crashes half of its runs completes
+# two in succession less often than it crashes.
+CLEARING_RUNS = 2
 MAX_DEATHS = 16  # kept for each fingerprint
+SERVED_STEP_S = 0.01
+MAX_SERVED_TIMES = 12_000  # 120 s
 
 
 def format_fingerprint(request):
@@ -52,22 +60,55 @@
     return [f"{PART_SCOPE}:{name}" for name in names]
 
 
+class ServedTimes:
+    """Times (s) at which backend servers have served requests, in steps of `SERVED_STEP_S`."""
+
+    __slots__ = ("times",)
+
+    def __init__(self):
+        self.times = []
+
+    def record(self, at):
+        """Record that a request was served at the time `at` (s)."""
+        index = bisect_left(self.times, at)
+        neighbours = self.times[max(0, index - 1) : index + 1]
+        if all(abs(at - time) >= SERVED_STEP_S for time in neighbours):
+            self.times.insert(index, at)
+            if len(self.times) > MAX_SERVED_TIMES:
+                del self.times[: MAX_SERVED_TIMES // 2]
+
+    def last(self):
+        """Return the latest of the times, -infinity for none."""
+        return self.times[-1] if self.times else -inf
+
+    def is_any_between(self, since, until):
+        """Return whether a request was served from `since` to `until` (s)."""
+        index = bisect_left(self.times, since)
+        return index < len(self.times) and self.times[index] <= until
+
+
 class Death:
     """A crash as evidence against one fingerprint.
 
     Attributes
     ----------
+    lost_at : float
+        Time (s) of the crash.
+    sent_at : float
+        Time (s) at which the last of the lost runs was sent, -infinity if unknown.
     is_strike : bool
         Whether it is evidence of its own, see `SuspicionRecord.record_run`.
-    runs : int
-        Number of lost runs with the fingerprint.
+    runs : set of tuple
+        Node and fingerprint of the request of each lost run.
     """
 
-    __slots__ = ("is_strike", "runs")
+    __slots__ = ("is_strike", "lost_at", "runs", "sent_at")
 
-    def __init__(self):
+    def __init__(self, lost_at):
+        self.lost_at = lost_at
+        self.sent_at = -inf
         self.is_strike = False
-        self.runs = 0
+        self.runs = set()
 
 
 class SuspicionRecord:
@@ -79,8 +120,8 @@
         By death id, the oldest first.
     requests : set of str
         Fingerprints of the requests whose runs were lost, for a prompt part.
-    struck_at : float
-        Time (s) of the last strike.
+    completions : int
+        Number of runs with it that were served completely since the first crash.
     was_served : bool
         Whether a node has seen a request with the prompt part served before the crashes.
     expires_at, publish_at : float
@@ -88,13 +129,13 @@
     """
 
     __slots__ = (
+        "completions",
         "deaths",
         "expires_at",
         "fingerprint",
         "publish_at",
         "requests",
         "state",
-        "struck_at",
         "was_served",
     )
 
@@ -103,7 +144,7 @@
         self.state = state
         self.deaths = {}
         self.requests = set()
-        self.struck_at = -inf
+        self.completions = 0
         self.was_served = False
         self.expires_at = inf
         self.publish_at = inf
@@ -120,51 +161,76 @@
     def find_weight(self):
         """Return the weight of the evidence.
 
-        It grows with the crashes, and falls with the runs that were lost in them: a harmful part
-        crashes a backend server with its first run, while runs with a popular one are always open.
+        It grows with the crashes, and falls with the runs that were lost in them or completed: a
+        harmful part crashes a backend server with its first run, while runs with a popular one are
+        always open, and those with one that crashes rarely often complete.
         """
-        runs = sum(death.runs for death in self.deaths.values())
+        runs = sum(len(death.runs) for death in self.deaths.values()) + self.completions
         weight = len(self.deaths) ** 2 / max(1, runs)
-        return SERVED_WEIGHT * weight if self.was_served else weight
+        return SERVED_WEIGHT * weight if self.was_served or self.completions else weight
 
-    def record_run(self, death_id, request, lost_at, served_at):
+    def is_outweighed(self):
+        """Return whether the runs that completed outweigh the crashes."""
+        return self.completions >= max(1, CLEARING_RUNS * len(self.deaths))
+
+    def record_run(self, death_id, node, request, lost_at, sent_at, served):
         """Record a run that was lost in a crash; return whether that is a strike.
 
         Parameters
         ----------
-        death_id : str
+        death_id, node : str
         request : str
             Fingerprint of the request.
-        lost_at : float
-            Time (s) of the crash.
-        served_at : float
-            Time (s) at which any request was last served.
+        lost_at, sent_at : float
+            Times (s) of the crash, and of the send of the run, -infinity if that is unknown.
+        served : ServedTimes
 
         Notes
         -----
-        Crashes at the same moment are one strike, and so are a few crashes without a complete
-        response to any request in between.
+        Reports are repeated and arrive in any order, so each run counts once, and crashes are
+        compared by their times. Crashes at the same moment are one strike, and so are a few crashes
+        without a complete response to any request in between. A request that was moved to another
+        server after a crash, and crashes that one too, is a strike in any case.
         """
         death = self.deaths.get(death_id)
         if death is None:
-            death = self.deaths[death_id] = Death()
+            death = self.deaths[death_id] = Death(lost_at)
             while len(self.deaths) > MAX_DEATHS:
                 del self.deaths[next(iter(self.deaths))]
-        death.runs += 1
-        if death.is_strike:
-            return False
-        if served_at < self.struck_at and len(self.deaths) < AMBIGUOUS_STRIKES:
-            return False
-        if lost_at < self.struck_at + MIN_STRIKE_GAP_S:
+        death.runs.add((node, request))
+        death.sent_at = max(death.sent_at, sent_at)
+        if death.is_strike or not self._is_apart(death, served):
             return False
         if self.scope == PART_SCOPE:
             if request in self.requests:
                 return False
             self.requests.add(request)
         death.is_strike = True
-        self.struck_at = lost_at
         return True
 
+    def _is_apart(self, death, served):
+        """Return whether a crash has another cause than those that count already."""
+        for other in self.deaths.values():
+            if not other.is_strike:
+                continue
+            first, second = sorted((death, other), key=_lost_at)
+            if self.scope == REQUEST_SCOPE and second.sent_at >= first.lost_at:
+                continue
+            if second.lost_at < first.lost_at + MIN_STRIKE_GAP_S:
+                return False
+            is_any_served = served.is_any_between(first.lost_at, second.lost_at)
+            if not is_any_served and len(self.deaths) < AMBIGUOUS_STRIKES:
+                return False
+        return True
+
+    def forget_death(self, death_id):
+        """Forget a crash that did not happen; return whether it was evidence."""
+        return self.deaths.pop(death_id, None) is not None
+
+    def has_enough_strikes(self):
+        """Return whether the strikes suffice for a quarantine."""
+        return self.count_strikes() >= STRIKES[self.scope]
+
     def next_due(self):
         """Return the time (s) at which the record is due."""
         return min(self.expires_at, self.publish_at)
@@ -188,13 +254,17 @@
 
 def _is_convicted(record, parts):
     strikes = record.count_strikes()
-    if record.scope == REQUEST_SCOPE:
-        return strikes >= REQUEST_STRIKES
-    if strikes < PART_STRIKES:
+    if not record.has_enough_strikes():
         return False
+    if record.scope == REQUEST_SCOPE:
+        return True
     weight = record.find_weight()
     rivals = [r for r in parts if r is not record and not record.deaths.keys().isdisjoint(r.deaths)]
     most = max((rival.find_weight() for rival in rivals), default=0.0)
     if weight < MIN_WEIGHT or most > weight:
         return False
     return most < weight or strikes >= AMBIGUOUS_STRIKES
+
+
+def _lost_at(death):
+    return death.lost_at
--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -1,17 +1,12 @@
 """Quarantine of requests that crash the backend servers that run them."""
 
-from collections import deque
 from math import inf
 
 from medlarbeam.algorithms.routing import rank_servers
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import Quarantine
-from medlarbeam.classes.gateway_effects import (
-    ProbeServer,
-    PublishQuarantine,
-    WithdrawQuarantine,
-)
+from medlarbeam.classes.gateway_effects import PublishQuarantine, WithdrawQuarantine
 from medlarbeam.classes.gateway_messages import (
     EntryDeleted,
     EntryUpdated,
@@ -20,9 +15,9 @@
     StoreSnapshot,
 )
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
-from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.gateway.crash_evidence import (
     REQUEST_SCOPE,
+    ServedTimes,
     SuspicionRecord,
     find_convictions,
     format_fingerprint,
@@ -30,74 +25,40 @@
     list_fingerprints,
     list_request_fingerprints,
 )
+from medlarbeam.gateway.crash_inquiries import CANCELLED_S
+from medlarbeam.gateway.crash_reports import MAX_DEATHS, MAX_REPORTED, SUSPECT_S
 from medlarbeam.node.component import Component
 
 __all__ = ["CrashSuspects"]
 
-SUSPECT_S = 120.0  # after the last crash
 QUARANTINE_S = 600.0
 SETTLE_S = 0.05  # until the reports of all nodes on a crash have arrived
 CLEARANCE_DELAY_S = (0.02, 0.1)  # random, so that few nodes announce the same clearance
 PUBLISH_STEP_S = 1.5  # between nodes that publish a quarantine; a written one is seen sooner
-PROBE_INTERVAL_S = 0.2  # between probes of a backend server that loses connections
-CANCELLED_S = 0.5  # in which a backend server may still crash under a cancelled run
-LEAVES = "it had announced that it leaves"
+# Crashes of one start that are found this close to each other (s) are the same; nodes notice a
+# server that falls silent at different times.
+SAME_CRASH_S = 1.0
+MIN_RUN_S = 0.001  # 0 stands for unknown
 MAX_RECORDS = 4096
-MAX_DEATHS = 256
 MAX_SERVED_PARTS = 20_000  # about 150 bytes each
-MAX_REPORTED = 48  # fingerprints in a datagram
-
-
-class LostRuns:
-    """Runs whose connections to a backend server were lost, until a probe shows why.
-
-    Attributes
-    ----------
-    lost_at : float
-        Time (s) of the first loss.
-    probe_at : float
-        Time (s) of the next probe, infinity while one is in progress.
-    requests : list of GatewayRequest
-    """
-
-    __slots__ = ("entry", "lost_at", "probe_at", "requests")
-
-    def __init__(self, entry, now, probe_at):
-        self.entry = entry
-        self.lost_at = now
-        self.probe_at = probe_at
-        self.requests = []
-
-
-class CancelledRun:
-    """A request whose run on `server` was cancelled at the time `at` (s)."""
-
-    __slots__ = ("at", "request", "server")
-
-    def __init__(self, relay, at):
-        self.at = at
-        self.request = relay.request
-        self.server = relay.server.name
 
 
 class CrashSuspects(Component):
     """Drives the chart ``crash_suspicion`` for what crashed requests have in common.
 
-    A backend server that loses the connections of runs and then refuses connections has crashed.
-    Each request that ran on it, and each shared part of their prompts, gets a strike. A complete
-    response clears them, at all nodes. What gets several strikes in succession is quarantined:
-    requests with it are refused, and those that wait or have not begun are ended.
+    Each request that ran on a crashed backend server, and each shared part of their prompts, gets a
+    strike; `CrashInquiries` finds out what has crashed. Complete responses count against the
+    crashes, at all nodes. What gets several strikes in succession is quarantined: requests with it
+    are refused, and those that wait or have not begun are ended.
 
     Attributes
     ----------
     records : dict of str to SuspicionRecord
         By fingerprint, the oldest first.
-    lost : dict of str to LostRuns
-        By backend server.
-    cancelled : collections.deque of CancelledRun
-        The newest last.
     deaths : dict of str to float
-        Times (s) of the last reports of crashes, by death id.
+        Times (s) of crashes, by death id, those that were reported last at the end.
+    retracted : dict of str to None
+        Ids of crashes that did not happen, the latest last.
     published : dict of str to Quarantine
         Quarantines in the store, by key.
     next_due : float
@@ -106,27 +67,25 @@
         Times (s) at which quarantines were deleted from the store, by fingerprint.
     is_set_back : bool
         Whether the next snapshot is of an older copy of the store.
-    served_at : float
-        Time (s) at which a node known to have served a request has last done so.
+    served : ServedTimes
+        When nodes have served requests, as far as known.
     served_parts : dict of str to None
         Prompt parts with which this node has seen requests served, the latest last.
     """
 
     __slots__ = (
         "announce_at",
-        "cancelled",
         "chart",
         "cleared",
         "deaths",
         "is_set_back",
         "lifted",
-        "lost",
         "next_due",
-        "probed_at",
         "published",
         "records",
+        "retracted",
         "review_at",
-        "served_at",
+        "served",
         "served_parts",
     )
 
@@ -134,10 +93,8 @@
         super().__init__(node)
         self.chart = load_chart("crash_suspicion", CrashSuspects)
         self.records = {}
-        self.lost = {}
-        self.cancelled = deque()
         self.deaths = {}
-        self.probed_at = {}
+        self.retracted = {}
         self.published = {}
         self.lifted = {}
         self.is_set_back = False
@@ -145,13 +102,12 @@
         self.announce_at = inf
         self.review_at = inf
         self.next_due = inf
-        self.served_at = -inf
+        self.served = ServedTimes()
         self.served_parts = {}
 
     def handlers(self):
         """Return the handler method of each message class."""
         return {
-            ProbeResult: self.handle_probe_result,
             NodeDatagram: self.handle_datagram,
             EntryUpdated: self.handle_entry_updated,
             EntryDeleted: self.handle_entry_deleted,
@@ -175,8 +131,8 @@
         return sum(1 for r in self.records.values() if self.chart.has_tag(r, "refused"))
 
     def record_success(self, request, now, out):
-        """Clear what a completely served request contains."""
-        self.served_at = now
+        """Count a complete run in favour of what its request contains."""
+        self.served.record(now)
         for part in request.shared_parts:
             self.served_parts.pop(part, None)
             self.served_parts[part] = None
@@ -187,103 +143,60 @@
                 record = self.records.get(fingerprint)
                 if record is not None:
                     detail = f"{fingerprint} deaths={','.join(record.deaths)}"
-                    out.emit(LogEvent("suspicion_cleared", detail, request.request_id))
-                    self._fire(fingerprint, "succeeded", now, out)
-
-    def record_cancelled_run(self, relay, now):
-        """Record that the current run of `relay` was cancelled; it may crash the server yet."""
-        while self.cancelled and self.cancelled[0].at < now - CANCELLED_S:
-            self.cancelled.popleft()
-        self.cancelled.append(CancelledRun(relay, now))
-
-    def _find_cancelled(self, server, since):
-        """Return the requests whose runs on `server` were cancelled after `since` (s)."""
-        return [c.request for c in self.cancelled if c.server == server and c.at >= since]
-
-    def record_lost_run(self, relay, now, out):
-        """Record that the connection of the current run of `relay` was lost."""
-        entry = relay.server
-        lost = self.lost.get(entry.name)
-        if lost is None:
-            probe_at = max(now, self.probed_at.get(entry.name, -inf) + PROBE_INTERVAL_S)
-            lost = self.lost[entry.name] = LostRuns(entry, now, probe_at)
-        lost.requests.append(relay.request)
-        if lost.probe_at <= now:
-            self._probe(lost, now, out)
+                    out.emit(LogEvent("suspicion_answered", detail, request.request_id))
+                    record.completions += 1
+                    self.chart.fire(record, "succeeded", self, now, out)
 
     # Crashes
 
-    def _probe(self, lost, now, out):
-        entry = lost.entry
-        if self.node.fleet.is_leaving(entry.name, entry.started_at_ms):
-            # It may have exited as announced, which is no evidence against the runs that it cut.
-            self.lost.pop(entry.name, None)
-            self._log_not_crashed(lost, LEAVES, out)
-            return
-        lost.probe_at = inf
-        self.probed_at[lost.entry.name] = now
-        out.emit(ProbeServer(lost.entry))
-
-    def _log_not_crashed(self, lost, reason, out):
-        detail = f"server={lost.entry.name} lost_runs={len(lost.requests)} {reason}"
-        out.emit(LogEvent("server_not_crashed", detail))
-
-    def handle_probe_result(self, message, now, out):
-        """Give strikes to the lost runs of a backend server that refuses connections."""
-        lost = self.lost.pop(message.server, None)
-        if lost is None:
-            return
-        is_leaving = self.node.fleet.is_leaving(lost.entry.name, lost.entry.started_at_ms)
-        if is_leaving or not message.is_refused:
-            self._log_not_crashed(lost, LEAVES if is_leaving else message.reason, out)
-            return
-        self.node.health.record_outcome(message.server, "unreachable", now, out)
-        if self._is_path_doubtful(lost, now, out):
-            return
-        death_id = f"{lost.entry.name}/{lost.entry.started_at_ms}"
-        out.emit(
-            LogEvent(
-                "server_crashed",
-                f"death={death_id} lost_runs={len(lost.requests)} {message.reason}",
-                level="warning",
-            )
-        )
-        cancelled = self._find_cancelled(message.server, lost.lost_at - CANCELLED_S)
-        self._report_death(death_id, now - lost.lost_at, lost.requests + cancelled, now, out)
-
-    def _is_path_doubtful(self, lost, now, out):
-        """Return whether a refused connection shows nothing, since others may fail as well.
+    def name_death(self, entry, lost_at):
+        """Return the id of a crash of the start in `entry` at the time `lost_at` (s).
 
-        While that is being checked, the server is probed again later.
+        A server may start again and crash once more before its new entry is read.
+        """
+        start = f"{entry.name}/{entry.started_at_ms}"
+        for number in range(MAX_DEATHS):
+            death_id = f"{start}.{number}" if number else start
+            if abs(self.deaths.get(death_id, lost_at) - lost_at) <= SAME_CRASH_S:
+                break
+        return death_id
+
+    def report_death(self, death_id, age_s, runs, now, out):
+        """Count a crash `age_s` (s) ago under `runs`, and tell the other nodes.
+
+        Parameters
+        ----------
+        death_id : str
+        age_s : float
+        runs : list of SuspectedRun
         """
-        paths, service = self.node.paths, lost.entry.service
-        if paths.is_lost(service):
-            self._log_not_crashed(lost, f"no server of {service} is reached", out)
-        elif paths.is_doubtful(service):
-            lost.probe_at = now + PROBE_INTERVAL_S
-            self.lost[lost.entry.name] = lost
-        return paths.is_doubtful(service)
-
-    def _report_death(self, death_id, age_s, requests, now, out):
-        name, served_age_s = self.node.settings.name, now - self.served_at
-        runs = [self._build_lost_run(request) for request in requests]
-        for batch in split_runs(runs):
-            report = DeathReport(name, death_id, age_s, served_age_s, batch)
-            self._apply_death(report, now, out)
-            self.node.fleet.broadcast(report, out)
-
-    def _build_lost_run(self, request):
-        served = [part for part in request.shared_parts if part in self.served_parts]
-        return LostRun(format_fingerprint(request), list(request.shared_parts), served)
+        lost_at = now - age_s
+        lost_runs = [self._build_lost_run(run, lost_at) for run in runs]
+        self.node.crash_reports.send(death_id, lost_at, lost_runs, False, now, out)
+
+    def retract_death(self, death_id, now, out):
+        """Take back the report of a crash that did not happen."""
+        lost_at = self.deaths.get(death_id, now)
+        self.node.crash_reports.send(death_id, lost_at, [], True, now, out)
+
+    def _list_served(self, run):
+        """Return the parts of a request or a `LostRun` with which others were served here."""
+        return [part for part in run.shared_parts if part in self.served_parts]
+
+    def _build_lost_run(self, run, lost_at):
+        request = run.request
+        served = self._list_served(request)
+        ran_s = max(MIN_RUN_S, lost_at - run.sent_at)
+        return LostRun(format_fingerprint(request), list(request.shared_parts), served, ran_s)
 
     def _handle_death_report(self, report, now, out):
         """Apply a report, and report own runs that were cancelled just before the crash."""
         is_new = report.death_id not in self.deaths
-        self._apply_death(report, now, out)
+        self.apply_death(report, now, out)
         server = report.death_id.rpartition("/")[0]
-        cancelled = self._find_cancelled(server, now - report.age_s - CANCELLED_S)
+        cancelled = self.node.inquiries.find_cancelled(server, now - report.age_s - CANCELLED_S)
         if is_new and cancelled:
-            self._report_death(report.death_id, report.age_s, cancelled, now, out)
+            self.report_death(report.death_id, report.age_s, cancelled, now, out)
 
     def handle_datagram(self, message, now, out):
         """Handle a death report or a clearance of another node."""
@@ -293,23 +206,46 @@
         elif isinstance(body, ClearanceReport):
             self.cleared.difference_update(body.fingerprints)
             for fingerprint in body.fingerprints:
-                self._fire(fingerprint, "cleared", now, out)
-
-    def _apply_death(self, report, now, out):
-        self.deaths[report.death_id] = now
+                record = self.records.get(fingerprint)
+                if record is not None:
+                    record.completions += 1
+                    self.chart.fire(record, "cleared", self, now, out)
+
+    def apply_death(self, report, now, out):
+        """Count the runs in a `DeathReport`, of this node or another one."""
+        if report.is_retracted:
+            self._forget_death(report.death_id, now, out)
+        if report.death_id in self.retracted:
+            return
+        lost_at = now - report.age_s
+        self.deaths.setdefault(report.death_id, lost_at)
         while len(self.deaths) > MAX_DEATHS:
             del self.deaths[next(iter(self.deaths))]
-        self.served_at = max(self.served_at, now - report.served_age_s)
-        lost_at = now - report.age_s
+        self.served.record(now - report.served_age_s)
         for run in report.runs:
-            served = format_parts(run.served_parts)
+            served = format_parts({*run.served_parts, *self._list_served(run)})
+            sent_at = lost_at - run.ran_s if run.ran_s > 0.0 else -inf
             for fingerprint in list_fingerprints(run.fingerprint, run.shared_parts):
                 record = self._get_or_create(fingerprint, now, out)
                 record.was_served = record.was_served or fingerprint in served
-                if record.record_run(report.death_id, run.fingerprint, lost_at, self.served_at):
+                if record.record_run(
+                    report.death_id, report.node, run.fingerprint, lost_at, sent_at, self.served
+                ):
                     self.chart.fire(record, "strike", self, now, out)
         self.review_at = min(self.review_at, now + SETTLE_S)
 
+    def _forget_death(self, death_id, now, out):
+        """Forget a crash that did not happen, and lift quarantines that rest on it."""
+        self.retracted[death_id] = None
+        while len(self.retracted) > MAX_DEATHS:
+            del self.retracted[next(iter(self.retracted))]
+        if self.deaths.pop(death_id, None) is None:
+            return
+        out.emit(LogEvent("crash_retracted", f"death={death_id}"))
+        for record in list(self.records.values()):
+            if record.forget_death(death_id):
+                self.chart.fire(record, "retracted", self, now, out)
+
     def _get_or_create(self, fingerprint, now, out):
         record = self.records.get(fingerprint)
         if record is None:
@@ -336,6 +272,7 @@
         suspected = [r for r in self.records.values() if self.chart.has_tag(r, "suspect")]
         for record in find_convictions(suspected, self.records.values()):
             self.chart.fire(record, "convicted", self, now, out)
+        for record in [r for r in self.records.values() if self.chart.has_tag(r, "refused")]:
             if record.scope != REQUEST_SCOPE:
                 self._clear_explained(record, now, out)
 
@@ -400,23 +337,16 @@
 
     def next_deadline(self):
         """Return the time (s) at which the next step is due."""
-        due = min(self.announce_at, self.review_at, self.next_due)
-        if self.lost:
-            due = min(due, *(lost.probe_at for lost in self.lost.values()))
-        return due
+        return min(self.announce_at, self.review_at, self.next_due)
 
     def tick(self, now, out):
-        """Probe, announce, review, publish and expire what is due."""
-        for lost in list(self.lost.values()):
-            if lost.probe_at <= now:
-                self._probe(lost, now, out)
+        """Announce, review, publish and expire what is due."""
         if self.announce_at <= now:
             self._announce(out)
         if self.review_at <= now:
             self._review(now, out)
         if self.next_due <= now:
             self._process_due_records(now, out)
-        self.probed_at = {n: at for n, at in self.probed_at.items() if at > now - PROBE_INTERVAL_S}
 
     def _process_due_records(self, now, out):
         for record in list(self.records.values()):
@@ -439,7 +369,19 @@
         record.expires_at = at
         self.next_due = min(self.next_due, at)
 
-    # Actions of the chart
+    # Guards and actions of the chart
+
+    def is_outweighed(self, record, now, out):
+        """Return whether complete runs outweigh the crashes."""
+        return record.is_outweighed()
+
+    def has_no_deaths(self, record, now, out):
+        """Return whether no crash is left as evidence."""
+        return not record.deaths
+
+    def has_too_few_strikes(self, record, now, out):
+        """Return whether what is left of the evidence does not suffice for a quarantine."""
+        return not record.has_enough_strikes()
 
     def start_suspect_period(self, record, now, out):
         """Forget a suspicion without further crashes after `SUSPECT_S`."""
@@ -487,16 +429,3 @@
     def remove(self, record, now, out):
         """Remove the record."""
         del self.records[record.fingerprint]
-
-
-def split_runs(runs):
-    """Return lists of `LostRun` with about `MAX_REPORTED` fingerprints each."""
-    batches = [[]]
-    count = 0
-    for run in runs:
-        if count >= MAX_REPORTED:
-            batches.append([])
-            count = 0
-        batches[-1].append(run)
-        count += 1 + len(run.shared_parts)
-    return batches
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -421,6 +421,11 @@
         service = self.config.services.get(server.service) if self.config else None
         return service.engine if service else None
 
+    def find_health_path(self, server):
+        """Return the health path of the service of a `ServerRegistration`, None if it has none."""
+        service = self.config.services.get(server.service) if self.config else None
+        return service.health_path or None if service else None
+
     def tick(self, now, out):
         """Use doubtful backend servers whose entries have not expired, and forget those gone."""
         if self.forget_at <= now:
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -1,6 +1,8 @@
 """The gateway: an entry node in front of backend servers that other nodes use as well."""
 
 from medlarbeam.gateway.adapter_uses import AdapterUses
+from medlarbeam.gateway.crash_inquiries import CrashInquiries
+from medlarbeam.gateway.crash_reports import CrashReports
 from medlarbeam.gateway.crash_suspects import CrashSuspects
 from medlarbeam.gateway.fleet_state import FleetState
 from medlarbeam.gateway.forwarding import Forwarding
@@ -43,11 +45,13 @@
     """
 
     __slots__ = (
+        "crash_reports",
         "crashes",
         "fleet",
         "forwarding",
         "health",
         "holdings",
+        "inquiries",
         "leaving",
         "lifecycle",
         "limits",
@@ -82,6 +86,8 @@
         self.pauses = ServerPauses(self)
         self.prompts = PromptPacing(self)
         self.crashes = CrashSuspects(self)
+        self.crash_reports = CrashReports(self)
+        self.inquiries = CrashInquiries(self)
         self.lifecycle = GatewayLifecycle(self)
         self.rights = OrderRights(self)
         self.holdings = Holdings(self)
@@ -105,6 +111,8 @@
                 self.pauses,
                 self.prompts,
                 self.crashes,
+                self.crash_reports,
+                self.inquiries,
                 self.lifecycle,
                 self.rights,
                 self.holdings,
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -3,6 +3,7 @@
 from heapq import heappop, heappush
 from math import inf
 
+from medlarbeam.classes.fleet import RouteKind
 from medlarbeam.classes.gateway_effects import RecordRequestMetrics
 from medlarbeam.exceptions import ErrorKind
 
@@ -147,6 +148,13 @@
         if self.response_started_at is None:
             self.response_started_at = now
 
+    def has_run_written(self):
+        """Return whether the current run has written an answer, and not only ended a stream.
+
+        The rest of a stream may be empty, which does not show what a server would write.
+        """
+        return self.route.kind is not RouteKind.STREAM or self.connected_at < inf
+
     def may_use(self, entry):
         """Return whether the backend server of a `ServerRegistration` may run the request."""
         return self.software is None or entry.software == self.software
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -295,7 +295,8 @@
             else:
                 self.node.health.record_statements(relay.server, message.load, now, out)
             self.node.health.record_outcome(relay.server.name, "succeeded", now, out)
-            self.node.crashes.record_success(relay.request, now, out)
+            if relay.has_run_written():
+                self.node.crashes.record_success(relay.request, now, out)
             self.node.prompts.record_stream(relay, message.timing)
             relay.record_response_start(now)
             self.advance(relay, "completed", message, now, out)
@@ -340,7 +341,7 @@
         has_responded = self.node.health.has_responded_since(relay.server.name, relay.sent_at)
         event = "unreachable" if message.is_timed_out and not has_responded else "failed"
         if message.is_connection_lost:
-            self.node.crashes.record_lost_run(relay, now, out)
+            self.node.inquiries.record_lost_run(relay, now, out)
         self.node.health.record_outcome(relay.server.name, event, now, out)
         out.emit(
             LogEvent(
@@ -428,7 +429,7 @@
         """Cancel the current run and close its connection."""
         relay.reason = relay.reason or "deadline exceeded"
         relay.runs += 1
-        self.node.crashes.record_cancelled_run(relay, now)
+        self.node.inquiries.record_cancelled_run(relay, now)
         out.emit(CancelFleetRun(relay.run_id))
 
     def pass_response(self, relay, now, out, message):
--- a/medlarbeam/gateway/run_plan.py
+++ b/medlarbeam/gateway/run_plan.py
@@ -10,6 +10,7 @@
 # Share of the latency goal after which a run without a response counts as stalled.
 FIRST_EVENT_TIMEOUT_SHARE = 1.2
 LONG_PROMPT_TOKENS = 3000  # longer prompts need a large part of the latency goal for prefill
+SILENCE_S = 1.0  # a sound server may fall silent for about a second
 EVENT_GAP_TIMEOUT_SHARE = 2.0  # same, relative to the goal for the gap between events
 
 
@@ -40,7 +41,8 @@
         Adapter version that the backend server must hold, 0 for any.
     """
     route = relay.route
-    first_event_timeout_s = event_gap_timeout_s = inf
+    # A run that cannot be moved is watched all the same: its server may be down.
+    first_event_timeout_s = event_gap_timeout_s = max(SILENCE_S, 2 * route.latency_goal_s)
     if has_attempt_left(relay):
         first_event_timeout_s = route.latency_goal_s * FIRST_EVENT_TIMEOUT_SHARE
         first_event_timeout_s *= max(1.0, relay.request.tokens / LONG_PROMPT_TOKENS)
--- a/medlarbeam/gateway/stalled_runs.py
+++ b/medlarbeam/gateway/stalled_runs.py
@@ -30,6 +30,7 @@
         relay = relays.relays_by_run.get(message.run_id)
         if relay is None:
             return
+        self.node.inquiries.record_silent_run(relay, now - message.idle_s, now, out)
         may_move = (
             has_attempt_left(relay)
             and not self.node.origins.is_unknown(relay)
@@ -47,7 +48,7 @@
         is_path_lost = self.node.paths.is_lost(relay.service)
         if not better and not (may_move and is_path_lost):
             return
-        self.node.crashes.record_cancelled_run(relay, now)
+        self.node.inquiries.record_cancelled_run(relay, now)
         out.emit(CancelFleetRun(message.run_id))
         reason = f"no data for {message.idle_s:.3f} s"
         interruption = RunInterrupted(
--- a/medlarbeam/gateway/tests/crash_fleet.py
+++ b/medlarbeam/gateway/tests/crash_fleet.py
@@ -23,12 +23,14 @@
     LeaseRenewed,
     NodeDatagram,
     RunCompleted,
+    RunInterrupted,
     RunRefused,
     RunStarted,
     StoreSnapshot,
     StoreSynced,
 )
-from medlarbeam.classes.server_messages import ProbeResult
+from medlarbeam.classes.server_messages import ProbeResult, RunClosed
+from medlarbeam.classes.server_starts import AcceptRun, RejectRun
 from medlarbeam.gateway.gateway import Gateway
 from medlarbeam.gateway.tests.crash_ways import WAYS
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_config, make_server, make_settings
@@ -187,6 +189,8 @@
             RefuseRequest: self._record_refusal,
             AbortResponse: self._record_refusal,
             ProbeServer: self._probe,
+            AcceptRun: self._accept,
+            RejectRun: self._reject,
             PublishQuarantine: self._publish,
             WithdrawQuarantine: self._withdraw,
             LogEvent: lambda name, effect: self.log.append((self.now, name, effect)),
@@ -249,7 +253,10 @@
     def _complete(self, engine, run_id):
         name = engine.runs.pop(run_id, None)
         if name is not None and engine.is_up:
-            self.deliver(name, RunCompleted(run_id, 200, None))
+            is_unframed = self.way.name == "closed-unframed"
+            self.deliver(
+                name, RunClosed(run_id) if is_unframed else RunCompleted(run_id, 200, None)
+            )
 
     def _cancel_run(self, name, effect):
         for engine in self.engines.values():
@@ -267,11 +274,21 @@
         self.call_at(self.now + RESTART_S, self._restart, engine)
         self.call_at(self.now + LAPSE_S, self.write_entry, f"servers/{engine.entry.name}", None)
 
+    def _accept(self, name, effect):
+        self.call_at(self.now, self.deliver, name, RunCompleted(effect.run_id, 200, None))
+
+    def _reject(self, name, effect):
+        message = RunInterrupted(effect.run_id, effect.reason, 0, False, is_connection_lost=True)
+        self.call_at(self.now, self.deliver, name, message)
+
     def _probe(self, name, effect):
         entry = effect.server
-        result, after_s = ProbeResult(entry.name, False, "probed", True), 0.002
-        if not self.engines[entry.name].is_up:
-            result, after_s = self.way.answer_probe(entry)
+        engine = self.engines[entry.name]
+        path = effect.asked_path
+        start = engine.entry.started_at_ms
+        result, after_s = ProbeResult(entry.name, False, "", True, path, True, start), 0.002
+        if not engine.is_up:
+            result, after_s = self.way.answer_probe(entry, path)
         self.call_at(self.now + after_s, self.deliver, name, result)
 
     def _restart(self, engine):
--- a/medlarbeam/gateway/tests/crash_ways.py
+++ b/medlarbeam/gateway/tests/crash_ways.py
@@ -2,8 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-from medlarbeam.classes.gateway_messages import RunCompleted, RunInterrupted, RunStalled
-from medlarbeam.classes.server_messages import ProbeResult
+from medlarbeam.classes.gateway_messages import RunInterrupted, RunStalled
+from medlarbeam.classes.server_messages import ProbeResult, RunClosed
 
 __all__ = ["WAYS", "CrashWay"]
 
@@ -23,7 +23,7 @@
         """Let a gateway see the end of an open run, or nothing."""
 
     @abstractmethod
-    def answer_probe(self, entry):
+    def answer_probe(self, entry, asked_path):
         """Return the `ProbeResult` while the engine is down, and the time (s) that it takes."""
 
 
@@ -38,7 +38,7 @@
         message = RunInterrupted(run_id, "connection lost", 0, False, is_connection_lost=True)
         fleet.call_at(fleet.now + 0.001, fleet.deliver, gateway, message)
 
-    def answer_probe(self, entry):
+    def answer_probe(self, entry, asked_path):
         """Refuse the connection."""
         return ProbeResult(entry.name, True, "refused"), 0.002
 
@@ -51,7 +51,7 @@
 
     def end_run(self, fleet, gateway, run_id):
         """Let the answer end with its connection."""
-        fleet.call_at(fleet.now + 0.001, fleet.deliver, gateway, RunCompleted(run_id, 200, None))
+        fleet.call_at(fleet.now + 0.001, fleet.deliver, gateway, RunClosed(run_id))
 
 
 class Proxied(Refused):
@@ -60,9 +60,9 @@
     __slots__ = ()
     name = "proxied"
 
-    def answer_probe(self, entry):
-        """Accept the connection."""
-        return ProbeResult(entry.name, False, "the connection was accepted", True), 0.002
+    def answer_probe(self, entry, asked_path):
+        """Accept the connection, and close it without an answer."""
+        return ProbeResult(entry.name, False, "disconnected", True, asked_path), 0.002
 
 
 class Dark(CrashWay):
@@ -76,9 +76,9 @@
         message = RunStalled(run_id, 0, STALL_S)
         fleet.call_at(fleet.now + STALL_S, fleet.deliver, gateway, message)
 
-    def answer_probe(self, entry):
+    def answer_probe(self, entry, asked_path):
         """Let the connection time out."""
-        return ProbeResult(entry.name, False, "TimeoutError"), PROBE_TIMEOUT_S
+        return ProbeResult(entry.name, False, "TimeoutError", False, asked_path), PROBE_TIMEOUT_S
 
 
 WAYS = [Refused(), ClosedUnframed(), Proxied(), Dark()]
--- a/medlarbeam/gateway/tests/fleet_samples.py
+++ b/medlarbeam/gateway/tests/fleet_samples.py
@@ -15,7 +15,7 @@
     Service,
     ServiceRoute,
 )
-from medlarbeam.classes.gateway_effects import SyncStore
+from medlarbeam.classes.gateway_effects import StartFleetRun, SyncStore
 from medlarbeam.classes.gateway_messages import (
     EntryUpdated,
     GatewayRequest,
@@ -188,6 +188,10 @@
             )
         )
 
+    def find_runs(self):
+        """Return the `StartFleetRun` effects of the last step."""
+        return self.find(StartFleetRun)
+
     def find(self, kind):
         """Return the effects of the class `kind` from the last step."""
         return [effect for effect in self.effects if isinstance(effect, kind)]
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -23,13 +23,14 @@
     NodeDatagram,
     RunCompleted,
     RunInterrupted,
+    RunStarted,
     StoreSetBack,
     StoreSnapshot,
 )
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
 from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.exceptions import ErrorKind, RunState
-from medlarbeam.gateway.crash_evidence import SuspicionRecord, find_convictions
+from medlarbeam.gateway.crash_evidence import ServedTimes, SuspicionRecord, find_convictions
 from medlarbeam.gateway.crash_suspects import QUARANTINE_S, SUSPECT_S
 from medlarbeam.gateway.tests.crash_fleet import CrashFleet
 from medlarbeam.gateway.tests.crash_ways import WAYS
@@ -132,6 +133,7 @@
     def serve(self, parts=()):
         """Serve a request completely."""
         run = self.send(parts)
+        self.harness.deliver(RunStarted(run.run_id, None))
         self.harness.deliver(RunCompleted(run.run_id, 200, None))
 
     def lose(self, run, is_refused=True):
@@ -140,10 +142,11 @@
             RunInterrupted(run.run_id, "reset", 0, False, is_connection_lost=True)
         )
         name = run.server.name
-        if any(isinstance(e, ProbeServer) and e.server.name == name for e in effects):
-            effects = effects + self.harness.deliver(
-                ProbeResult(name, is_refused, "", not is_refused)
-            )
+        for probe in [e for e in effects if isinstance(e, ProbeServer) and e.server.name == name]:
+            is_up = not is_refused
+            start = probe.server.started_at_ms if is_up else None
+            result = ProbeResult(name, is_refused, "", is_up, probe.asked_path, is_up, start)
+            effects = effects + self.harness.deliver(result)
         return effects
 
     def crash(self, parts, fingerprint=None):
@@ -320,7 +323,7 @@
 def test_success_of_an_open_stream_withdraws_a_quarantine():
     gateway = Gateway()
     run = gateway.send(["bad"])
-    gateway.harness.gateway.relays.relays_by_run[run.run_id].state = "streaming"
+    gateway.harness.deliver(RunStarted(run.run_id, None))
     read_published_quarantine(gateway)
     gateway.harness.deliver(RunCompleted(run.run_id, 200, None))
     assert [e.fingerprint for e in gateway.harness.find(WithdrawQuarantine)] == ["part:bad"]
@@ -330,10 +333,12 @@
 def build_record(name, deaths):
     """Return the record of a part; `deaths` has the number of lost runs at each crash."""
     record = SuspicionRecord(f"part:{name}", "suspected")
+    served = ServedTimes()
     for number, runs in enumerate(deaths):
         for index in range(runs):
-            request = f"{name}-{number}-{index}"
-            record.record_run(f"d{number}", request, 10.0 * number, 10.0 * number)
+            at = 10.0 * number
+            served.record(at)
+            record.record_run(f"d{number}", "n2", f"{name}-{number}-{index}", at, at - 0.5, served)
     return record
 
 
--- a/medlarbeam/gateway/tests/test_leaving_servers.py
+++ b/medlarbeam/gateway/tests/test_leaving_servers.py
@@ -20,7 +20,7 @@
 from medlarbeam.classes.peer_messages import RateLimitReport
 from medlarbeam.classes.server_messages import ServerLeaving
 from medlarbeam.exceptions import RunState
-from medlarbeam.gateway.crash_suspects import CrashSuspects
+from medlarbeam.gateway.crash_inquiries import CrashInquiries
 from medlarbeam.gateway.fleet_state import FleetState
 from medlarbeam.gateway.leaving_servers import HINT_S, LeavingServers
 from medlarbeam.gateway.orders import Orders
@@ -119,7 +119,7 @@
     ),
     (
         "probe-of-a-server-that-has-left",
-        [(CrashSuspects, "_probe", lambda self, lost, now, out: probe(lost, now, out))],
+        [(CrashInquiries, "_probe", lambda self, inquiry, now, out: probe(inquiry, now, out))],
         [*READ, LEAVE, ("say_leaving", "l2", 1), LOSE_RUN],
     ),
 ]
@@ -137,9 +137,9 @@
     return [k.entry for k in servers if k.entry.service == "ledger"]
 
 
-def probe(lost, now, out):
-    lost.probe_at = now + 1e9
-    out.emit(ProbeServer(lost.entry))
+def probe(inquiry, now, out):
+    inquiry.probe_at = now + 1e9
+    out.emit(ProbeServer(inquiry.entry))
 
 
 @pytest.mark.parametrize("patches", [False, True], ids=["as-built", "mutant"])
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -231,7 +231,10 @@
     """Decode a service of the configuration into a `Service`."""
     name = read_field(document, "name", str)
     engine = document.get("engine")
-    return Service(name, decode_engine(engine) if engine else None)
+    path = document.get("healthPath")
+    is_path = type(path) is str and path.startswith("/") and path.isascii() and path.isprintable()
+    # Without a usable path the servers are only probed for a connection.
+    return Service(name, decode_engine(engine) if engine else None, path if is_path else "")
 
 
 def decode_engine(document):
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -33,7 +33,7 @@
 )
 from medlarbeam.classes.server_messages import (
     EngineStateResult,
-    ProbeResult,
+    RunClosed,
     ServerLeaving,
     ServerOrderResult,
 )
@@ -67,7 +67,7 @@
     response_headers,
     run_headers,
 )
-from medlarbeam.platform.http_front_end import parse_address
+from medlarbeam.platform.server_probe import probe_server
 from medlarbeam.platform.server_responses import (
     BadResponseError,
     IncompleteResponseError,
@@ -77,6 +77,7 @@
     find_answer_source,
     find_pause,
     find_refusal,
+    is_framed,
 )
 from medlarbeam.platform.stall_timer import StallTimer
 
@@ -91,7 +92,6 @@
 # Orders get a response within a few ms, or are carried out late without a response.
 ORDER_TIMEOUT_S = 0.05
 REPORT_TIMEOUT_S = 0.5
-PROBE_TIMEOUT_S = 0.3  # a crashed process refuses a connection within a few ms
 MAX_RESPONSE_BYTES = 2 << 20  # of a response that is passed on as a whole, and of a report
 MAX_BLOCK_BYTES = 16 << 10  # of a stream, processed at a time
 MAX_REFUSAL_BYTES = 16 << 10  # read so that the connection can be reused
@@ -234,10 +234,14 @@
                     headers = build_stream_headers(response, exchange, origin)
                     await self._relay_stream(effect, exchange, response, headers, timer, guard)
                     check_response_end(response, protocol)
+                    timer.pause()
+                    await self._confirm_end(effect, response)
                     exchange.finish(exchange.stream)
                     return RunCompleted(effect.run_id, response.status, load, exchange.timing)
                 body = await read_body(response, MAX_RESPONSE_BYTES)
                 check_response_end(response, protocol)
+                timer.pause()
+                await self._confirm_end(effect, response)
         if exchange.stream is not None and 200 <= response.status < 300:
             raise BadResponseError(f"HTTP {response.status} in place of the rest of a stream")
         buffered = Response(
@@ -253,17 +257,29 @@
 
     async def _wait_for_acceptance(self, effect, guard):
         """Return the version that has written a response, once that may be passed on."""
-        decision = asyncio.get_running_loop().create_future()
-        self.held_runs[effect.run_id] = decision
-        try:
-            self.driver.deliver(RunAnswered(effect.run_id, guard.connected_at))
-            answer = await decision
-        finally:
-            del self.held_runs[effect.run_id]
+        answer = await self._ask(RunAnswered(effect.run_id, guard.connected_at))
         if isinstance(answer, RejectRun):
             raise BadResponseError(answer.reason)
         return answer.origin or UNKNOWN_ORIGIN
 
+    async def _confirm_end(self, effect, response):
+        """Wait until it is known that the end of a connection is that of its response."""
+        if is_framed(response):
+            return
+        answer = await self._ask(RunClosed(effect.run_id))
+        if isinstance(answer, RejectRun):
+            raise IncompleteResponseError(answer.reason)
+
+    async def _ask(self, message):
+        """Deliver a message about a run and return the decision on it."""
+        decision = asyncio.get_running_loop().create_future()
+        self.held_runs[message.run_id] = decision
+        try:
+            self.driver.deliver(message)
+            return await decision
+        finally:
+            del self.held_runs[message.run_id]
+
     def _decide(self, run_id, effect):
         decision = self.held_runs.get(run_id)
         if decision is not None and not decision.done():
@@ -334,20 +350,7 @@
     # Probes, orders and state reports
 
     async def _probe(self, effect):
-        host, port = parse_address(effect.server.address)
-        is_refused = is_accepted = False
-        reason = "the connection was accepted"
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, port)
-            writer.close()
-            is_accepted = True
-        except ConnectionRefusedError as error:
-            is_refused = True
-            reason = describe_error(error)
-        except OSError as error:  # includes timeouts
-            reason = describe_error(error)
-        self.driver.deliver(ProbeResult(effect.server.name, is_refused, reason, is_accepted))
+        self.driver.deliver(await probe_server(self.unpooled_session, effect))
 
     async def _send_order(self, effect):
         document = {
--- a/medlarbeam/platform/server_responses.py
+++ b/medlarbeam/platform/server_responses.py
@@ -14,6 +14,7 @@
     "find_answer_source",
     "find_pause",
     "find_refusal",
+    "is_framed",
 ]
 
 
@@ -77,14 +78,20 @@
         raise BadResponseError("the response is not signed")
 
 
+def is_framed(response):
+    """Return whether a response tells by itself where it ends."""
+    headers = response.headers
+    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or "Content-Length" in headers or response.status in (204, 304)
+
+
 def check_response_end(response, protocol):
     """Raise BadResponseError if a response without a length ended with a connection reset.
 
     For such a response aiohttp treats any close of the connection as the end of the body, even
     after a reset.
     """
-    headers = response.headers
-    if "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "").lower():
+    if is_framed(response):
         return
     if protocol is not None and isinstance(protocol.exception(), ClientOSError):
         raise IncompleteResponseError("connection reset in a response without a length")
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -269,6 +269,7 @@
   fingerprint @0 :Text;
   sharedParts @1 :List(Text);
   servedParts @2 :List(Text);
+  ranS @3 :Float64;
 }
 
 struct DeathReport {
@@ -277,6 +278,7 @@
   ageS @2 :Float64;
   servedAgeS @3 :Float64;
   runs @4 :List(LostRun);
+  isRetracted @5 :Bool;
 }
 
 struct ClearanceReport {
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -106,7 +106,11 @@
     AdapterHolding, "version", RecordField("key", _KEY), FloatField("ready_in_s")
 )
 _LOST_RUN = StructLayout(
-    LostRun, "fingerprint", TextListField("shared_parts"), TextListField("served_parts")
+    LostRun,
+    "fingerprint",
+    TextListField("shared_parts"),
+    TextListField("served_parts"),
+    FloatField("ran_s"),
 )
 _RATE = StructLayout(ServerRate, "server", FloatField("rate"), FloatField("age_s"))
 _LEAVING_SERVER = StructLayout(LeavingServer, "server started_at_ms")
@@ -167,7 +171,7 @@
     ),
     "deathReport": StructLayout(
         DeathReport,
-        "node death_id",
+        "node death_id is_retracted",
         FloatField("age_s"),
         FloatField("served_age_s"),
         ListField("runs", _LOST_RUN),
