--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -11,13 +11,14 @@
 from aiohttp.web import AppRunner
 from orjson import dumps
 
+from medlarbeam.soak.failure_modes import FAILURE_MODES
 from medlarbeam.soak.links import PeerLink, WorkerLinks, build_store_front
 from medlarbeam.soak.proxy import FaultProxy
 from medlarbeam.soak.worker import SoakWorker
 from medlarbeam.standins.free_ports import find_free_addresses
 from medlarbeam.standins.platform_store import PlatformStore
 
-__all__ = ["ADAPTERS", "ADAPTER_CAPACITY", "Deployment", "GatewayProcess"]
+__all__ = ["ADAPTERS", "ADAPTER_CAPACITY", "Deployment", "GatewayProcess", "build_route"]
 
 SOURCE_TREE = Path(__file__).resolve().parent.parent.parent
 HOST = "soak.example"
@@ -172,14 +173,22 @@
         Counts the heartbeats.
     drains : list of FaultInterval
         Periods in which the entry of a worker says that it drains, until its next incarnation.
+    failure_mode : FailureMode
+        What gateways see of a worker that crashes.
+    down_s : float
+        Time (s) from the crash of a worker until it is back.
+    routes, services : list of dict
+        Documents of the configuration.
     """
 
     __slots__ = (
         "arrivals",
         "builds",
         "crashed_at",
+        "down_s",
         "draining",
         "drains",
+        "failure_mode",
         "folder",
         "gateway_names",
         "gateways",
@@ -189,9 +198,11 @@
         "proxies",
         "restarts",
         "rng",
+        "routes",
         "runners",
         "runs",
         "sequence",
+        "services",
         "states",
         "store",
         "version",
@@ -210,8 +221,11 @@
         self.arrivals = []
         self.drains = []
         self.store = PlatformStore()
-        names = [f"engine-{i}" for i in range(engines)] + ["ledger-0", "ledger-1"]
-        self.workers = {n: SoakWorker(n, rng, self.runs, self.orders, self.arrivals) for n in names}
+        self.workers = {worker.name: worker for worker in self.build_workers(engines)}
+        self.failure_mode = FAILURE_MODES["reset"]
+        self.down_s = CRASH_DOWN_S
+        self.routes = ROUTES
+        self.services = [{"name": "ledger"}, {"name": "llm", "engine": ENGINE}]
         self.proxies = {}
         self.crashed_at = []
         self.draining = set()
@@ -224,11 +238,16 @@
         self.runners = []
         self.version = 0
 
+    def build_workers(self, engines):
+        """Return the workers, `engines` of which are of the LLM."""
+        names = [f"engine-{i}" for i in range(engines)] + ["ledger-0", "ledger-1"]
+        return [SoakWorker(n, self.rng, self.runs, self.orders, self.arrivals) for n in names]
+
     async def __aenter__(self):
         for worker in self.workers.values():
             await self.start_worker(worker)
         self.restarts.append(asyncio.create_task(self.keep_writing_entries()))
-        self.write_config(ROUTES)
+        self.write_config(self.routes)
         host = choose_host(os.getpid())
         free = [
             f"{host}:{a.rpartition(':')[2]}"
@@ -356,9 +375,7 @@
         """
         worker = self.workers[name]
         worker.software = software
-        worker.incarnation += 1
-        worker.order_count = 0
-        worker.adapters.clear()
+        worker.renew()
         await self.proxies[name].start()
         await asyncio.sleep(registration_s)
         self.register(name)
@@ -366,27 +383,27 @@
     def register(self, name, state="ready"):
         """Write the registration of a worker to the store."""
         self.states[name] = state
+        worker = self.workers[name]
         is_engine = name.startswith("engine")
+        adapters = [f"{adapter}@1" for adapter in worker.preloaded]
         document = {
             "service": "llm" if is_engine else "ledger",
             "address": self.proxies[name].address,
             "zone": f"fd-{int(name[-1]) % 2}",
-            "slots": 4,
+            "slots": worker.places,
             "state": state,
             "seq": self.sequence,
-            "version": self.workers[name].software,
-            "born": self.workers[name].incarnation,
-            "models": [{"name": "m0", "version": 1, "adapters": []}] if is_engine else [],
+            "version": worker.software,
+            "born": worker.incarnation,
+            "models": [{"name": "m0", "version": 1, "adapters": adapters}] if is_engine else [],
         }
         self.store.put(f"servers/{name}", dumps(document))
 
     def restart_worker(self, name):
         """Register a new incarnation of a worker, which has no adapters loaded."""
         worker = self.workers[name]
-        worker.order_count = 0
-        worker.adapters.clear()
         is_leaving = name in self.draining
-        worker.incarnation += 1
+        worker.renew()
         if not is_leaving:
             worker.leaving_header = b""
             for drain in self.drains:
@@ -396,21 +413,29 @@
         self.register(name, "draining" if is_leaving else "ready")
 
     async def keep_restarting(self, name):
-        """Restart a worker some seconds after each crash; its connections are refused meanwhile."""
+        """Restart a worker some time after each crash; see `FailureMode` for the meantime."""
         worker, proxy = self.workers[name], self.proxies[name]
         while True:
             await worker.crashed.wait()
             self.crashed_at.append(asyncio.get_running_loop().time())
             self.states.pop(name, None)
-            proxy.stop()
-            await asyncio.sleep(CRASH_DOWN_S)
+            self.failure_mode.fail(proxy)
+            await asyncio.sleep(self.down_s)
             worker.crashed.clear()
-            await proxy.start()
-            self.restart_worker(name)
+            await self.bring_back(name)
+
+    async def bring_back(self, name):
+        """Accept connections to a worker that has crashed, and register its next start."""
+        await self.proxies[name].start()
+        self.restart_worker(name)
 
     def write_config(self, routes):
         """Write the next version of the configuration to the store."""
         self.version += self.rng.randint(1, 3)
-        services = [{"name": "ledger"}, {"name": "llm", "engine": ENGINE}]
-        document = {"version": self.version, "limits": {}, "routes": routes, "services": services}
+        document = {
+            "version": self.version,
+            "limits": {},
+            "routes": routes,
+            "services": self.services,
+        }
         self.store.put("op/config", dumps(document))
--- a/medlarbeam/soak/links.py
+++ b/medlarbeam/soak/links.py
@@ -1,17 +1,21 @@
 """Links of each gateway of the soak to the workers and to the other gateways."""
 
 import asyncio
+import socket
 from base64 import b64decode, b64encode
 
 from aiohttp.web import middleware
 from orjson import JSONDecodeError, dumps, loads
 
+from medlarbeam.charts.loader import load_chart
 from medlarbeam.platform.documents import NODE_PREFIX, SERVER_PREFIX
 from medlarbeam.soak.proxy import FaultProxy
 from medlarbeam.standins.free_ports import find_free_addresses
 
 __all__ = ["GatewayLink", "PeerLink", "WorkerLinks", "build_store_front", "replace_addresses"]
 
+FILLING_CONNECTIONS = 3  # with a backlog of 0 the kernel queues one or two connections
+
 
 class GatewayLink(FaultProxy):
     """Link of one gateway, which can be cut off whatever the state of its target is.
@@ -22,18 +26,26 @@
         Whether the gateway is cut off without resets.
     is_refused : bool
         Whether the gateway is cut off with resets and refusals.
-    is_up : bool
-        Whether the target accepts connections.
+    state : str
+        State of the target in the chart ``soak_link``.
+    hanging : list of socket.socket
+        Listener whose queue is full, and the connections that fill it.
     """
 
-    __slots__ = ("is_listening", "is_refused", "is_silent", "is_up")
+    __slots__ = ("hanging", "is_listening", "is_refused", "is_silent", "state")
 
     def __init__(self, target):
         super().__init__(target)
         self.is_silent = False
         self.is_refused = False
-        self.is_up = False
         self.is_listening = False
+        self.hanging = []
+        self.state = LINK_CHART.initial
+
+    @property
+    def listens(self):
+        """Whether the target accepts connections, or a proxy does in its place."""
+        return LINK_CHART.has_tag(self, "listens")
 
     def is_blocked(self, direction):
         """Return whether a direction holds bytes back; see `FaultProxy.is_blocked`."""
@@ -41,13 +53,63 @@
 
     async def start(self):
         """Accept connections, unless the gateway is cut off."""
-        self.is_up = True
+        self.fail("started")
         await self._listen()
 
     def stop(self):
         """Refuse connections and reset the open ones until the target is back."""
-        self.is_up = False
-        self._close()
+        self.fail("reset")
+
+    def fail(self, event):
+        """Let the target fail in the way that an event of the chart ``soak_link`` names."""
+        LINK_CHART.fire(self, event, self)
+
+    def close_listener(self, link):
+        """Refuse new connections; action of the chart, as the following ones."""
+        if self.is_listening and self.server is not None:
+            self.server.close()
+            self.is_listening = False
+
+    def reset_connections(self, link):
+        """Reset the open connections."""
+        self.reset()
+
+    def close_connections(self, link):
+        """Close the open connections in order."""
+        self.close_in_order()
+
+    def silence_connections(self, link):
+        """Let the open connections drop all bytes."""
+        self.silence()
+
+    def hang_connections(self, link):
+        """Let new connections get no answer: they find a full queue, which drops their SYN."""
+        if self.is_refused:
+            return
+        host, _, port = self.address.rpartition(":")
+        listener = socket.socket()
+        self.hanging.append(listener)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        for _ in range(FILLING_CONNECTIONS):
+            connection = socket.socket()
+            self.hanging.append(connection)
+            connection.setblocking(False)
+            connection.connect_ex((host, int(port)))
+
+    def end_hang(self, link):
+        """Free the address for a listener that accepts connections."""
+        for one in self.hanging:
+            one.close()
+        self.hanging.clear()
+
+    def admit(self, writer, upstream_writer):
+        """Return whether a new connection may forward bytes; see `FaultProxy.admit`."""
+        if LINK_CHART.has_tag(self, "drops_bytes"):
+            self.silent |= {writer, upstream_writer}
+            return True
+        return self.listens and not LINK_CHART.has_tag(self, "turns_away")
 
     def cut(self, kind):
         """Cut the gateway off: ``silent``, or ``refused`` with resets and refusals."""
@@ -55,6 +117,7 @@
         self.is_refused = kind == "refused"
         if self.is_refused:
             self._close()
+            self.end_hang(self)
 
     async def restore(self):
         """End the cut."""
@@ -62,21 +125,22 @@
         await self._listen()
 
     async def _listen(self):
-        if self.is_listening or self.is_refused or not self.is_up:
+        if self.is_listening or self.is_refused or not self.listens:
             return
         self.is_listening = True
         if not self.address:
             # An outgoing connection takes no port of that range while the link is closed.
             (self.address,) = find_free_addresses(1)
         await super().start()
-        if self.is_refused or not self.is_up:  # changed while the listener was opened
-            super().stop()
-            self.is_listening = False
+        if self.is_refused or not self.listens:  # changed while the listener was opened
+            self._close()
 
     def _close(self):
-        if self.is_listening and self.server is not None:
-            super().stop()
-            self.is_listening = False
+        self.close_listener(self)
+        self.reset()
+
+
+LINK_CHART = load_chart("soak_link", GatewayLink)
 
 
 class DatagramRelay(asyncio.DatagramProtocol):
--- a/medlarbeam/soak/proxy.py
+++ b/medlarbeam/soak/proxy.py
@@ -12,6 +12,8 @@
 DELAY_S = 0.15
 CHUNK_BYTES = 1 << 16
 REOPEN_POLL_S = 0.02  # interval at which a blocked direction checks whether it may forward again
+# Time in which bytes that a target wrote before its crash pass through the proxy.
+PASS_ON_S = 0.01
 # Whether each mode forwards bytes: to the server, to the client.
 MODES = {
     "good": (True, True),
@@ -30,6 +32,13 @@
     writer.transport.abort()
 
 
+def close_pairs(pairs):
+    """Close connections to clients in order, and reset those to the target behind them."""
+    for writer, upstream_writer in pairs:
+        writer.close()
+        reset_writer(upstream_writer)
+
+
 class FaultProxy:
     """Forwards TCP connections to `target` according to the current `mode`.
 
@@ -49,9 +58,20 @@
         Both sides of the connections that drop all bytes without a reset.
     lost_connections : set of int
         Directions of silent connections on which bytes were dropped.
+    upstreams : dict of asyncio.StreamWriter to asyncio.StreamWriter
+        Connection to the target by that of the client.
     """
 
-    __slots__ = ("address", "lost_connections", "mode", "server", "silent", "target", "writers")
+    __slots__ = (
+        "address",
+        "lost_connections",
+        "mode",
+        "server",
+        "silent",
+        "target",
+        "upstreams",
+        "writers",
+    )
 
     def __init__(self, target):
         self.target = target
@@ -61,6 +81,7 @@
         self.writers = set()
         self.silent = set()
         self.lost_connections = set()
+        self.upstreams = {}
 
     async def start(self):
         """Listen on a free port chosen by the operating system, or on that of before."""
@@ -87,6 +108,15 @@
         for writer in list(self.writers):
             reset_writer(writer)
 
+    def close_in_order(self):
+        """Close all open connections to clients with FIN, after what the target has written."""
+        pairs = list(self.upstreams.items())
+        asyncio.get_running_loop().call_later(PASS_ON_S, close_pairs, pairs)
+
+    def admit(self, writer, upstream_writer):
+        """Return whether a new connection may forward bytes; if not, it is closed."""
+        return True
+
     async def _serve(self, reader, writer):
         host, _, port = self.target.rpartition(":")
         try:
@@ -95,7 +125,12 @@
             log.debug("cannot connect to target %s: %s", self.target, error)
             writer.transport.abort()
             return
+        if not self.admit(writer, upstream_writer):
+            writer.close()
+            upstream_writer.transport.abort()
+            return
         self.writers |= {writer, upstream_writer}
+        self.upstreams[writer] = upstream_writer
         try:
             await asyncio.gather(
                 self._relay(reader, upstream_writer, 0), self._relay(upstream_reader, writer, 1)
@@ -107,18 +142,20 @@
         finally:
             self.writers -= {writer, upstream_writer}
             self.silent -= {writer, upstream_writer}
-            writer.transport.abort()
+            del self.upstreams[writer]
+            if not writer.is_closing():  # a connection that closes sends its last bytes first
+                writer.transport.abort()
             upstream_writer.transport.abort()
 
     async def _relay(self, reader, writer, direction):
         while data := await reader.read(CHUNK_BYTES):
-            if writer in self.silent:
-                self.lost_connections.add(id(writer))
-                continue
-            while self.is_blocked(direction):
+            while self.is_blocked(direction) and writer not in self.silent:
                 await asyncio.sleep(REOPEN_POLL_S)
             if self.mode == "delayed":
                 await asyncio.sleep(DELAY_S)
+            if writer in self.silent:
+                self.lost_connections.add(id(writer))
+                continue
             writer.write(data)
             await writer.drain()
         if writer.can_write_eof() and writer not in self.silent:
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -5,6 +5,7 @@
 from weakref import WeakKeyDictionary
 
 from medlarbeam.classes.record import Record
+from medlarbeam.soak.framings import FRAMINGS
 from medlarbeam.soak.long_streams import LONG_STREAM_PATH, send_long_stream
 from medlarbeam.standins.platform_worker import RESPONDERS, PlatformWorker, encode_event
 
@@ -141,6 +142,14 @@
     has_room : bool
         Whether it lets requests wait; if not, it refuses those for which no place is free.
     falls : list of FallRecord
+    framing : Framing
+        Framing of its complete responses and of harmful ones.
+    harmful_events : int or None
+        Events that a harmful response contains at the crash, None for no response head.
+    places : int
+        Requests that run at once.
+    preloaded : tuple of str
+        Adapters that each start of it has.
     late_share : float
         Share of the long streams with late bytes.
     late_bytes : weakref.WeakKeyDictionary
@@ -152,10 +161,14 @@
         "crashed",
         "falls",
         "fault_probability",
+        "framing",
+        "harmful_events",
         "has_room",
         "late_bytes",
         "late_share",
         "order_records",
+        "places",
+        "preloaded",
         "refused_at",
         "rng",
         "running",
@@ -180,6 +193,10 @@
         self.running = 0
         self.refused_at = deque()
         self.falls = []
+        self.framing = FRAMINGS["chunked"]
+        self.harmful_events = None
+        self.places = PLACES
+        self.preloaded = ()
         self.late_share = 0.0
         self.late_bytes = WeakKeyDictionary()
 
@@ -199,7 +216,7 @@
             arrival.is_loaded = False
             return self.write_response(writer, 421, b"", b"")
         fault = self.rng.choice(FAULTS) if self.rng.random() < self.fault_probability else "good"
-        if not self.has_room and self.running >= PLACES:
+        if not self.has_room and self.running >= self.places:
             self._record_refusal(now)
             fault = "refuse"
         if fault == "refuse":
@@ -231,17 +248,37 @@
 
     async def _execute(self, writer, attempt, adapter, fault, headers):
         await asyncio.sleep(SERVICE_TIME_S)
-        if self.is_harmful(headers):
-            self.crashed.set()
-            return False
+        framing = self.framing.choose(self.rng, bool(adapter))
         if adapter:
             pieces = build_events(attempt, int(headers.get("last-event-id", 0)) + 1)
         else:
             pieces = [expected_body(attempt, False)]
+        if self.is_harmful(headers):
+            return await self._crash_under(writer, attempt, framing, pieces)
         if fault == "good":
             await asyncio.sleep(EVENT_PAUSE_S * len(pieces))
+            if framing.name != "chunked":
+                return await framing.send(self, writer, attempt, pieces)
         return await RESPONDERS[fault](self, writer, attempt, pieces or [b""])
 
+    async def _crash_under(self, writer, attempt, framing, pieces):
+        """Begin a harmful response, if it is to be begun, and crash."""
+        if self.harmful_events is not None:
+            framing.write_head(self, writer, attempt, sum(len(piece) for piece in pieces))
+            for piece in pieces[: self.harmful_events]:
+                writer.write(framing.encode(piece))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        self.crashed.set()
+        return False
+
+    def renew(self):
+        """Forget what the former start held, and count a new one."""
+        self.incarnation += 1
+        self.order_count = 0
+        self.adapters.clear()
+        self.adapters.update(self.preloaded)
+
     def _record_arrival(self, attempt, now, paused_until=0.0):
         is_leaving = bool(self.leaving_header)
         arrival = ArrivalRecord(attempt, self.name, self.incarnation, now, is_leaving, paused_until)
