--- a/medlarbeam/soak/crash_play.py
+++ b/medlarbeam/soak/crash_play.py
@@ -1,7 +1,6 @@
 """A play of harmful parts: workers that crash under them, and a load at a fixed rate."""
 
 import asyncio
-from pathlib import Path
 from random import Random
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
@@ -19,8 +18,6 @@
 PLACES = 24
 SESSIONS = 40
 SETTLE_S = 1.0  # from the readiness of the store to the first request
-BEFORE_S = 3.0  # load without harmful requests
-DEADLINE_S = 5.0
 MAX_REGISTRATION_S = 0.6  # from the first connection of a start to the write of its entry
 
 
@@ -38,6 +35,10 @@
     workers, gateways : int
     seconds : float
         Time (s) for which harmful requests are sent.
+    before_s : float
+        Time (s) of load without harmful requests before that.
+    deadline_s : float
+        Time (s) that a caller gives a request.
     back_s : float
         Time (s) from a crash until the worker is back.
     after_s : float
@@ -53,7 +54,9 @@
     __slots__ = (
         "after_s",
         "back_s",
+        "before_s",
         "builds",
+        "deadline_s",
         "framing",
         "gateways",
         "kind",
@@ -81,6 +84,8 @@
         probability=1.0,
         parts=1,
         builds=(SOURCE_TREE,),
+        before_s=3.0,
+        deadline_s=5.0,
     ):
         self.way = way
         self.framing = framing
@@ -95,6 +100,8 @@
         self.probability = probability
         self.parts = parts
         self.builds = builds
+        self.before_s = before_s
+        self.deadline_s = deadline_s
 
     def list_harmful_parts(self):
         """Return the harmful parts of prompts."""
@@ -117,6 +124,7 @@
         super().__init__(name, rng, runs, order_records, arrivals)
         self.config = config
         self.kind = REQUEST_KINDS[config.kind]
+        self.failure_mode = FAILURE_MODES[config.way]
         self.framing = FRAMINGS[config.framing]
         self.harmful_parts = frozenset(config.list_harmful_parts())
         self.places = PLACES
@@ -160,7 +168,6 @@
     def __init__(self, folder, rng, config):
         self.config = config
         super().__init__(folder, rng, config.gateways, config.workers, config.builds)
-        self.failure_mode = FAILURE_MODES[config.way]
         self.down_s = config.back_s
         self.routes = [REQUEST_KINDS[config.kind].build_route()]
         engine = ENGINE | {"slots": PLACES, "adapterCapacity": len(ADAPTERS)}
@@ -179,10 +186,13 @@
         worker = self.workers[name]
         worker.renew()
         await self.proxies[name].start()
+        self.restarts.append(asyncio.create_task(self._register_later(worker)))
+
+    async def _register_later(self, worker):
         start = worker.incarnation
         await asyncio.sleep(self.rng.uniform(0.0, MAX_REGISTRATION_S))
         if worker.runs_start(start):
-            self.register(name)
+            self.register(worker.name)
 
 
 class CrashLoad:
@@ -212,12 +222,12 @@
         self.fault_since = 0.0
 
     async def run(self):
-        """Send harmless requests for `BEFORE_S`, then harmful ones too until the play ends."""
+        """Send harmless requests for some time, then harmful ones too until the play ends."""
         loop = asyncio.get_running_loop()
         next_at = loop.time()
-        self.fault_since = next_at + BEFORE_S
+        self.fault_since = next_at + self.config.before_s
         end = self.fault_since + self.config.seconds
-        timeout = ClientTimeout(total=DEADLINE_S + 0.5)
+        timeout = ClientTimeout(total=self.config.deadline_s + 0.5)
         connector = TCPConnector(limit=0)
         async with ClientSession(timeout=timeout, connector=connector) as session:
             tasks = []
@@ -240,7 +250,7 @@
         headers = {
             "Host": HOST,
             "X-Attempt-Id": request.attempt,
-            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "X-Deadline-Ms": str(int(self.config.deadline_s * 1000)),
             "X-Model": f"m0/{self.rng.choice(ADAPTERS)}",
             "X-Token-Usage": "500,70",
             "X-Prompt-Prefix": ",".join(f"{part}:50" for part in parts),
@@ -276,7 +286,7 @@
         Directory for the settings and log files of the gateways.
     """
     rng = Random(seed)
-    deployment = CrashDeployment(Path(folder), Random(rng.random()), config)
+    deployment = CrashDeployment(folder, Random(rng.random()), config)
     async with deployment:
         await asyncio.sleep(SETTLE_S)
         load = CrashLoad(config, list(deployment.gateways.values()), Random(rng.random()))
--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -11,7 +11,6 @@
 from aiohttp.web import AppRunner
 from orjson import dumps
 
-from medlarbeam.soak.failure_modes import FAILURE_MODES
 from medlarbeam.soak.links import PeerLink, WorkerLinks, build_store_front
 from medlarbeam.soak.proxy import FaultProxy
 from medlarbeam.soak.worker import SoakWorker
@@ -173,8 +172,6 @@
         Counts the heartbeats.
     drains : list of FaultInterval
         Periods in which the entry of a worker says that it drains, until its next incarnation.
-    failure_mode : FailureMode
-        What gateways see of a worker that crashes.
     down_s : float
         Time (s) from the crash of a worker until it is back.
     routes, services : list of dict
@@ -188,7 +185,6 @@
         "down_s",
         "draining",
         "drains",
-        "failure_mode",
         "folder",
         "gateway_names",
         "gateways",
@@ -222,7 +218,6 @@
         self.drains = []
         self.store = PlatformStore()
         self.workers = {worker.name: worker for worker in self.build_workers(engines)}
-        self.failure_mode = FAILURE_MODES["reset"]
         self.down_s = CRASH_DOWN_S
         self.routes = ROUTES
         self.services = [{"name": "ledger"}, {"name": "llm", "engine": ENGINE}]
@@ -325,8 +320,8 @@
     async def __aexit__(self, *error):
         for task in self.restarts:
             task.cancel()
+        await asyncio.gather(*(gateway.stop() for gateway in self.gateways.values()))
         for gateway in self.gateways.values():
-            await gateway.stop()
             gateway.store_proxy.stop()
             gateway.log.close()
         for name, worker in self.workers.items():
@@ -419,7 +414,7 @@
             await worker.crashed.wait()
             self.crashed_at.append(asyncio.get_running_loop().time())
             self.states.pop(name, None)
-            self.failure_mode.fail(proxy)
+            worker.failure_mode.fail(proxy)
             await asyncio.sleep(self.down_s)
             worker.crashed.clear()
             await self.bring_back(name)
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -9,6 +9,8 @@
 
 from medlarbeam.soak.callers import Caller
 from medlarbeam.soak.deployment import ROUTES
+from medlarbeam.soak.failure_modes import FAILURE_MODES
+from medlarbeam.soak.framings import FRAMINGS
 from medlarbeam.soak.records import EndTime, FaultInterval
 from medlarbeam.soak.worker import HARMFUL_PART
 from medlarbeam.standins.platform_store import StoreCopy
@@ -20,6 +22,7 @@
 
 HARMFUL_S = 6.0
 HARMFUL_CALLERS = 2
+HARMFUL_EVENTS = (None, 0, 2)  # in a harmful response at the crash, None for no response head
 DEREGISTERED_S = 0.5  # from the removal of the entry of a worker to its restart
 LEAVE_STEP_S = 1.0
 LEAVE_STEPS = (("entry",), ("header",), ("header", "entry"), ("entry", "header"))
@@ -208,7 +211,10 @@
 
 
 class HarmfulPart(Fault):
-    """Callers send prompts with a part that crashes each worker that runs them."""
+    """Callers send prompts with a part that crashes each worker that runs them.
+
+    The failure mode of the workers, the framing of responses and the moment of the crash are drawn.
+    """
 
     __slots__ = ()
     name = "harmful_part"
@@ -219,6 +225,14 @@
 
     async def apply(self, deployment, target, rng, duration_s):
         """Run callers whose prompts contain the harmful part; see `Fault.apply`."""
+        # Not drawn from `rng`, so that the faults of earlier seeds stay the same.
+        own_rng = Random(duration_s)
+        mode = own_rng.choice(list(FAILURE_MODES.values()))
+        framing = own_rng.choice(list(FRAMINGS.values()))
+        events = own_rng.choice(HARMFUL_EVENTS)
+        log.info("crashes: %s, responses: %s, events: %s", mode.name, framing.name, events)
+        for worker in deployment.workers.values():
+            worker.set_behaviour(mode, framing, events)
         end = EndTime(asyncio.get_running_loop().time() + HARMFUL_S)
         callers = [
             Caller(
@@ -231,6 +245,8 @@
             for number in range(HARMFUL_CALLERS)
         ]
         await asyncio.gather(*(caller.run(end) for caller in callers))
+        for worker in deployment.workers.values():
+            worker.set_behaviour(FAILURE_MODES["reset"], FRAMINGS["chunked"], None)
 
 
 class RateLimit(WorkerLink):
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -5,6 +5,7 @@
 from weakref import WeakKeyDictionary
 
 from medlarbeam.classes.record import Record
+from medlarbeam.soak.failure_modes import FAILURE_MODES
 from medlarbeam.soak.framings import FRAMINGS
 from medlarbeam.soak.long_streams import LONG_STREAM_PATH, send_long_stream
 from medlarbeam.standins.platform_worker import RESPONDERS, PlatformWorker, encode_event
@@ -141,6 +142,8 @@
         Whether its reports state the start of the worker.
     has_room : bool
         Whether it lets requests wait; if not, it refuses those for which no place is free.
+    failure_mode : FailureMode
+        What gateways see of it from a crash until it is back.
     falls : list of FallRecord
     framing : Framing
         Framing of its complete responses and of harmful ones.
@@ -159,6 +162,7 @@
     __slots__ = (
         "arrivals",
         "crashed",
+        "failure_mode",
         "falls",
         "fault_probability",
         "framing",
@@ -193,6 +197,7 @@
         self.running = 0
         self.refused_at = deque()
         self.falls = []
+        self.failure_mode = FAILURE_MODES["reset"]
         self.framing = FRAMINGS["chunked"]
         self.harmful_events = None
         self.places = PLACES
@@ -261,6 +266,12 @@
                 return await framing.send(self, writer, attempt, pieces)
         return await RESPONDERS[fault](self, writer, attempt, pieces or [b""])
 
+    def set_behaviour(self, failure_mode, framing, harmful_events):
+        """Set what the worker does at a crash, and the framing of its responses."""
+        self.failure_mode = failure_mode
+        self.framing = framing
+        self.harmful_events = harmful_events
+
     async def _crash_under(self, writer, attempt, framing, pieces):
         """Begin a harmful response, if it is to be begun, and crash."""
         if self.harmful_events is not None:
