--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -17,7 +17,14 @@
 from medlarbeam.standins.free_ports import find_free_addresses
 from medlarbeam.standins.platform_store import PlatformStore
 
-__all__ = ["ADAPTERS", "ADAPTER_CAPACITY", "Deployment", "GatewayProcess", "build_route"]
+__all__ = [
+    "ADAPTERS",
+    "ADAPTER_CAPACITY",
+    "EXPIRY_S",
+    "Deployment",
+    "GatewayProcess",
+    "build_route",
+]
 
 SOURCE_TREE = Path(__file__).resolve().parent.parent.parent
 HOST = "soak.example"
@@ -28,6 +35,7 @@
 DRAIN_S = 2.0
 CRASH_DOWN_S = 1.5
 HEARTBEAT_S = 1.2  # between two writes of the entry of a worker
+EXPIRY_S = 3 * HEARTBEAT_S  # until the entry of a worker that is gone expires
 ORDER_GAP_S = 3.0  # minimum gap between orders of two holders of the order right
 ENGINE = {
     "slots": 4,
@@ -415,10 +423,19 @@
             self.crashed_at.append(asyncio.get_running_loop().time())
             self.states.pop(name, None)
             worker.failure_mode.fail(proxy)
-            await asyncio.sleep(self.down_s)
+            await self._stay_down(name)
             worker.crashed.clear()
             await self.bring_back(name)
 
+    async def _stay_down(self, name):
+        """Wait until a worker is back; its entry expires if that takes long."""
+        if self.down_s > EXPIRY_S:
+            await asyncio.sleep(EXPIRY_S)
+            self.deregister(name)
+            await asyncio.sleep(self.down_s - EXPIRY_S)
+        else:
+            await asyncio.sleep(self.down_s)
+
     async def bring_back(self, name):
         """Accept connections to a worker that has crashed, and register its next start."""
         await self.proxies[name].start()
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from medlarbeam.soak.callers import Caller
-from medlarbeam.soak.deployment import ROUTES
+from medlarbeam.soak.deployment import EXPIRY_S, ROUTES
 from medlarbeam.soak.failure_modes import FAILURE_MODES
 from medlarbeam.soak.framings import FRAMINGS
 from medlarbeam.soak.records import EndTime, FaultInterval
@@ -31,7 +31,6 @@
 RATE_LIMIT = 6.0  # requests per second
 RATE_LIMIT_S = 5.0
 STORE_LOSS_S = 12.0  # the takeover of a right takes about as long
-EXPIRY_S = 3.6  # until the entry of a worker that is gone expires
 TURN_S = 1.0  # pause of each worker of a service whose workers pause in turn
 LONG_PAUSE_S = 6.0
 # Each entry has the values of one response; those that are no number must not be acted on.
