--- a/medlarbeam/soak/crash_checker.py
+++ b/medlarbeam/soak/crash_checker.py
@@ -110,14 +110,14 @@
     before = [request.is_begun for request in harmless if request.sent_at < fault_since]
     after = [r.is_begun for r in harmless if r.sent_at >= fifth_at + LOST_AFTER_S]
     return CrashResult(
-        sum(at > fifth_at + CONTACT_S for at in arrivals),
-        len(arrivals),
-        len(times),
-        sum(before),
-        len(before),
-        sum(after),
-        len(after),
-        sum(request.is_false_complete for request in requests),
+        late=sum(at > fifth_at + CONTACT_S for at in arrivals),
+        arrivals=len(arrivals),
+        crashes=len(times),
+        begun_before=sum(before),
+        sent_before=len(before),
+        begun_after=sum(after),
+        sent_after=len(after),
+        false_complete=sum(request.is_false_complete for request in requests),
     )
 
 
--- a/medlarbeam/soak/crash_kinds.py
+++ b/medlarbeam/soak/crash_kinds.py
@@ -14,8 +14,9 @@
 EVENT_PAUSE_S = 0.05
 FIRST_BYTE_S = 0.08
 CALL_S = 0.15
-CALL_CRASH_S = 0.05  # from the arrival of a harmful call to the crash
+CALL_HEAD_S = 0.05  # from the arrival of a harmful call to its head
 CALL_BODY = b"x" * 400
+CALL_BYTES = 100  # of the body of a harmful call that are written before the crash
 
 
 async def sleep_until(at):
@@ -56,7 +57,8 @@
             Number of the last event that the caller has.
         framing : Framing
         crash_s : float or None
-            Time (s) from the head of a stream to the crash, None for a request without one.
+            Time (s) from the head of the response to the crash, below 0 for a crash before the
+            head, and None for a request without a crash.
         """
 
 
@@ -87,6 +89,9 @@
         await asyncio.sleep(FIRST_BYTE_S)
         if not worker.runs_start(start):
             return False
+        if crash_s is not None and crash_s < 0.0:
+            worker.crash_start(start)
+            return False
         framing.write_head(worker, writer, attempt, None)
         began_at = asyncio.get_running_loop().time()
         for index, number in enumerate(range(after + 1, EVENTS + 1), 1):
@@ -126,10 +131,15 @@
         return body == CALL_BODY
 
     async def respond(self, worker, writer, attempt, after, framing, crash_s):
-        """Send a body after some time, or crash before it; see `RequestKind.respond`."""
+        """Send a body after some time, or a part of it; see `RequestKind.respond`."""
         start = worker.incarnation
         if crash_s is not None:
-            await asyncio.sleep(CALL_CRASH_S)
+            await asyncio.sleep(CALL_HEAD_S)
+            if crash_s >= 0.0 and worker.runs_start(start):
+                framing.write_head(worker, writer, attempt, len(CALL_BODY))
+                writer.write(framing.encode(CALL_BODY[:CALL_BYTES]))
+                await writer.drain()
+                await asyncio.sleep(crash_s)
             worker.crash_start(start)
             return False
         await asyncio.sleep(CALL_S)
--- a/medlarbeam/soak/crash_play.py
+++ b/medlarbeam/soak/crash_play.py
@@ -1,6 +1,7 @@
 """A play of harmful parts: workers that crash under them, and a load at a fixed rate."""
 
 import asyncio
+import logging
 from random import Random
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
@@ -14,6 +15,8 @@
 
 __all__ = ["CrashConfig", "CrashDeployment", "CrashWorker", "run_crash_play"]
 
+log = logging.getLogger(__name__)
+
 ADAPTERS = tuple(f"a{number}" for number in range(6))
 PLACES = 24
 SESSIONS = 40
@@ -42,7 +45,7 @@
     back_s : float
         Time (s) from a crash until the worker is back.
     after_s : float
-        Time (s) from the head of a harmful stream to the crash.
+        Time (s) from the head of a harmful response to the crash; below 0, it has no head.
     probability : float
         Share of the harmful runs that crash a worker.
     parts : int
@@ -268,8 +271,8 @@
                 async for data in response.content.iter_any():
                     body += data
                 is_complete = True
-        except (ClientError, OSError, TimeoutError):
-            is_complete = False  # counted as a response that broke off
+        except (ClientError, OSError, TimeoutError) as error:
+            log.info("the response to %s broke off: %r", request.attempt, error)
         if request.status == 200:
             request.is_begun = self.kind.is_begun(body)
             request.is_false_complete = is_complete and body != self.kind.build_body()
--- a/medlarbeam/soak/crashes.py
+++ b/medlarbeam/soak/crashes.py
@@ -73,7 +73,7 @@
         float, cappa.Arg(long=True, help="Time from a crash until the worker is back, s.")
     ] = 2.0,
     after: Annotated[
-        float, cappa.Arg(long=True, help="Time from the head of a stream to the crash, s.")
+        float, cappa.Arg(long=True, help="Time from the head to the crash, s; below 0: no head.")
     ] = 0.05,
     probability: Annotated[
         float, cappa.Arg(long=True, help="Share of the harmful runs that crash a worker.")
@@ -92,19 +92,19 @@
     for number in range(seed, seed + seeds):
         for mode, name in plays:
             config = CrashConfig(
-                mode,
-                name,
-                kind,
-                share,
-                rate,
-                workers,
-                gateways,
-                seconds,
-                back,
-                after,
-                probability,
-                parts,
-                tuple(Path(build) for build in builds.split(",")),
+                way=mode,
+                framing=name,
+                kind=kind,
+                share=share,
+                rate=rate,
+                workers=workers,
+                gateways=gateways,
+                seconds=seconds,
+                back_s=back,
+                after_s=after,
+                probability=probability,
+                parts=parts,
+                builds=tuple(Path(build) for build in builds.split(",")),
             )
             folder = start_run_log("crashes", number)
             result = asyncio.run(run_crash_play(number, config, folder))
--- a/medlarbeam/soak/links.py
+++ b/medlarbeam/soak/links.py
@@ -84,7 +84,7 @@
 
     def hang_connections(self, link):
         """Let new connections get no answer: they find a full queue, which drops their SYN."""
-        if self.is_refused:
+        if self.is_refused or self.hanging:
             return
         host, _, port = self.address.rpartition(":")
         listener = socket.socket()
@@ -122,6 +122,8 @@
     async def restore(self):
         """End the cut."""
         self.is_silent = self.is_refused = False
+        if LINK_CHART.has_tag(self, "drops_bytes"):
+            self.hang_connections(self)
         await self._listen()
 
     async def _listen(self):
