--- a/medlarbeam/soak/links.py
+++ b/medlarbeam/soak/links.py
@@ -104,6 +104,18 @@
             one.close()
         self.hanging.clear()
 
+    def drop_bytes(self, writer, direction):
+        """Drop bytes; a target that is back resets a connection that it does not know.
+
+        Raises
+        ------
+        ConnectionResetError
+            If the target is back, and the bytes are from the client.
+        """
+        super().drop_bytes(writer, direction)
+        if direction == 0 and not LINK_CHART.has_tag(self, "drops_bytes"):
+            raise ConnectionResetError("the target does not know the connection")
+
     def admit(self, writer, upstream_writer):
         """Return whether a new connection may forward bytes; see `FaultProxy.admit`."""
         if LINK_CHART.has_tag(self, "drops_bytes"):
--- a/medlarbeam/soak/proxy.py
+++ b/medlarbeam/soak/proxy.py
@@ -117,6 +117,10 @@
         """Return whether a new connection may forward bytes; if not, it is closed."""
         return True
 
+    def drop_bytes(self, writer, direction):
+        """Drop bytes of a silent connection."""
+        self.lost_connections.add(id(writer))
+
     async def _serve(self, reader, writer):
         host, _, port = self.target.rpartition(":")
         try:
@@ -154,7 +158,7 @@
             if self.mode == "delayed":
                 await asyncio.sleep(DELAY_S)
             if writer in self.silent:
-                self.lost_connections.add(id(writer))
+                self.drop_bytes(writer, direction)
                 continue
             writer.write(data)
             await writer.drain()
