--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -8,7 +8,9 @@
 from random import Random
 
 from medlarbeam.soak.callers import Caller
-from medlarbeam.soak.deployment import ROUTES
+from medlarbeam.soak.deployment import EXPIRY_S, ROUTES
+from medlarbeam.soak.failure_modes import FAILURE_MODES
+from medlarbeam.soak.framings import FRAMINGS
 from medlarbeam.soak.records import EndTime, FaultInterval
 from medlarbeam.soak.worker import HARMFUL_PART
 from medlarbeam.standins.platform_store import StoreCopy
@@ -20,6 +22,7 @@
 
 HARMFUL_S = 6.0
 HARMFUL_CALLERS = 2
+HARMFUL_EVENTS = (None, 0, 2)  # in a harmful response at the crash, None for no response head
 DEREGISTERED_S = 0.5  # from the removal of the entry of a worker to its restart
 LEAVE_STEP_S = 1.0
 LEAVE_STEPS = (("entry",), ("header",), ("header", "entry"), ("entry", "header"))
@@ -28,7 +31,6 @@
 RATE_LIMIT = 6.0  # requests per second
 RATE_LIMIT_S = 5.0
 STORE_LOSS_S = 12.0  # the takeover of a right takes about as long
-EXPIRY_S = 3.6  # until the entry of a worker that is gone expires
 TURN_S = 1.0  # pause of each worker of a service whose workers pause in turn
 LONG_PAUSE_S = 6.0
 # Each entry has the values of one response; those that are no number must not be acted on.
@@ -208,7 +210,10 @@
 
 
 class HarmfulPart(Fault):
-    """Callers send prompts with a part that crashes each worker that runs them."""
+    """Callers send prompts with a part that crashes each worker that runs them.
+
+    The failure mode of the workers, the framing of responses and the moment of the crash are drawn.
+    """
 
     __slots__ = ()
     name = "harmful_part"
@@ -219,6 +224,14 @@
 
     async def apply(self, deployment, target, rng, duration_s):
         """Run callers whose prompts contain the harmful part; see `Fault.apply`."""
+        # Not drawn from `rng`, so that the faults of earlier seeds stay the same.
+        own_rng = Random(duration_s)
+        mode = own_rng.choice(list(FAILURE_MODES.values()))
+        framing = own_rng.choice(list(FRAMINGS.values()))
+        events = own_rng.choice(HARMFUL_EVENTS)
+        log.info("crashes: %s, responses: %s, events: %s", mode.name, framing.name, events)
+        for worker in deployment.workers.values():
+            worker.set_behaviour(mode, framing, events)
         end = EndTime(asyncio.get_running_loop().time() + HARMFUL_S)
         callers = [
             Caller(
@@ -231,6 +244,8 @@
             for number in range(HARMFUL_CALLERS)
         ]
         await asyncio.gather(*(caller.run(end) for caller in callers))
+        for worker in deployment.workers.values():
+            worker.set_behaviour(FAILURE_MODES["reset"], FRAMINGS["chunked"], None)
 
 
 class RateLimit(WorkerLink):
