Ignore ages of the future in reports of crashes

A datagram with a negative served_age_s would have made this node report that a request was served in the future, and have spread from there. Found in reading.

--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -217,11 +217,11 @@
             self._forget_death(report.death_id, now, out)
         if report.death_id in self.retracted:
             return
-        lost_at = now - report.age_s
+        lost_at = now - max(0.0, report.age_s)  # a faulty node may report the future
         self.deaths.setdefault(report.death_id, lost_at)
         while len(self.deaths) > MAX_DEATHS:
             del self.deaths[next(iter(self.deaths))]
-        self.served.record(now - report.served_age_s)
+        self.served.record(now - max(0.0, report.served_age_s))
         for run in report.runs:
             served = format_parts({*run.served_parts, *self._list_served(run)})
             sent_at = lost_at - run.ran_s if run.ran_s > 0.0 else -inf
--- a/medlarbeam/gateway/tests/test_crash_inquiries.py
+++ b/medlarbeam/gateway/tests/test_crash_inquiries.py
@@ -4,6 +4,8 @@
 responses cut short that callers take for complete.
 """
 
+from math import inf
+
 import pytest
 
 from medlarbeam.classes.fleet import NodeRegistration
@@ -302,6 +304,17 @@
     assert [len(death.runs) for death in record.deaths.values()] == [1]
 
 
+AGES = [("of-the-future", -inf), ("without-a-bound", inf)]
+
+
+@pytest.mark.parametrize("age_s", [a[1] for a in AGES], ids=[a[0] for a in AGES])
+def test_report_with_an_impossible_age_does_not_spread(age_s):
+    inquest = Inquest()
+    inquest.deliver(NodeDatagram(DeathReport("n2", "w9/1", age_s, age_s, [LostRun("7", ["bad"])])))
+    assert inquest.harness.gateway.crashes.served.last() <= inquest.harness.now
+    assert max(inquest.harness.gateway.crashes.deaths.values()) <= inquest.harness.now
+
+
 NAMES = [
     ("same-crash-noticed-later", 0.8, "w1/1"),
     ("second-crash-before-the-new-entry-is-read", 2.0, "w1/1.1"),
