--- a/medlarbeam/gateway/tests/test_inquiry_review.py
+++ b/medlarbeam/gateway/tests/test_inquiry_review.py
@@ -130,7 +130,22 @@
     return inquest
 
 
+def later_start_responds_first():
+    inquest = Inquest()
+    name = inquest.run.server.name
+    inquest.pass_time(0.2)
+    entry = make_server(name, "llm", started_at_ms=START + 1)
+    inquest.effects += inquest.harness.write_entry(f"servers/{name}", entry)
+    run = send_to_same_server(inquest, "sound", [])
+    assert run.server.started_at_ms == START + 1
+    inquest.deliver(RunStarted(run.run_id, None))
+    inquest.pass_time(0.8)
+    inquest.deliver(RunStalled(inquest.run.run_id, 0, 1.0))
+    return inquest
+
+
 COUNTED = [
+    ("later-start-responds-before-the-stall", later_start_responds_first),
     ("start-crashes-after-its-presumed-crash-was-retracted", crash_after_retraction),
     ("other-node-reports-a-crash-after-a-retraction", crash_reported_after_retraction),
     ("run-sent-after-silence-began-and-before-the-reset", server_hangs_before_its_reset),
