--- a/medlarbeam/gateway/crash_evidence.py
+++ b/medlarbeam/gateway/crash_evidence.py
@@ -225,7 +225,11 @@
 
     def forget_death(self, death_id):
         """Forget a crash that did not happen; return whether it was evidence."""
-        return self.deaths.pop(death_id, None) is not None
+        death = self.deaths.pop(death_id, None)
+        if death is None:
+            return False
+        self.requests.difference_update(request for _, request in death.runs)
+        return True
 
     def has_enough_strikes(self):
         """Return whether the strikes suffice for a quarantine."""
--- a/medlarbeam/gateway/crash_inquiries.py
+++ b/medlarbeam/gateway/crash_inquiries.py
@@ -24,6 +24,7 @@
 HOLD_S = 2.0  # for which the end of a response is held back; callers give up after gaps of 2 s
 # A run that is silent from its start may have begun, and crashed its server, this much later.
 FIRST_DATA_S = 0.35
+DATA_GAP_S = 0.1  # from the last data of a server to its crash, while runs bring data
 CANCELLED_S = 0.5  # in which a backend server may still crash under a cancelled run
 # Bytes that a process has sent before it ended may arrive this much later.
 MAX_TRANSIT_S = 0.25
@@ -69,6 +70,8 @@
         Id of the crash that was reported, "" for none.
     is_exact : bool
         Whether the loss of a connection tells `lost_at`, not only silence.
+    alive_at : float
+        Latest time (s) at which a run that is silent now has brought data.
     is_probing, is_unreachable : bool
         Whether a probe is in progress, and whether the server was reported as unreachable.
     asked_path : str or None
@@ -86,6 +89,7 @@
     """
 
     __slots__ = (
+        "alive_at",
         "answered_at",
         "asked_at",
         "asked_path",
@@ -114,6 +118,7 @@
         self.held = {}
         self.death_id = ""
         self.is_exact = False
+        self.alive_at = -inf
         self.is_probing = False
         self.is_unreachable = False
         self.asked_path = None
@@ -156,14 +161,14 @@
 
 
 class CancelledRun:
-    """A request whose run on `server` was cancelled at the time `at` (s)."""
+    """A request whose run on the server `start` (name and start) was cancelled at `at` (s)."""
 
-    __slots__ = ("at", "run", "server")
+    __slots__ = ("at", "run", "start")
 
     def __init__(self, relay, at):
         self.at = at
         self.run = SuspectedRun(relay.request, relay.sent_at, at)
-        self.server = relay.server.name
+        self.start = f"{relay.server.name}/{relay.server.started_at_ms}"
 
 
 class CrashInquiries(Component):
@@ -215,10 +220,16 @@
         """Record that the connection of the current run of `relay` was lost."""
         self._suspect(relay, now, True, now, out)
 
-    def record_silent_run(self, relay, since, now, out):
-        """Record that the current run of `relay` has brought no data since the time `since` (s)."""
+    def record_silent_run(self, relay, since, has_data, now, out):
+        """Record that the current run of `relay` has brought no data since the time `since` (s).
+
+        `has_data` tells whether it had brought some before.
+        """
         if not self.node.health.has_responded_since(relay.server.name, since):
             self._suspect(relay, since, False, now, out)
+            inquiry = self.inquiries.get((relay.server.name, relay.server.started_at_ms))
+            if inquiry is not None and has_data:
+                inquiry.alive_at = max(inquiry.alive_at, since)
 
     def record_cancelled_run(self, relay, now):
         """Record that the current run of `relay` was cancelled; it may crash the server yet."""
@@ -226,9 +237,15 @@
             self.cancelled.popleft()
         self.cancelled.append(CancelledRun(relay, now))
 
-    def find_cancelled(self, server, since):
-        """Return the runs on `server` that were cancelled after the time `since` (s)."""
-        return [c.run for c in self.cancelled if c.server == server and c.at >= since]
+    def find_cancelled(self, death_id, lost_at):
+        """Return the runs that were cancelled shortly before a crash at the time `lost_at` (s)."""
+        return [
+            cancelled.run
+            for cancelled in self.cancelled
+            if (death_id == cancelled.start or death_id.startswith(f"{cancelled.start}."))
+            and cancelled.at >= lost_at - CANCELLED_S
+            and cancelled.run.sent_at <= lost_at
+        ]
 
     def handle_run_closed(self, message, now, out):
         """Hold the end of a response back that any end of its server looks like."""
@@ -256,7 +273,9 @@
         ):
             return  # it was sent while the server was down
         inquiry = self._find_or_open(relay.server, lost_at, now)
-        inquiry.is_exact = inquiry.is_exact or is_lost
+        if is_lost and not inquiry.is_exact:
+            inquiry.is_exact = True
+            inquiry.lost_at = lost_at
         inquiry.runs[relay.run_id] = run
         earliest = self.probed_at.get(relay.server.name, -inf) + PROBE_INTERVAL_S
         self._probe_soon(inquiry, max(now, earliest), now, out)
@@ -270,7 +289,8 @@
         if inquiry is None:
             inquiry = Inquiry(entry, self.chart.initial, lost_at, now)
             self.inquiries[key] = inquiry
-        inquiry.lost_at = min(inquiry.lost_at, lost_at)
+        if not inquiry.is_exact:
+            inquiry.lost_at = min(inquiry.lost_at, lost_at)
         return inquiry
 
     # Probes
@@ -282,7 +302,7 @@
 
     def _probe(self, inquiry, now, out):
         entry = inquiry.entry
-        if self._is_leaving(entry):
+        if self._is_leaving(entry) and not inquiry.death_id:
             # It may have exited as announced, which is no evidence against the runs that it cut.
             if inquiry.runs:
                 self._log_not_crashed(inquiry, LEAVES, out)
@@ -302,7 +322,7 @@
 
     def _choose_path(self, entry, now):
         """Return what to ask a server for, None for no request; see `ProbeServer`."""
-        if self.node.pauses.is_paused(entry, now) or self.node.limits.is_limited(entry.name):
+        if self.node.pauses.is_paused(entry, now):
             return None
         if self.node.fleet.find_engine(entry) is not None:
             return ""
@@ -343,7 +363,8 @@
 
     def _go_on(self, later, now, out):
         inquiry = self._find_or_open(later.entry, later.lost_at, now)
-        inquiry.is_exact = inquiry.is_exact or later.is_exact
+        if later.is_exact:
+            inquiry.is_exact, inquiry.lost_at = True, later.lost_at
         inquiry.runs.update(later.runs)
         inquiry.held.update(later.held)
         self._probe_soon(inquiry, now, now, out)
@@ -358,12 +379,13 @@
             return "replaced"
         if message.is_answered and (is_same or not entry.started_at_ms):
             return "lived"
-        is_open = message.is_accepted and inquiry.asked_path is None
-        if message.is_answered or is_open or self._has_responded(entry.name, inquiry.lost_at):
+        last_at = max([inquiry.lost_at, *inquiry.held.values()])
+        if message.is_answered or self._has_responded(entry.name, last_at):
             inquiry.answered_at = inquiry.asked_at
             return "answered"
         inquiry.answered_at = inf
-        inquiry.unanswered += 1
+        if not message.is_accepted or inquiry.asked_path is not None:
+            inquiry.unanswered += 1  # an open connection alone shows nothing
         return "unanswered"
 
     def _mark_unreachable(self, inquiry, now, out):
@@ -405,8 +427,17 @@
     # Guards and actions of the chart
 
     def is_path_sound(self, inquiry, now, out):
-        """Return whether this node reaches other servers of the service."""
-        return not self.node.paths.is_doubtful(inquiry.entry.service)
+        """Return whether a server that is not reached is down, rather than out of reach.
+
+        That is so unless the path of this node is in doubt, and also if no node has a path: then
+        the servers are down, or their answers after a cut of all nodes retract the findings.
+        """
+        paths, service = self.node.paths, inquiry.entry.service
+        if not paths.is_doubtful(service):
+            return True
+        others = [name for name in self.node.fleet.nodes if name != self.node.settings.name]
+        is_lost_by_all = all(paths.is_lost_elsewhere(name, service, now) for name in others)
+        return bool(others) and paths.is_lost(service) and is_lost_by_all
 
     def is_overdue(self, inquiry, now, out):
         """Return whether a server has answered nothing for longer than a sound one."""
@@ -450,21 +481,24 @@
     def report_crash(self, inquiry, now, out):
         """Report the runs that a server has crashed under."""
         entry = inquiry.entry
+        self._reject_held(inquiry, f"{entry.name} has crashed: {inquiry.evidence}", out)
+        if self._is_leaving(entry):
+            return
         death_id = self.node.crashes.name_death(entry, inquiry.lost_at)
         inquiry.death_id = death_id
         self.ended.pop(inquiry.key, None)
         self.ended[inquiry.key] = EndedStart(death_id, inquiry.lost_at, now)
         while len(self.ended) > MAX_ENDED:
             del self.ended[next(iter(self.ended))]
-        self._reject_held(inquiry, f"{entry.name} has crashed: {inquiry.evidence}", out)
-        if self._is_leaving(entry):
-            return
         detail = f"death={death_id} lost_runs={len(inquiry.runs)} {inquiry.evidence}"
         out.emit(LogEvent("server_crashed", detail, level="warning"))
         # What was sent later never reached the start that has crashed.
-        until = inquiry.lost_at + (0.0 if inquiry.is_exact else FIRST_DATA_S)
+        until = inquiry.lost_at
+        if not inquiry.is_exact:
+            last_at = max(inquiry.alive_at, self.node.health.record(entry.name).last_response_at)
+            until = max(until + FIRST_DATA_S, last_at + DATA_GAP_S)
         runs = [run for run in inquiry.runs.values() if run.sent_at <= until]
-        runs += self.find_cancelled(entry.name, inquiry.lost_at - CANCELLED_S)
+        runs += self.find_cancelled(death_id, inquiry.lost_at)
         if runs:
             self.node.crashes.report_death(death_id, now - inquiry.lost_at, runs, now, out)
 
--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -25,7 +25,6 @@
     list_fingerprints,
     list_request_fingerprints,
 )
-from medlarbeam.gateway.crash_inquiries import CANCELLED_S
 from medlarbeam.gateway.crash_reports import MAX_DEATHS, MAX_REPORTED, SUSPECT_S
 from medlarbeam.node.component import Component
 
@@ -33,11 +32,15 @@
 
 QUARANTINE_S = 600.0
 SETTLE_S = 0.05  # until the reports of all nodes on a crash have arrived
+# A crash that silence shows is found out later, and by each node at its own time.
+LATE_FINDING_S = 1.0
+LATE_SETTLE_S = 0.3
 CLEARANCE_DELAY_S = (0.02, 0.1)  # random, so that few nodes announce the same clearance
 PUBLISH_STEP_S = 1.5  # between nodes that publish a quarantine; a written one is seen sooner
 # Crashes of one start that are found this close to each other (s) are the same; nodes notice a
 # server that falls silent at different times.
-SAME_CRASH_S = 1.0
+SAME_CRASH_S = 2.0
+LATER_CRASH = ".later"  # added to the id of a crash that was retracted, for the next one
 MIN_RUN_S = 0.001  # 0 stands for unknown
 MAX_RECORDS = 4096
 MAX_SERVED_PARTS = 20_000  # about 150 bytes each
@@ -57,8 +60,8 @@
         By fingerprint, the oldest first.
     deaths : dict of str to float
         Times (s) of crashes, by death id, those that were reported last at the end.
-    retracted : dict of str to None
-        Ids of crashes that did not happen, the latest last.
+    retracted : dict of str to float
+        Times (s) at which crashes turned out not to have happened, by death id, the latest last.
     published : dict of str to Quarantine
         Quarantines in the store, by key.
     next_due : float
@@ -157,6 +160,8 @@
         start = f"{entry.name}/{entry.started_at_ms}"
         for number in range(MAX_DEATHS):
             death_id = f"{start}.{number}" if number else start
+            if death_id in self.retracted:
+                continue
             if abs(self.deaths.get(death_id, lost_at) - lost_at) <= SAME_CRASH_S:
                 break
         return death_id
@@ -193,9 +198,10 @@
         """Apply a report, and report own runs that were cancelled just before the crash."""
         is_new = report.death_id not in self.deaths
         self.apply_death(report, now, out)
-        server = report.death_id.rpartition("/")[0]
-        cancelled = self.node.inquiries.find_cancelled(server, now - report.age_s - CANCELLED_S)
-        if is_new and cancelled:
+        if not is_new or report.death_id not in self.deaths:
+            return
+        cancelled = self.node.inquiries.find_cancelled(report.death_id, now - report.age_s)
+        if cancelled:
             self.report_death(report.death_id, report.age_s, cancelled, now, out)
 
     def handle_datagram(self, message, now, out):
@@ -215,10 +221,13 @@
         """Count the runs in a `DeathReport`, of this node or another one."""
         if report.is_retracted:
             self._forget_death(report.death_id, now, out)
-        if report.death_id in self.retracted:
-            return
         lost_at = now - max(0.0, report.age_s)  # a faulty node may report the future
-        self.deaths.setdefault(report.death_id, lost_at)
+        death_id = report.death_id
+        if death_id in self.retracted:
+            if lost_at <= self.retracted[death_id]:
+                return
+            death_id += LATER_CRASH  # of a node that has not heard of the retraction
+        self.deaths.setdefault(death_id, lost_at)
         while len(self.deaths) > MAX_DEATHS:
             del self.deaths[next(iter(self.deaths))]
         self.served.record(now - max(0.0, report.served_age_s))
@@ -229,21 +238,25 @@
                 record = self._get_or_create(fingerprint, now, out)
                 record.was_served = record.was_served or fingerprint in served
                 if record.record_run(
-                    report.death_id, report.node, run.fingerprint, lost_at, sent_at, self.served
+                    death_id, report.node, run.fingerprint, lost_at, sent_at, self.served
                 ):
                     self.chart.fire(record, "strike", self, now, out)
-        self.review_at = min(self.review_at, now + SETTLE_S)
+        settle_s = SETTLE_S if report.age_s < LATE_FINDING_S else LATE_SETTLE_S
+        self.review_at = min(self.review_at, now + settle_s)
 
     def _forget_death(self, death_id, now, out):
         """Forget a crash that did not happen, and lift quarantines that rest on it."""
-        self.retracted[death_id] = None
+        self.retracted.setdefault(death_id, now)
         while len(self.retracted) > MAX_DEATHS:
             del self.retracted[next(iter(self.retracted))]
         if self.deaths.pop(death_id, None) is None:
             return
         out.emit(LogEvent("crash_retracted", f"death={death_id}"))
         for record in list(self.records.values()):
-            if record.forget_death(death_id):
+            # A quarantine that was read from the store may rest on crashes that are not known here.
+            had_enough = record.has_enough_strikes()
+            is_changed = record.forget_death(death_id)
+            if is_changed and (had_enough or self.chart.has_tag(record, "suspect")):
                 self.chart.fire(record, "retracted", self, now, out)
 
     def _get_or_create(self, fingerprint, now, out):
@@ -279,7 +292,9 @@
     def _clear_explained(self, convicted, now, out):
         """Clear what was in flight only at crashes that a quarantined prompt part explains."""
         for record in list(self.records.values()):
-            if record.deaths and record.deaths.keys() < convicted.deaths.keys():
+            is_part_of_it = record.deaths and record.deaths.keys() < convicted.deaths.keys()
+            # A popular part that is refused wrongly must not lift what is refused rightly.
+            if is_part_of_it and record.find_weight() <= convicted.find_weight():
                 self.chart.fire(record, "explained", self, now, out)
 
     # Quarantines in the store
--- a/medlarbeam/gateway/stalled_runs.py
+++ b/medlarbeam/gateway/stalled_runs.py
@@ -30,7 +30,9 @@
         relay = relays.relays_by_run.get(message.run_id)
         if relay is None:
             return
-        self.node.inquiries.record_silent_run(relay, now - message.idle_s, now, out)
+        self.node.inquiries.record_silent_run(
+            relay, now - message.idle_s, message.last_event_id > 0, now, out
+        )
         may_move = (
             has_attempt_left(relay)
             and not self.node.origins.is_unknown(relay)
