Bound what is read and parsed of a caller at once

Callers of a gateway got 503 in place of a response while others sent chunks of one byte, and a process grew to 375 MB (endless header line) and 561 MB (data behind an upgrade).

Cause: a transport reads up to 256 KB, and a loop reads from all connections in one turn; 256 KB in chunks of one byte take about 60 ms each. An error of the parser holds those bytes in a cycle with its traceback until the next garbage collection, and its log line quotes them.

A connection reads 8 KB at a time into a shared buffer. After a piece that is mostly framing it waits for its turn; two such connections are read in a turn of the loop. Reading also stops while responses are not read. The traceback of a parser's error is dropped and its log line bounded.

Endless heads and trailers grow more slowly (90 and 96 MB) but without a limit.

--- a/medlarbeam/platform/caller_listener.py
+++ b/medlarbeam/platform/caller_listener.py
@@ -6,9 +6,11 @@
 import socket
 
 from aiohttp.web import Server
-from aiohttp.web_protocol import RequestHandler
 
-__all__ = ["CallerConnection", "CallerListener"]
+from medlarbeam.platform.caller_connection import PIECE_BYTES, CallerConnection
+from medlarbeam.platform.read_turns import ReadTurns
+
+__all__ = ["CallerListener"]
 
 log = logging.getLogger(__name__)
 
@@ -16,47 +18,10 @@
 KEEP_ALIVE_TIMEOUT_S = 120.0
 LISTEN_BACKLOG = 1024
 MAX_HEADER_LINE_BYTES = 16384
+READ_BUFFER_BYTES = 16384  # of a body, above which reading from its connection is paused
 ACCEPT_RETRY_S = 1.0  # pause after an error such as a lack of file descriptors
 
 
-class CallerConnection(RequestHandler):
-    """Connection of a caller that knows whether a request is arriving or being served.
-
-    Attributes
-    ----------
-    has_open_request : bool
-        Whether bytes of a request have arrived that has no response yet.
-    quiet_since : float
-        Time (s) of the end of the last request, or of the start of the connection.
-    """
-
-    __slots__ = ("has_open_request", "quiet_since")
-
-    def __init__(self, manager, **options):
-        super().__init__(manager, **options)
-        self.has_open_request = False
-        self.quiet_since = options["loop"].time()
-
-    def data_received(self, data):
-        """Note that a request arrives; its handler starts some turns of the event loop later."""
-        self.has_open_request = True
-        super().data_received(data)
-
-    def end_request(self, now):
-        """Note at `now` (s) that the response to a request is decided."""
-        self.has_open_request = False
-        self.quiet_since = now
-
-    def is_idle(self, now, quiet_s):
-        """Return whether nothing was read or is left to be written for `quiet_s` (s)."""
-        return (
-            not self.has_open_request
-            and now - self.quiet_since >= quiet_s
-            and self.transport is not None
-            and not self.transport.get_write_buffer_size()
-        )
-
-
 class CallerListener:
     """Listens for callers, and closes the listener and the connections in a planned stop.
 
@@ -73,7 +38,7 @@
     those that it has accepted in the same turn. This class accepts them itself.
     """
 
-    __slots__ = ("loop", "pending_count", "server", "sock", "spawn")
+    __slots__ = ("buffer", "loop", "pending_count", "server", "sock", "spawn", "turns")
 
     def __init__(self, handle, spawn):
         self.loop = asyncio.get_running_loop()
@@ -81,6 +46,8 @@
         self.spawn = spawn
         self.sock = None
         self.pending_count = 0
+        self.buffer = memoryview(bytearray(PIECE_BYTES))
+        self.turns = ReadTurns(self.loop.call_soon)
 
     def open(self, host, port):
         """Listen on an address."""
@@ -119,10 +86,13 @@
     def _build_connection(self):
         return CallerConnection(
             self.server,
+            self.buffer,
+            self.turns,
             loop=self.loop,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
             auto_decompress=False,
             access_log=None,
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -244,19 +244,17 @@
         """Return the body of a request, None if it exceeds the configured limit."""
         config = self.driver.node.fleet.config
         limit = config.max_body_bytes if config is not None else FALLBACK_MAX_BODY_BYTES
-        chunks = []
-        size = 0
+        body = bytearray()  # a list of chunks takes eight times the memory of chunks of one byte
         async for chunk in http_request.content.iter_any():
-            size += len(chunk)
-            if size > limit:
+            if len(body) + len(chunk) > limit:
                 log.warning(
                     "request body exceeds the limit of %d bytes",
                     limit,
                     extra={"event": "body_too_long"},
                 )
                 return None
-            chunks.append(chunk)
-        return b"".join(chunks)
+            body += chunk
+        return bytes(body)
 
     def send_refusal(self, effect):
         """Respond to a request with the failure of a `RefuseRequest`."""
