Accept a few connections in each turn of the event loop

Callers that reset their connections at once left up to 1,954 descriptors open, and an ordinary request got 503 (connection timeout to its server).

Cause: all connections that wait in the backlog were accepted in one turn, and a reset is seen some turns later. A turn now accepts 8; the others wait in the kernel. A planned stop still accepts all that wait before it closes the listener.

--- a/medlarbeam/platform/caller_listener.py
+++ b/medlarbeam/platform/caller_listener.py
@@ -17,6 +17,9 @@
 # Callers close idle connections as configured; this longer timeout leaves the closing to them.
 KEEP_ALIVE_TIMEOUT_S = 120.0
 LISTEN_BACKLOG = 1024
+# Connections that are accepted in one turn of the event loop. All that waited were accepted before;
+# callers that reset theirs at once filled the process with connections not yet known to be closed.
+ACCEPTS_PER_TURN = 8
 MAX_HEADER_LINE_BYTES = 16384
 READ_BUFFER_BYTES = 16384  # of a body, above which reading from its connection is paused
 ACCEPT_RETRY_S = 1.0  # pause after an error such as a lack of file descriptors
@@ -53,11 +56,11 @@
         """Listen on an address."""
         self.sock = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self.sock.setblocking(False)
-        self.loop.add_reader(self.sock, self.accept)
+        self.loop.add_reader(self.sock, self.accept, ACCEPTS_PER_TURN)
 
-    def accept(self):
-        """Accept the connections that wait in the backlog."""
-        for _ in range(LISTEN_BACKLOG):
+    def accept(self, limit):
+        """Accept up to `limit` connections that wait in the backlog."""
+        for _ in range(limit):
             try:
                 connection, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -72,7 +75,7 @@
 
     def _resume(self):
         if self.sock is not None:
-            self.loop.add_reader(self.sock, self.accept)
+            self.loop.add_reader(self.sock, self.accept, ACCEPTS_PER_TURN)
 
     async def _connect(self, connection):
         try:
@@ -100,7 +103,7 @@
     def close(self):
         """Accept the connections that wait in the backlog, then close the listener."""
         if self.sock is not None:
-            self.accept()
+            self.accept(LISTEN_BACKLOG)
             self.loop.remove_reader(self.sock)
             self.sock.close()
             self.sock = None
