Limit heads, trailers and chunk framing of callers

A head or a trailer without end grew a gateway process to 414 and 332 MB.

Cause: the parser limits the length and the number of header lines, 2 MB for each head or trailer, and keeps raw and decoded copies; maxHeaderBytes of the configuration was not read.

CallerAccount counts what each connection holds, from reports of the connection on each piece that it parsed. A head beyond maxHeaderBytes is answered 400, trailers and chunk extensions of that size too, and framing beyond 16 bytes for each byte of payload (chunks of one byte need 5); the connection is closed. A piece of 8 KB is allowed on top, since a piece may hold parts of two messages.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -5,6 +5,7 @@
 from medlarbeam.classes.record import Record
 
 __all__ = [
+    "DEFAULT_MAX_HEADER_BYTES",
     "UNKNOWN_ORIGIN",
     "AdapterKey",
     "BaseModel",
@@ -26,6 +27,8 @@
     "VersionStreams",
 ]
 
+DEFAULT_MAX_HEADER_BYTES = 16_384  # if the configuration sets no limit
+
 
 class RouteKind(Enum):
     """Retry semantics of the requests of a route."""
@@ -228,15 +231,25 @@
     services : dict of str to Service
     max_body_bytes : int
         Maximum size of a request body (bytes).
+    max_header_bytes : int
+        Maximum size of a request head (bytes).
     """
 
-    __slots__ = ("max_body_bytes", "routes", "services", "version")
+    __slots__ = ("max_body_bytes", "max_header_bytes", "routes", "services", "version")
 
-    def __init__(self, version, routes, services, max_body_bytes):
+    def __init__(
+        self,
+        version,
+        routes,
+        services,
+        max_body_bytes,
+        max_header_bytes=DEFAULT_MAX_HEADER_BYTES,
+    ):
         self.version = version
         self.routes = routes
         self.services = services
         self.max_body_bytes = max_body_bytes
+        self.max_header_bytes = max_header_bytes
 
 
 class ServerRegistration(Record):
--- a/medlarbeam/platform/caller_connection.py
+++ b/medlarbeam/platform/caller_connection.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import logging
+from http import HTTPStatus
 
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.web_protocol import RequestHandler
 
+from medlarbeam.exceptions import ERROR_RESPONSES
+from medlarbeam.platform.caller_account import PieceReport
+
 __all__ = ["PIECE_BYTES", "CallerConnection"]
 
 log = logging.getLogger(__name__)
@@ -15,6 +19,7 @@
 PIECE_BYTES = 8192
 # Bytes of a piece that are neither small nor mostly payload make the piece costly to parse.
 COSTLY_BYTES = 2048
+REFUSAL = b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 MAX_QUOTED_CHARACTERS = 120  # of a parser's error, which quotes the caller
 
 
@@ -27,6 +32,7 @@
     buffer : memoryview
         Receives the bytes of each read; all connections of a loop share it.
     turns : ReadTurns
+    account : CallerAccount
 
     Attributes
     ----------
@@ -36,20 +42,26 @@
         Time (s) of the end of the last request, or of the start of the connection.
     payload : aiohttp.StreamReader or None
         Body of the request whose head was parsed last.
+    seen_count : int
+        Heads that are recorded in the account.
+    usage : CallerUsage
     waits_for_turn : bool
         Whether reading is paused until the turn of this connection.
     """
 
     __slots__ = (
+        "account",
         "buffer",
         "has_open_request",
         "payload",
         "quiet_since",
+        "seen_count",
         "turns",
+        "usage",
         "waits_for_turn",
     )
 
-    def __init__(self, manager, buffer, turns, **options):
+    def __init__(self, manager, buffer, turns, account, **options):
         super().__init__(manager, **options)
         self.buffer = buffer
         self.turns = turns
@@ -57,6 +69,19 @@
         self.quiet_since = options["loop"].time()
         self.payload = None
         self.waits_for_turn = False
+        self.seen_count = 0
+        self.account = account
+        self.usage = None
+
+    def connection_made(self, transport):
+        """Open the account of the connection."""
+        self.usage = self.account.open(self)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc):
+        """Forget what the connection held."""
+        self.account.close(self.usage)
+        super().connection_lost(exc)
 
     def get_buffer(self, sizehint):
         """Return the buffer for the next read, which bounds its size."""
@@ -70,26 +95,56 @@
         """Note that a request arrives; its handler starts some turns of the event loop later."""
         self.has_open_request = True
         payload_before = self._count_payload()
-        count_before = self._request_count
         super().data_received(data)
-        if self._request_count > count_before and self._messages:
-            self._note_message(*self._messages[-1])
+        heads = self._request_count - self.seen_count
+        if heads:
+            self._note_message()
             payload_before = 0
         grown = self._count_payload() - payload_before
         if len(data) - grown > max(COSTLY_BYTES, grown):
             self._wait_for_turn()
-
-    def _note_message(self, message, payload):
-        self.payload = payload
-        error = getattr(message, "exc", None)
-        if error is not None:
-            # The traceback refers to the bytes and, in a cycle, to the error; such cycles held
-            # hundreds of megabytes until the next garbage collection.
-            error.__traceback__ = None
+        self._record(PieceReport(len(data), heads, self._count_payload(), self._is_complete()))
+
+    def _note_message(self):
+        """Find the last message; it is in service where the parser was fed by its handler."""
+        self.seen_count = self._request_count
+        if self._messages:
+            message, self.payload = self._messages[-1]
+            error = getattr(message, "exc", None)
+            if error is not None:
+                # The traceback refers to the bytes and, in a cycle, to the error; such cycles held
+                # hundreds of megabytes until the next garbage collection.
+                error.__traceback__ = None
+        elif self._current_request is not None:
+            self.payload = self._current_request.content
 
     def _count_payload(self):
         return self.payload.total_bytes if self.payload is not None else 0
 
+    def _is_complete(self):
+        return self.payload is None or self.payload.is_eof()
+
+    def _record(self, piece):
+        if self._upgraded:
+            return  # the bytes behind an upgrade are bounded by the flow control, and parsed later
+        refusal = self.account.record_piece(self.usage, piece)
+        if refusal is not None:
+            self.refuse(refusal)
+
+    def refuse(self, refusal):
+        """Carry out a `Refusal` and close the connection."""
+        reason = refusal.failure.reason
+        log.info("connection closed: %s", reason, extra={"event": "caller_closed"})
+        transport = self.transport
+        if transport is None:
+            return
+        if refusal.is_answerable and not transport.get_write_buffer_size():
+            status = ERROR_RESPONSES[refusal.failure.kind].status
+            transport.write(REFUSAL % (status, HTTPStatus(status).phrase.encode()))
+        self.force_close()
+        if transport.get_write_buffer_size():
+            transport.abort()  # a caller that does not read would keep the connection open
+
     def _wait_for_turn(self):
         if not self.waits_for_turn and self.transport is not None:
             self.waits_for_turn = True
@@ -108,11 +163,13 @@
     def pause_writing(self):
         """Read no further requests while responses are not read."""
         super().pause_writing()
+        self.account.record_unread(self.usage, self.transport.get_write_buffer_size())
         self._pause_transport_reading()
 
     def resume_writing(self):
         """Read requests again."""
         super().resume_writing()
+        self.account.record_unread(self.usage, 0)
         if not self._reading_paused and not self._buffer_paused:
             self._resume_transport_reading()
 
@@ -127,6 +184,7 @@
 
     def end_request(self, now):
         """Note at `now` (s) that the response to a request is decided."""
+        self.account.record_response(self.usage)
         self.has_open_request = False
         self.quiet_since = now
 
--- a/medlarbeam/platform/caller_listener.py
+++ b/medlarbeam/platform/caller_listener.py
@@ -34,6 +34,7 @@
         Coroutine function that responds to a request.
     spawn : callable
         Starts a coroutine as a task.
+    account : CallerAccount
 
     Notes
     -----
@@ -41,9 +42,10 @@
     those that it has accepted in the same turn. This class accepts them itself.
     """
 
-    __slots__ = ("buffer", "loop", "pending_count", "server", "sock", "spawn", "turns")
+    __slots__ = ("account", "buffer", "loop", "pending_count", "server", "sock", "spawn", "turns")
 
-    def __init__(self, handle, spawn):
+    def __init__(self, handle, spawn, account):
+        self.account = account
         self.loop = asyncio.get_running_loop()
         self.server = Server(handle, handler_cancellation=True)
         self.spawn = spawn
@@ -87,17 +89,19 @@
             self.pending_count -= 1
 
     def _build_connection(self):
+        line_bytes = max(MAX_HEADER_LINE_BYTES, self.account.read_limits().head_bytes)
         return CallerConnection(
             self.server,
             self.buffer,
             self.turns,
+            self.account,
             loop=self.loop,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
             auto_decompress=False,
             access_log=None,
             read_bufsize=READ_BUFFER_BYTES,
-            max_line_size=MAX_HEADER_LINE_BYTES,
-            max_field_size=MAX_HEADER_LINE_BYTES,
+            max_line_size=line_bytes,
+            max_field_size=line_bytes,
         )
 
     def close(self):
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -7,6 +7,7 @@
 from xxhash import xxh3_64_hexdigest
 
 from medlarbeam.classes.fleet import (
+    DEFAULT_MAX_HEADER_BYTES,
     AdapterKey,
     BaseModel,
     Engine,
@@ -195,6 +196,7 @@
         [decode_route(r) for r in read_field(document, "routes", list)],
         {service.name: service for service in services},
         read_field(limits, "maxBodyBytes", int, DEFAULT_MAX_BODY_BYTES),
+        read_field(limits, "maxHeaderBytes", int, DEFAULT_MAX_HEADER_BYTES),
     )
 
 
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -8,6 +8,7 @@
 from orjson import dumps
 from xxhash import xxh3_64_intdigest
 
+from medlarbeam.classes.fleet import DEFAULT_MAX_HEADER_BYTES
 from medlarbeam.classes.gateway_effects import (
     AbortResponse,
     CloseIdleConnections,
@@ -21,6 +22,7 @@
 )
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
 from medlarbeam.exceptions import ERROR_RESPONSES, RunState
+from medlarbeam.platform.caller_account import CallerAccount, CallerLimits
 from medlarbeam.platform.caller_listener import CallerListener
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
@@ -159,15 +161,16 @@
         self.exchanges = {}
         self.request_id_prefix = f"{settings.gateway.name}-{settings.gateway.incarnation:x}"
         self.request_count = 0
+        self.account = CallerAccount(self.read_limits)
         self.callers = None
         self.nodes = None  # that forward requests of their callers
         self.readiness_listener = None
 
     async def on_start(self):
         """Listen for callers and for readiness checks of the load balancer."""
-        self.callers = CallerListener(self.handle, self.spawn)
+        self.callers = CallerListener(self.handle, self.spawn, self.account)
         self.callers.open(*parse_address(self.settings.front_address))
-        self.nodes = CallerListener(self.handle_forwarded, self.spawn)
+        self.nodes = CallerListener(self.handle_forwarded, self.spawn, self.account)
         self.nodes.open(*parse_address(self.settings.datagram_address))
         host, port = parse_address(self.settings.ready_address)
         self.readiness_listener = await asyncio.get_running_loop().create_server(
@@ -183,6 +186,14 @@
             self.readiness_listener.close()
         await super().on_stop()
 
+    def read_limits(self):
+        """Return the `CallerLimits` of the configuration in force."""
+        config = self.driver.node.fleet.config
+        account_bytes = self.settings.caller_bytes
+        if config is None:
+            return CallerLimits(DEFAULT_MAX_HEADER_BYTES, FALLBACK_MAX_BODY_BYTES, account_bytes)
+        return CallerLimits(config.max_header_bytes, config.max_body_bytes, account_bytes)
+
     def effects(self):
         """Return the handlers of effects that concern callers."""
         return {
@@ -242,8 +253,7 @@
 
     async def _read_body(self, http_request):
         """Return the body of a request, None if it exceeds the configured limit."""
-        config = self.driver.node.fleet.config
-        limit = config.max_body_bytes if config is not None else FALLBACK_MAX_BODY_BYTES
+        limit = self.read_limits().body_bytes
         body = bytearray()  # a list of chunks takes eight times the memory of chunks of one byte
         async for chunk in http_request.content.iter_any():
             if len(body) + len(chunk) > limit:
--- a/medlarbeam/platform/settings.py
+++ b/medlarbeam/platform/settings.py
@@ -15,6 +15,9 @@
 # retry of the call.
 WATCH_PAUSE_SHARE = 0.35
 SLOW_CALL_ALLOWANCE_S = 0.6
+# A process starts with 50 MB, and the smallest machine has 160 MB. The memory of the process grows
+# by up to twice the account, since allocators keep what is freed.
+DEFAULT_CALLER_BYTES = 32 << 20
 
 
 class PlatformSettings(Record):
@@ -30,9 +33,12 @@
         ``ip:port`` of the platform's store.
     watch_pause_s : float
         Pause between two watch calls to the store.
+    caller_bytes : int
+        Memory (bytes) that all callers may hold; see `CallerLimits`.
     """
 
     __slots__ = (
+        "caller_bytes",
         "datagram_address",
         "front_address",
         "gateway",
@@ -51,7 +57,9 @@
         metrics_address,
         store_address,
         watch_pause_s,
+        caller_bytes=DEFAULT_CALLER_BYTES,
     ):
+        self.caller_bytes = caller_bytes
         self.watch_pause_s = watch_pause_s
         self.metrics_address = metrics_address
         self.gateway = gateway
@@ -123,4 +131,5 @@
         f"{ip}:{ports[-1]}",
         read_field(read_field(document, "platform", dict), "address", str),
         watch_pause_s,
+        read_field(bounds, "callerBytes", int, DEFAULT_CALLER_BYTES),
     )
