Bound the memory that all callers hold

Bodies in large chunks that stop short of their end and stay open grew a gateway process to 209 MB with 40 callers; the smallest machine has 160 MB.

Cause: each body is bounded by maxBodyBytes (4 MB), but nothing bounded their sum.

CallerAccount has a size (callerBytes in [bounds], 32 MB by default, at least four of the largest requests). When it is full, the connection that holds most is closed, a request in service aside; above three quarters only connections with more than 128 KB are. An incomplete request whose response is the next one is answered 429 first.

test_metrics names the two gauges of the process beside log_lines_dropped, which the gateway's own measures do not have either.

--- a/medlarbeam/platform/__main__.py
+++ b/medlarbeam/platform/__main__.py
@@ -65,9 +65,8 @@
     front = HttpFrontEnd(shell, settings)
     metrics = GatewayMetrics()
     shell.attach(EventLogger(metrics))
-    shell.attach(
-        MetricsServer(shell, parse_address(settings.metrics_address), metrics, count_dropped_lines)
-    )
+    metrics_address = parse_address(settings.metrics_address)
+    shell.attach(MetricsServer(shell, metrics_address, metrics, count_dropped_lines, front.account))
     shell.attach(StoreClient(shell, settings))
     shell.attach(DatagramEndpoint(shell, settings))
     shell.attach(ServerClient(shell, settings, front.exchanges))
--- a/medlarbeam/platform/caller_account.py
+++ b/medlarbeam/platform/caller_account.py
@@ -19,6 +19,9 @@
 PIECE_ALLOWANCE_BYTES = 8192
 # Chunks of one byte need 5 bytes of framing for each byte of payload.
 FRAMING_PER_PAYLOAD_BYTE = 16
+# Requests up to this size are closed only when the account is full; larger ones leave them room.
+SMALL_BYTES = 131_072
+LARGE_SHARE = 0.75
 # Largest requests that fit into the account at least, so that one is served under any limits.
 MIN_LARGEST_REQUESTS = 4
 
@@ -230,7 +233,8 @@
     def refuse(self, usage, reason, kind=ErrorKind.INVALID_REQUEST):
         """Return the `Refusal` of an incomplete request, of which nothing is used any more."""
         incomplete = 1 if self.chart.has_tag(usage, "framed") else 0
-        is_answerable = len(usage.request_bytes) == incomplete
+        is_next = len(usage.request_bytes) == incomplete
+        is_answerable = is_next and self.chart.has_tag(usage, "incomplete")
         self.chart.fire(usage, "limit_exceeded")
         self.refused_count += 1
         self.close(usage)
@@ -247,9 +251,32 @@
         usage.unread_bytes = size
         self._update(usage)
 
+    def is_in_service(self, usage):
+        """Return whether a request of the connection is complete and has no response yet."""
+        return len(usage.request_bytes) > (1 if self.chart.has_tag(usage, "framed") else 0)
+
     def _update(self, usage):
         if usage not in self.usages:
             return
         held = usage.count_held()
         self.held_bytes += held - usage.held_bytes
         usage.held_bytes = held
+
+    def count_reclaimable(self, usage):
+        """Return the memory (bytes) of a connection beside that of a request in service."""
+        if self.chart.has_tag(usage, "refused"):
+            return 0
+        if self.is_in_service(usage):
+            return usage.held_bytes - usage.request_bytes[0] - CONNECTION_BYTES
+        return usage.held_bytes
+
+    def select_excess(self):
+        """Return ``(usage, refusal)`` of the connection to close next, None if there is room."""
+        total = self.read_limits().total_bytes()
+        if self.held_bytes <= LARGE_SHARE * total:
+            return None
+        dearest = max(self.usages, key=self.count_reclaimable)
+        size = self.count_reclaimable(dearest)
+        if not size or (size <= SMALL_BYTES and self.held_bytes <= total):
+            return None
+        return dearest, self.refuse(dearest, "callers hold too much memory", ErrorKind.OVERLOADED)
--- a/medlarbeam/platform/caller_connection.py
+++ b/medlarbeam/platform/caller_connection.py
@@ -125,11 +125,18 @@
         return self.payload is None or self.payload.is_eof()
 
     def _record(self, piece):
-        if self._upgraded:
+        if self._upgraded and not piece.heads:
             return  # the bytes behind an upgrade are bounded by the flow control, and parsed later
         refusal = self.account.record_piece(self.usage, piece)
         if refusal is not None:
             self.refuse(refusal)
+        self._make_room()
+
+    def _make_room(self):
+        """Close connections, this one too, until the account has room."""
+        while (excess := self.account.select_excess()) is not None:
+            usage, refusal = excess
+            usage.connection.refuse(refusal)
 
     def refuse(self, refusal):
         """Carry out a `Refusal` and close the connection."""
@@ -164,6 +171,7 @@
         """Read no further requests while responses are not read."""
         super().pause_writing()
         self.account.record_unread(self.usage, self.transport.get_write_buffer_size())
+        self._make_room()
         self._pause_transport_reading()
 
     def resume_writing(self):
--- a/medlarbeam/platform/metrics.py
+++ b/medlarbeam/platform/metrics.py
@@ -85,6 +85,8 @@
                 ("paused_servers", "Backend servers that have asked for a pause."),
                 ("quarantines", "Prompt parts and requests that are refused."),
                 ("log_lines_dropped", "Log lines dropped since the start."),
+                ("caller_bytes", "Memory that callers hold, in bytes."),
+                ("closed_callers", "Connections of callers closed for a limit since the start."),
             )
         }
 
@@ -137,13 +139,15 @@
     metrics : GatewayMetrics
     count_dropped_lines : callable
         Returns the number of dropped log lines.
+    account : CallerAccount
     """
 
-    def __init__(self, driver, address, metrics, count_dropped_lines):
+    def __init__(self, driver, address, metrics, count_dropped_lines, account):
         super().__init__(driver)
         self.address = address
         self.metrics = metrics
         self.count_dropped_lines = count_dropped_lines
+        self.account = account
         self.listener = None
 
     async def on_start(self):
@@ -175,4 +179,6 @@
         now = self.driver.read_clock()
         values = dict(node.measure(now))
         values["log_lines_dropped"] = self.count_dropped_lines()
+        values["caller_bytes"] = self.account.held_bytes
+        values["closed_callers"] = self.account.refused_count
         return {name: value for name, value in values.items() if not isinf(value)}
--- a/medlarbeam/platform/tests/test_caller_account.py
+++ b/medlarbeam/platform/tests/test_caller_account.py
@@ -57,6 +57,40 @@
     assert account.held_bytes == 0
 
 
+HALF = 17 << 20
+CROWDS = [
+    ("small-request-is-closed-for-large-ones", [(1000, False), (HALF, False), (HALF, False)], [1]),
+    ("request-in-service-is-closed", [(HALF, True), (HALF, True), (1000, False)], [2]),
+    ("room-is-made-without-need", [(HALF, False), (1000, False)], []),
+    ("large-request-leaves-no-room-for-small-ones", [(25 << 20, False), (1000, False)], [0]),
+    ("requests-in-service-are-closed", [(HALF, True), (HALF, True)], []),
+]
+
+
+@pytest.mark.parametrize(("sizes", "closed"), [c[1:] for c in CROWDS], ids=[c[0] for c in CROWDS])
+def test_connections_closed_to_make_room(sizes, closed):
+    account = CallerAccount(lambda: LIMITS)
+    usages = [account.open(index) for index in range(len(sizes))]
+    for usage, (size, is_complete) in zip(usages, sizes, strict=True):
+        account.record_piece(usage, PieceReport(0, 1, 0, False))
+        account.record_piece(usage, PieceReport(size, 0, size, is_complete))
+    seen = []
+    while (excess := account.select_excess()) is not None:
+        seen.append(excess[0].connection)
+        assert excess[1].is_answerable
+    assert seen == closed
+
+
+def test_idle_connections_are_closed_when_the_account_is_full_of_them():
+    account = CallerAccount(lambda: CallerLimits(10, 10, 3 * 12_288))
+    usages = [account.open(index) for index in range(5)]
+    closed = []
+    while (excess := account.select_excess()) is not None:
+        closed.append(excess[0])
+        assert not excess[1].is_answerable
+    assert closed == usages[:2]
+
+
 ANSWERS = [
     ("answer-precedes-that-of-an-earlier-request", [PieceReport(100, 1, 0, True)], False),
     ("incomplete-request-gets-no-answer", [], True),
--- a/medlarbeam/platform/tests/test_metrics.py
+++ b/medlarbeam/platform/tests/test_metrics.py
@@ -69,7 +69,8 @@
 
 def test_page_has_all_gauges_of_the_gateway():
     measured = make_harness(rights=own_rights()).gateway.measure(100.0)
-    assert set(measured) == set(GatewayMetrics().gauges) - {"log_lines_dropped"}
+    of_process = {"log_lines_dropped", "caller_bytes", "closed_callers"}
+    assert set(measured) == set(GatewayMetrics().gauges) - of_process
 
 
 OUTCOMES = [
