Release the body of a caller whose connection is closed, and log it in a line

Each connection that was closed within a body left a log line with a traceback ("Connection closed."). An error kept by the payload refers to the body through its traceback in a cycle; with the exception set on the payload alone, large chunks held open grew the process to 166 MB.

A refusal now sets a ConnectionResetError on the payload, the reader of the body releases it on any error, and a caller's cut request is logged as request_cut.

--- a/medlarbeam/platform/caller_connection.py
+++ b/medlarbeam/platform/caller_connection.py
@@ -148,6 +148,8 @@
         if refusal.is_answerable and not transport.get_write_buffer_size():
             status = ERROR_RESPONSES[refusal.failure.kind].status
             transport.write(REFUSAL % (status, HTTPStatus(status).phrase.encode()))
+        if self.payload is not None and not self.payload.is_eof():
+            self.payload.set_exception(ConnectionResetError("the request was refused"))
         self.force_close()
         if transport.get_write_buffer_size():
             transport.abort()  # a caller that does not read would keep the connection open
@@ -182,9 +184,11 @@
             self._resume_transport_reading()
 
     def log_exception(self, *args, **options):
-        """Log a malformed request in one short line, and other errors with their traceback."""
+        """Log errors that a caller causes in one short line, and others with their traceback."""
         error = options.get("exc_info")
-        if isinstance(error, HttpProcessingError):
+        if isinstance(error, ConnectionError):
+            log.info("connection closed within a request", extra={"event": "request_cut"})
+        elif isinstance(error, HttpProcessingError):
             text = " ".join(str(error).split())[:MAX_QUOTED_CHARACTERS]
             log.info("malformed request: %s", ascii(text), extra={"event": "request_malformed"})
         else:
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -255,15 +255,21 @@
         """Return the body of a request, None if it exceeds the configured limit."""
         limit = self.read_limits().body_bytes
         body = bytearray()  # a list of chunks takes eight times the memory of chunks of one byte
-        async for chunk in http_request.content.iter_any():
-            if len(body) + len(chunk) > limit:
-                log.warning(
-                    "request body exceeds the limit of %d bytes",
-                    limit,
-                    extra={"event": "body_too_long"},
-                )
-                return None
-            body += chunk
+        try:
+            async for chunk in http_request.content.iter_any():
+                if len(body) + len(chunk) > limit:
+                    log.warning(
+                        "request body exceeds the limit of %d bytes",
+                        limit,
+                        extra={"event": "body_too_long"},
+                    )
+                    return None
+                body += chunk
+        except BaseException:
+            # The request refers to the error, whose traceback refers to the body and the request;
+            # such a cycle would hold the body until the next garbage collection.
+            body.clear()
+            raise
         return bytes(body)
 
     def send_refusal(self, effect):
