--- a/medlarbeam/platform/caller_listener.py
+++ b/medlarbeam/platform/caller_listener.py
@@ -6,57 +6,25 @@
 import socket
 
 from aiohttp.web import Server
-from aiohttp.web_protocol import RequestHandler
 
-__all__ = ["CallerConnection", "CallerListener"]
+from medlarbeam.platform.caller_connection import PIECE_BYTES, CallerConnection
+from medlarbeam.platform.read_turns import ReadTurns
+
+__all__ = ["CallerListener"]
 
 log = logging.getLogger(__name__)
 
 # Callers close idle connections as configured; this longer timeout leaves the closing to them.
 KEEP_ALIVE_TIMEOUT_S = 120.0
 LISTEN_BACKLOG = 1024
+# Connections that are accepted in one turn of the event loop. All that waited were accepted before;
+# callers that reset theirs at once filled the process with connections not yet known to be closed.
+ACCEPTS_PER_TURN = 8
 MAX_HEADER_LINE_BYTES = 16384
+READ_BUFFER_BYTES = 16384  # of a body, above which reading from its connection is paused
 ACCEPT_RETRY_S = 1.0  # pause after an error such as a lack of file descriptors
 
 
-class CallerConnection(RequestHandler):
-    """Connection of a caller that knows whether a request is arriving or being served.
-
-    Attributes
-    ----------
-    has_open_request : bool
-        Whether bytes of a request have arrived that has no response yet.
-    quiet_since : float
-        Time (s) of the end of the last request, or of the start of the connection.
-    """
-
-    __slots__ = ("has_open_request", "quiet_since")
-
-    def __init__(self, manager, **options):
-        super().__init__(manager, **options)
-        self.has_open_request = False
-        self.quiet_since = options["loop"].time()
-
-    def data_received(self, data):
-        """Note that a request arrives; its handler starts some turns of the event loop later."""
-        self.has_open_request = True
-        super().data_received(data)
-
-    def end_request(self, now):
-        """Note at `now` (s) that the response to a request is decided."""
-        self.has_open_request = False
-        self.quiet_since = now
-
-    def is_idle(self, now, quiet_s):
-        """Return whether nothing was read or is left to be written for `quiet_s` (s)."""
-        return (
-            not self.has_open_request
-            and now - self.quiet_since >= quiet_s
-            and self.transport is not None
-            and not self.transport.get_write_buffer_size()
-        )
-
-
 class CallerListener:
     """Listens for callers, and closes the listener and the connections in a planned stop.
 
@@ -66,6 +34,7 @@
         Coroutine function that responds to a request.
     spawn : callable
         Starts a coroutine as a task.
+    account : CallerAccount
 
     Notes
     -----
@@ -73,24 +42,27 @@
     those that it has accepted in the same turn. This class accepts them itself.
     """
 
-    __slots__ = ("loop", "pending_count", "server", "sock", "spawn")
+    __slots__ = ("account", "buffer", "loop", "pending_count", "server", "sock", "spawn", "turns")
 
-    def __init__(self, handle, spawn):
+    def __init__(self, handle, spawn, account):
+        self.account = account
         self.loop = asyncio.get_running_loop()
         self.server = Server(handle, handler_cancellation=True)
         self.spawn = spawn
         self.sock = None
         self.pending_count = 0
+        self.buffer = memoryview(bytearray(PIECE_BYTES))
+        self.turns = ReadTurns(self.loop.call_soon)
 
     def open(self, host, port):
         """Listen on an address."""
         self.sock = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self.sock.setblocking(False)
-        self.loop.add_reader(self.sock, self.accept)
+        self.loop.add_reader(self.sock, self.accept, ACCEPTS_PER_TURN)
 
-    def accept(self):
-        """Accept the connections that wait in the backlog."""
-        for _ in range(LISTEN_BACKLOG):
+    def accept(self, limit):
+        """Accept up to `limit` connections that wait in the backlog."""
+        for _ in range(limit):
             try:
                 connection, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -105,7 +77,7 @@
 
     def _resume(self):
         if self.sock is not None:
-            self.loop.add_reader(self.sock, self.accept)
+            self.loop.add_reader(self.sock, self.accept, ACCEPTS_PER_TURN)
 
     async def _connect(self, connection):
         try:
@@ -117,20 +89,25 @@
             self.pending_count -= 1
 
     def _build_connection(self):
+        line_bytes = max(MAX_HEADER_LINE_BYTES, self.account.read_limits().head_bytes)
         return CallerConnection(
             self.server,
+            self.buffer,
+            self.turns,
+            self.account,
             loop=self.loop,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
             auto_decompress=False,
             access_log=None,
-            max_line_size=MAX_HEADER_LINE_BYTES,
-            max_field_size=MAX_HEADER_LINE_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=line_bytes,
+            max_field_size=line_bytes,
         )
 
     def close(self):
         """Accept the connections that wait in the backlog, then close the listener."""
         if self.sock is not None:
-            self.accept()
+            self.accept(LISTEN_BACKLOG)
             self.loop.remove_reader(self.sock)
             self.sock.close()
             self.sock = None
