--- a/medlarbeam/gateway/tests/test_crash_inquiries.py
+++ b/medlarbeam/gateway/tests/test_crash_inquiries.py
@@ -21,8 +21,9 @@
 from medlarbeam.classes.peer_messages import DeathReport, LostRun
 from medlarbeam.classes.server_messages import ProbeResult, RunClosed
 from medlarbeam.classes.server_starts import AcceptRun, RejectRun
-from medlarbeam.gateway.crash_inquiries import HOLD_S, PRESUMED_CRASHED_S
+from medlarbeam.gateway.crash_inquiries import PRESUMED_CRASHED_S
 from medlarbeam.gateway.crash_reports import SUSPECT_S
+from medlarbeam.gateway.inquiry import HOLD_S
 from medlarbeam.gateway.tests.fleet_samples import HOT, make_harness, make_server
 
 OTHER = NodeRegistration("n2", "z1", "10.0.0.2:7000", 1)
