Count silent runs of servers that responded shortly before their crash

A harmful run that stalled was no evidence if its server had responded to another request after it was sent, which is so until the crash; and what was cancelled counted only if sent before the first silence.

Also: services without a health path were only probed for a connection, and an open one was no finding, so that each response without a length was held back for 2 s (504 in test_response_to_caller[response-without-content-length]). Without a path an open connection is all that can be found out.

--- a/medlarbeam/gateway/crash_inquiries.py
+++ b/medlarbeam/gateway/crash_inquiries.py
@@ -92,7 +92,8 @@
 
         `has_data` tells whether it had brought some before.
         """
-        if not self.node.health.has_responded_since(relay.server.name, since):
+        # An older response may be from before a crash that this run has caused.
+        if not self.node.health.has_responded_since(relay.server.name, now - MAX_TRANSIT_S):
             self._suspect(relay, since, False, now, out)
             inquiry = self.inquiries.get((relay.server.name, relay.server.started_at_ms))
             if inquiry is not None and has_data:
@@ -104,14 +105,21 @@
             self.cancelled.popleft()
         self.cancelled.append(CancelledRun(relay, now))
 
-    def find_cancelled(self, death_id, lost_at):
-        """Return the runs that were cancelled shortly before a crash at the time `lost_at` (s)."""
+    def find_cancelled(self, death_id, lost_at, until):
+        """Return the runs that were cancelled shortly before a crash, or since, and sent before it.
+
+        Parameters
+        ----------
+        death_id : str
+        lost_at, until : float
+            Time (s) of the crash, as far as known, and latest time of it.
+        """
         return [
             cancelled.run
             for cancelled in self.cancelled
             if (death_id == cancelled.start or death_id.startswith(f"{cancelled.start}."))
             and cancelled.at >= lost_at - CANCELLED_S
-            and cancelled.run.sent_at <= lost_at
+            and cancelled.run.sent_at <= until
         ]
 
     def handle_run_closed(self, message, now, out):
@@ -189,8 +197,9 @@
 
     def _choose_path(self, entry, now):
         """Return what to ask a server for, None for no request; see `ProbeServer`."""
-        if self.node.pauses.is_paused(entry, now):
-            return None
+        return None if self.node.pauses.is_paused(entry, now) else self._find_path(entry)
+
+    def _find_path(self, entry):
         if self.node.fleet.find_engine(entry) is not None:
             return ""
         return self.node.fleet.find_health_path(entry)
@@ -247,7 +256,9 @@
         if message.is_answered and (is_same or not entry.started_at_ms):
             return "lived"
         last_at = max([inquiry.lost_at, *inquiry.held.values()])
-        if message.is_answered or self._has_responded(entry.name, last_at):
+        # Without a path to ask for, an open connection is all that can be found out.
+        is_all = message.is_accepted and self._find_path(entry) is None
+        if message.is_answered or is_all or self._has_responded(entry.name, last_at):
             inquiry.answered_at = inquiry.asked_at
             return "answered"
         inquiry.answered_at = inf
@@ -365,7 +376,7 @@
             last_at = max(inquiry.alive_at, self.node.health.record(entry.name).last_response_at)
             until = max(until + FIRST_DATA_S, last_at + DATA_GAP_S)
         runs = [run for run in inquiry.runs.values() if run.sent_at <= until]
-        runs += self.find_cancelled(death_id, inquiry.lost_at)
+        runs += self.find_cancelled(death_id, inquiry.lost_at, until)
         if runs:
             self.node.crashes.report_death(death_id, now - inquiry.lost_at, runs, now, out)
 
--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -200,7 +200,8 @@
         self.apply_death(report, now, out)
         if not is_new or report.death_id not in self.deaths:
             return
-        cancelled = self.node.inquiries.find_cancelled(report.death_id, now - report.age_s)
+        lost_at = self.deaths[report.death_id]
+        cancelled = self.node.inquiries.find_cancelled(report.death_id, lost_at, lost_at)
         if cancelled:
             self.report_death(report.death_id, report.age_s, cancelled, now, out)
 
