--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -22,10 +23,12 @@
 
 from aiohttp import web
 
+from medlarbeam.soak.links import build_store_front
 from medlarbeam.standins.platform_store import PlatformStore
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "review.example"
+PORTS = (20000, 32000)
 HEARTBEAT_S = 1.2
 EXPIRY_S = 3 * HEARTBEAT_S
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -51,12 +54,15 @@
 
 
 def find_free_port(ip):
-    """Return a port that is free for TCP and UDP at a loopback address."""
+    """Return a port that is free for TCP and UDP at a loopback address.
+
+    It is below those that the system gives to outgoing connections, which could take it later.
+    """
     while True:
+        port = random.randrange(*PORTS)
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((ip, 0))
-            port = tcp.getsockname()[1]
             with suppress(OSError):
+                tcp.bind((ip, port))
                 udp.bind((ip, port))
                 return port
 
@@ -95,6 +101,18 @@
         self.address = f"127.0.0.1:{port}"
         await web.TCPSite(self.runner, "127.0.0.1", port).start()
 
+    async def start_front(self, links):
+        """Serve one gateway, which reads the addresses of its `Link`s in place of the workers'."""
+        app = build_store_front(self.kv, lambda: links, {})
+        front = Store()
+        front.kv = self.kv
+        front.runner = web.AppRunner(app, shutdown_timeout=0.2, access_log=None)
+        await front.runner.setup()
+        port = find_free_port("127.0.0.1")
+        front.address = f"127.0.0.1:{port}"
+        await web.TCPSite(front.runner, "127.0.0.1", port).start()
+        return front
+
     async def stop(self):
         """Close the listener."""
         await self.runner.cleanup()
@@ -238,8 +256,11 @@
         return self.server is not None
 
     async def _beat(self):
+        # Workers have started at different times, so that their heartbeats are spread.
+        pause_s = HEARTBEAT_S * random.Random(self.name).random()
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(pause_s)
+            pause_s = HEARTBEAT_S
             if self.is_up:
                 self.register()
             silent_s = time.monotonic() - self.last_write
@@ -473,6 +494,57 @@
         return True
 
 
+class Link:
+    """The way of one gateway to one worker: a proxy that passes bytes on, or refuses."""
+
+    def __init__(self, target):
+        self.target = target
+        self.port = find_free_port("127.0.0.1")
+        self.address = f"127.0.0.1:{self.port}"
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        """Accept connections."""
+        self.server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, reuse_address=True
+        )
+
+    def cut(self):
+        """Reset the open connections and refuse new ones."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            reset(writer)
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        other = None
+        try:
+            other_reader, other = await open_connection(self.target)
+            self.writers.add(other)
+            await asyncio.gather(pump(reader, other), pump(other_reader, writer))
+        except (OSError, TimeoutError):
+            reset(writer)
+            if other is not None:
+                reset(other)
+        finally:
+            for one in (writer, other):
+                if one is not None:
+                    self.writers.discard(one)
+                    one.close()
+
+
+async def pump(reader, writer):
+    """Pass bytes on until the end."""
+    while data := await reader.read(1 << 16):
+        writer.write(data)
+        await writer.drain()
+    if writer.can_write_eof():
+        writer.write_eof()
+
+
 class PlainStreamer(Worker):
     """A worker of a streaming service without an engine; streams are short or long."""
 
