--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -598,6 +598,62 @@
         return True
 
 
+class UnframedWorker(Worker):
+    """A plain worker whose answers have no length; a supervisor keeps its listening socket.
+
+    When the process crashes, the system closes its connections, and new ones wait in the queue of
+    the listening socket until the process is back.
+    """
+
+    work_s = 0.03
+    body_s = 0.2
+    body = b"".join(b"line %03d of the receipt\n" % number for number in range(32))
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.is_back = asyncio.Event()
+        self.is_back.set()
+
+    async def run(self, request, reader, writer):
+        """Write an answer in two parts; its end is the end of the connection."""
+        self.note_run(request)
+        born = self.born
+        headers = [("X-Server-Stamp", STAMP), ("Connection", "close")]
+        half = len(self.body) // 2
+        await asyncio.sleep(self.work_s)
+        writer.write(self.build_head(request, 200, headers) + self.body[:half])
+        await writer.drain()
+        await asyncio.sleep(self.body_s)
+        if self.born == born and self.is_back.is_set():
+            writer.write(self.body[half:])
+            await writer.drain()
+        return False
+
+    async def _serve(self, reader, writer):
+        await self.is_back.wait()
+        await super()._serve(reader, writer)
+
+    def register(self):
+        """Write the entry, while the process runs."""
+        if self.is_back.is_set():
+            super().register()
+
+    def crash_process(self):
+        """End the process; its connections are closed by the system."""
+        self.record.write(f"worker {self.name} crashes, {len(self.connections)} connections")
+        self.is_back.clear()
+        for writer in list(self.connections):
+            writer.close()
+        self.connections.clear()
+
+    def restart_process(self):
+        """Start the process again, under the same id."""
+        self.born = int(time.time() * 1000)
+        self.is_back.set()
+        self.register()
+        self.record.write(f"worker {self.name} starts again, born={self.born}")
+
+
 class Stream:
     """A stream of a caller, over all its tries."""
 
