--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -654,6 +654,46 @@
         self.record.write(f"worker {self.name} starts again, born={self.born}")
 
 
+class PausingStreamer(PlainStreamer):
+    """A worker whose streams end with their connections, and that may ask for a pause."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.paused_until = 0.0
+        self.served = set()
+
+    async def run(self, request, reader, writer):
+        """Turn a request away while the worker wants nothing, or stream."""
+        left_s = self.paused_until - time.monotonic()
+        if left_s <= 0.0:
+            return await super().run(request, reader, writer)
+        self.record.write(f"worker {self.name} turns {request.header('x-attempt-id')} away")
+        headers = [("X-Not-Executed", "1"), ("Retry-After", f"{left_s:.3f}")]
+        return self.send(writer, request, 503, headers, b"")
+
+    async def stream(self, request, writer):
+        """Write all events; the end of the connection is that of the answer."""
+        attempt = request.header("x-attempt-id")
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("X-Server-Stamp", STAMP),
+            ("Connection", "close"),
+        ]
+        await asyncio.sleep(0.03)
+        writer.write(self.build_head(request, 200, headers))
+        for number in range(1, self.count_events(request) + 1):
+            if writer.is_closing():
+                self.record.write(f"worker {self.name}: the caller of {attempt} has left")
+                return False
+            writer.write(f"id: {number}\ndata: {self.version} {number}\n\n".encode())
+            with suppress(ConnectionError):
+                await writer.drain()
+            await asyncio.sleep(self.event_s)
+        self.served.add(attempt)
+        self.record.write(f"worker {self.name} has written all of {attempt}")
+        return False
+
+
 class Stream:
     """A stream of a caller, over all its tries."""
 
@@ -768,6 +808,7 @@
         self.path = Path(folder) / f"{self.name}.toml"
         self.path.write_text(self._build_settings(store), encoding="utf-8")
         self.process = None
+        self.is_stopping = False
 
     def _build_settings(self, store):
         return f"""
