--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import select
 import signal
 import socket
 import struct
@@ -18,6 +19,7 @@
 import time
 import tomllib
 import zlib
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from pathlib import Path
 
@@ -694,6 +696,41 @@
         return False
 
 
+class EndlessStreamer(PlainStreamer):
+    """A worker that may turn faulty, and then answers with chunks of one byte without end."""
+
+    block = b"1\r\na\r\n" * 10922
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.is_faulty = False
+        self.pool = ThreadPoolExecutor(64)  # threads keep the loop free, which measures
+
+    async def stream(self, request, writer):
+        """Write chunks until the caller closes the connection."""
+        if not self.is_faulty:
+            return await super().stream(request, writer)
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("X-Server-Stamp", STAMP),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        writer.write(self.build_head(request, 200, headers))
+        await writer.drain()
+        descriptor = os.dup(writer.get_extra_info("socket").fileno())
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self.pool, self.flood, socket.socket(fileno=descriptor))
+        return False
+
+    def flood(self, sock):
+        """Write until the connection ends; the descriptor does not block, as the loop shares it."""
+        with sock, suppress(ConnectionError):
+            while True:
+                select.select([], [sock], [], 10.0)
+                with suppress(BlockingIOError):
+                    sock.send(self.block)
+
+
 class Stream:
     """A stream of a caller, over all its tries."""
 
