--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -31,6 +31,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "review.example"
 PORTS = (20000, 32000)
+GIVEN_PORTS = set()
 HEARTBEAT_S = 1.2
 EXPIRY_S = 3 * HEARTBEAT_S
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -62,10 +63,13 @@
     """
     while True:
         port = random.randrange(*PORTS)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
             with suppress(OSError):
                 tcp.bind((ip, port))
                 udp.bind((ip, port))
+                GIVEN_PORTS.add(port)
                 return port
 
 
@@ -962,7 +966,8 @@
             if await self.is_ready():
                 return
             if self.process.returncode is not None:
-                raise CaseError(f"{self.name} has ended with {self.process.returncode}")
+                lines = self.log_path.read_text("utf-8", "replace").splitlines()
+                raise CaseError(f"{self.name} has ended with {self.process.returncode}: {lines[-3:]}")
             await asyncio.sleep(0.1)
         raise CaseError(f"{self.name} is not ready")
 
