Stand-in worker records the requests that it receives

Tests saw only attempt ids, so they could not tell which headers, target and body had reached a backend server. Each request is now kept byte for byte, with its repeated headers.

--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -205,11 +205,11 @@
         self.late_share = 0.0
         self.late_bytes = WeakKeyDictionary()
 
-    async def _handle_request(self, writer, path, headers, body):
+    async def _handle_request(self, writer, request, headers):
         writer.write(self.late_bytes.pop(writer, b""))
-        return await super()._handle_request(writer, path, headers, body)
+        return await super()._handle_request(writer, request, headers)
 
-    async def respond(self, writer, path, headers, body):
+    async def respond(self, writer, request, headers):
         """Execute a request if it is addressed to this worker and its adapter is loaded."""
         if headers.get("x-expect-instance") != self.name:
             return self.write_response(writer, 421, b"", b"")
@@ -227,10 +227,11 @@
         if fault == "refuse":
             return self.write_response(writer, 503, b"X-Not-Executed: 1\r\n", b"")
         self.runs.append(RunRecord(attempt, self.name, now))
+        request.is_run = True
         self.running += 1
         try:
-            if path.startswith(LONG_STREAM_PATH):
-                return await send_long_stream(self, writer, headers, body, fault)
+            if request.target.startswith(LONG_STREAM_PATH):
+                return await send_long_stream(self, writer, headers, request.body, fault)
             return await self._execute(writer, attempt, adapter, fault, headers)
         finally:
             self.running -= 1
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -3,11 +3,13 @@
 import asyncio
 import socket
 import struct
+from collections import deque
 from weakref import WeakKeyDictionary
 
 from orjson import dumps, loads
 
 from medlarbeam.standins.endless_responses import ENDLESS_RESPONDERS
+from medlarbeam.standins.received_request import ReceivedRequest
 from medlarbeam.standins.worker_framing import (
     STAMP_HEADER,
     build_head,
@@ -18,6 +20,7 @@
 __all__ = ["HEAD_STARTS", "LEAVING_HEADER", "RESPONDERS", "PlatformWorker", "encode_event"]
 
 LEAVING_HEADER = b"Server-Leaving: 1\r\n"
+MAX_RECEIVED = 10_000
 PIECE_PAUSE_S = 0.15
 TRICKLE_PAUSE_S = 0.05
 OK_HEAD_START = b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n"
@@ -49,7 +52,7 @@
     Attributes
     ----------
     response_mode : str
-        ``refuse``, to reject requests before they run, or a key of `RESPONDERS`.
+        ``refuse`` or ``misdirect``, to reject requests before they run, or a key of `RESPONDERS`.
     executed_attempts : list of str
         Attempt ids of the requests that ran, in order.
     fences : list of int
@@ -75,6 +78,8 @@
         pause.
     request_count : int
         Number of requests of callers that have arrived.
+    received : collections.deque of ReceivedRequest
+        Latest requests of callers that have arrived.
     incarnation : int or None
         Start that its reports state, None to state none.
     """
@@ -95,6 +100,7 @@
         "pause_values",
         "paused_until",
         "rate_limit",
+        "received",
         "refusal_limit",
         "request_count",
         "response_mode",
@@ -118,6 +124,7 @@
         self.paused_until = 0.0
         self.pause_values = ()
         self.request_count = 0
+        self.received = deque(maxlen=MAX_RECEIVED)
         self.connections = set()
         self.server = None
         self.address = ""
@@ -143,11 +150,12 @@
         try:
             while True:
                 head_lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-                headers = dict(line.split(": ", 1) for line in head_lines[1:] if line)
-                headers = {name.lower(): value for name, value in headers.items()}
+                fields = [tuple(line.split(": ", 1)) for line in head_lines[1:] if line]
+                headers = {name.lower(): value for name, value in fields}
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                path = head_lines[0].split(" ")[1]
-                if not await self._handle_request(writer, path, headers, body):
+                method, target, _ = head_lines[0].split(" ")
+                request = ReceivedRequest(method, target, fields, body)
+                if not await self._handle_request(writer, request, headers):
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -155,26 +163,31 @@
             self.connections.discard(writer)
             writer.close()
 
-    async def _handle_request(self, writer, path, headers, body):
+    async def _handle_request(self, writer, request, headers):
         """Handle one request; return whether the connection stays open."""
+        path, body = request.target, request.body
         if path == "/report":
             return self.write_response(writer, 200, b"", dumps(self._build_report()))
         if path == "/order":
             return self.write_response(writer, self.handle_order(loads(body)), b"", b"")
         self.request_count += 1
+        self.received.append(request)
         left_s = self.paused_until - asyncio.get_running_loop().time()
         if left_s > 0.0:
             return self.refuse_paused(writer, headers, left_s)
-        return await self.respond(writer, path, headers, body)
+        return await self.respond(writer, request, headers)
 
-    async def respond(self, writer, path, headers, body):
+    async def respond(self, writer, request, headers):
         """Respond to a caller's request; return whether the connection stays open."""
         attempt = headers.get("x-attempt-id", "")
         if not attempt:
             return self.write_response(writer, 400, b"X-Not-Executed: 1\r\n", b"")
         if self.response_mode == "refuse":
             return self.write_response(writer, 503, b"X-Not-Executed: 1\r\n", b"")
+        if self.response_mode == "misdirect":
+            return self.write_response(writer, 421, b"X-Not-Executed: 1\r\n", b"")
         self.executed_attempts.append(attempt)
+        request.is_run = True
         if self.is_harmful(headers):
             return self.crash()
         responder = RESPONDERS[self.response_mode]
