--- a/medlarbeam/checking/canonical.py
+++ b/medlarbeam/checking/canonical.py
@@ -6,7 +6,8 @@
 from xxhash import xxh3_128_intdigest
 
 from medlarbeam.checking.world import TAKEOVER_WAIT_S
-from medlarbeam.classes.fleet import FleetConfig, NodeRegistration, OrderRight, SettledEra
+from medlarbeam.classes.fleet import FleetConfig, NodeRegistration, OrderRight
+from medlarbeam.classes.node_records import SettledEra
 from medlarbeam.gateway.fleet_state import OUTAGE_RELEVANCE_S
 from medlarbeam.gateway.order_rights import (
     LEASE_TTL_S,
--- a/medlarbeam/checking/gateway_model.py
+++ b/medlarbeam/checking/gateway_model.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from medlarbeam.checking.store_model import Transaction
-from medlarbeam.classes.fleet import NodeRegistration, OrderRight, SettledEra
+from medlarbeam.classes.fleet import NodeRegistration, OrderRight
 from medlarbeam.classes.gateway_effects import AcquireRight, RecordSettledEra, RenewLease
 from medlarbeam.classes.gateway_messages import (
     AcquireRightResult,
@@ -14,6 +14,7 @@
     StoreSynced,
     StoreUnavailable,
 )
+from medlarbeam.classes.node_records import SettledEra
 from medlarbeam.gateway.fleet_state import FleetState, KnownServer
 from medlarbeam.gateway.order_rights import OrderRights
 from medlarbeam.gateway.settings import GatewaySettings
@@ -24,6 +25,7 @@
 ERA_KEY = "era"
 ORDER_GAP_S = 3.0  # as on the sites of the milestone
 FLEET_PLAIN = (
+    "access",
     "config",
     "copied_at",
     "era",
--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -15,13 +15,11 @@
     "NodeRegistration",
     "OrderRight",
     "PublishedVersion",
-    "Quarantine",
     "RouteKind",
     "RouteTarget",
     "ServerRegistration",
     "Service",
     "ServiceRoute",
-    "SettledEra",
     "SoftwareVersion",
     "StreamReport",
     "VersionStreams",
@@ -115,12 +113,15 @@
         0 is the most urgent.
     resumable : bool
         Whether another backend server may resume a stream after its last event.
+    is_public : bool
+        Whether its requests need no key.
     """
 
     __slots__ = (
         "attempts",
         "gap_goal_s",
         "host",
+        "is_public",
         "kind",
         "latency_goal_s",
         "name",
@@ -144,7 +145,9 @@
         attempts,
         priority,
         resumable,
+        is_public=False,
     ):
+        self.is_public = is_public
         self.name = name
         self.host = host
         self.prefix = prefix
@@ -243,9 +246,18 @@
         Maximum size of a request body (bytes).
     max_header_bytes : int
         Maximum size of a request head (bytes).
+    organisations : list of Organisation or None
+        None if callers need no keys.
     """
 
-    __slots__ = ("max_body_bytes", "max_header_bytes", "routes", "services", "version")
+    __slots__ = (
+        "max_body_bytes",
+        "max_header_bytes",
+        "organisations",
+        "routes",
+        "services",
+        "version",
+    )
 
     def __init__(
         self,
@@ -254,7 +266,9 @@
         services,
         max_body_bytes,
         max_header_bytes=DEFAULT_MAX_HEADER_BYTES,
+        organisations=None,
     ):
+        self.organisations = organisations
         self.version = version
         self.routes = routes
         self.services = services
@@ -414,15 +428,6 @@
         self.era = era
 
 
-class SettledEra(Record):
-    """The era of the store in which no holder of an order right of an earlier one is left."""
-
-    __slots__ = ("era",)
-
-    def __init__(self, era):
-        self.era = era
-
-
 class SoftwareVersion(HashedRecord):
     """A version of the software of a service's backend servers; hashable.
 
@@ -474,13 +479,3 @@
     def __init__(self, node, streams):
         self.node = node
         self.streams = streams
-
-
-class Quarantine(Record):
-    """Requests with `fingerprint` crash backend servers; `node` found this out."""
-
-    __slots__ = ("fingerprint", "node")
-
-    def __init__(self, fingerprint, node):
-        self.fingerprint = fingerprint
-        self.node = node
--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -81,9 +81,14 @@
         Version that has begun the stream, for the node to which the rest of it is forwarded.
     needs_acceptance : bool
         Whether the response is held back until `AcceptRun`; see `RunAnswered`.
+    organisation : str
+        Organisation on whose behalf the request runs, "" for none.
+    credential : CallerCredential or None
+        Credential of the caller, for the node to which the request is forwarded.
     """
 
     __slots__ = (
+        "credential",
         "deadline",
         "event_gap_timeout_s",
         "first_event_timeout_s",
@@ -91,6 +96,7 @@
         "is_stream",
         "needs_acceptance",
         "needs_new_connection",
+        "organisation",
         "origin",
         "priority",
         "request_id",
@@ -114,7 +120,11 @@
         forwarded_runs=None,
         origin=None,
         needs_acceptance=False,
+        organisation="",
+        credential=None,
     ):
+        self.credential = credential
+        self.organisation = organisation
         self.needs_acceptance = needs_acceptance
         self.forwarded_runs = forwarded_runs
         self.origin = origin
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+from medlarbeam.classes.organisations import NO_CREDENTIAL
 from medlarbeam.classes.record import Record
 
 __all__ = [
@@ -58,10 +59,12 @@
         Number of runs of a request that another node forwards, None if it comes from a caller.
     origin : SoftwareVersion or None
         Version that has begun the stream that goes on, if a node that forwards the request knows.
+    credential : CallerCredential
     """
 
     __slots__ = (
         "attempt_id",
+        "credential",
         "deadline",
         "fingerprint",
         "host",
@@ -93,7 +96,9 @@
         resumed_attempt="",
         runs_elsewhere=None,
         origin=None,
+        credential=NO_CREDENTIAL,
     ):
+        self.credential = credential
         self.runs_elsewhere = runs_elsewhere
         self.origin = origin
         self.last_event = last_event
--- a/medlarbeam/gateway/crash_suspects.py
+++ b/medlarbeam/gateway/crash_suspects.py
@@ -5,7 +5,6 @@
 from medlarbeam.algorithms.routing import rank_servers
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.fleet import Quarantine
 from medlarbeam.classes.gateway_effects import PublishQuarantine, WithdrawQuarantine
 from medlarbeam.classes.gateway_messages import (
     EntryDeleted,
@@ -14,6 +13,7 @@
     StoreSetBack,
     StoreSnapshot,
 )
+from medlarbeam.classes.node_records import Quarantine
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
 from medlarbeam.gateway.crash_evidence import (
     REQUEST_SCOPE,
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+from medlarbeam.algorithms.caller_access import OpenAccess, build_access
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import (
     FleetConfig,
@@ -9,7 +10,6 @@
     OrderRight,
     PublishedVersion,
     ServerRegistration,
-    SettledEra,
 )
 from medlarbeam.classes.gateway_effects import SendDatagram
 from medlarbeam.classes.gateway_messages import (
@@ -21,6 +21,7 @@
     StoreSynced,
     StoreUnavailable,
 )
+from medlarbeam.classes.node_records import SettledEra
 from medlarbeam.gateway.route_table import RouteTable
 from medlarbeam.node.component import Component
 
@@ -87,6 +88,8 @@
     ----------
     config : FleetConfig or None
     routes : RouteTable
+    access : CallerAccess
+        Which organisation a request belongs to in `config`.
     servers : dict of str to KnownServer
     published_versions : dict of AdapterKey to int
     nodes : dict of str to NodeRegistration
@@ -130,6 +133,7 @@
     """
 
     __slots__ = (
+        "access",
         "config",
         "copied_at",
         "doubtful_until",
@@ -163,6 +167,7 @@
         self.registered_at = -inf
         self.trusted_at = -inf
         self.routes = RouteTable()
+        self.access = OpenAccess()
         self.keys = {}
         self.servers = {}
         self.left = {}
@@ -300,9 +305,13 @@
             return
         self.config = config
         self.routes = RouteTable(config.routes)
-        out.emit(
-            LogEvent("config_adopted", f"version={config.version} routes={len(config.routes)}")
-        )
+        self.access = build_access(config)
+        count = 0 if config.organisations is None else len(config.organisations)
+        detail = f"version={config.version} routes={len(config.routes)} organisations={count}"
+        out.emit(LogEvent("config_adopted", detail))
+        for first, other in self.access.conflicts:
+            detail = f"a key of {other!r} is held by {first!r} and counts as a key of the latter"
+            out.emit(LogEvent("key_conflict", detail, level="warning"))
 
     def _apply_server(self, entry, now, out):
         known = self.servers.get(entry.name)
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -17,6 +17,8 @@
     RunRefused,
     RunStarted,
 )
+from medlarbeam.classes.organisations import CallerCredential
+from medlarbeam.exceptions import ERROR_RESPONSES, ErrorKind
 from medlarbeam.node.component import Component
 
 __all__ = ["Forwarding"]
@@ -117,6 +119,10 @@
                 inf,
                 relay.runs,
                 origin,
+                organisation=relay.organisation,
+                credential=CallerCredential(
+                    relay.request.credential.key_digests, self.node.fleet.config.version
+                ),
             )
         )
         out.emit(
@@ -174,6 +180,9 @@
             pause_s = message.pause.pause_s if message.pause is not None else None
             if pause_s is not None and pause_s < MAX_RETRY_AFTER_S:
                 relay.retry_after_s = pause_s
+            if message.status == ERROR_RESPONSES[ErrorKind.NOT_AUTHORIZED].status:
+                relay.refusal_kind = ErrorKind.NOT_AUTHORIZED
+                relay.retry_after_s = 0.0
             out.emit(
                 LogEvent(
                     "run_refused",
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -1,6 +1,7 @@
 """The gateway: an entry node in front of backend servers that other nodes use as well."""
 
 from medlarbeam.gateway.adapter_uses import AdapterUses
+from medlarbeam.gateway.admission import Admission
 from medlarbeam.gateway.crash_inquiries import CrashInquiries
 from medlarbeam.gateway.crash_reports import CrashReports
 from medlarbeam.gateway.crash_suspects import CrashSuspects
@@ -45,6 +46,7 @@
     """
 
     __slots__ = (
+        "admission",
         "crash_reports",
         "crashes",
         "fleet",
@@ -93,6 +95,7 @@
         self.holdings = Holdings(self)
         self.orders = Orders(self)
         self.relays = Relays(self)
+        self.admission = Admission(self)
         self.forwarding = Forwarding(self)
         self.stalls = StalledRuns(self)
         self.uses = AdapterUses(self)
@@ -117,6 +120,7 @@
                 self.rights,
                 self.holdings,
                 self.orders,
+                self.admission,
                 self.relays,
                 self.forwarding,
                 self.stalls,
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -21,6 +21,8 @@
     request : GatewayRequest
     route : ServiceRoute
     service : str
+    organisation : str
+        Name of the organisation on whose behalf the request runs, "" for none.
     state : str
         State of the chart ``relay``.
     now : float
@@ -85,6 +87,7 @@
         "is_response_started",
         "next_check_at",
         "nodes",
+        "organisation",
         "outcome",
         "paused_by",
         "reason",
@@ -105,10 +108,11 @@
         "timing",
     )
 
-    def __init__(self, request, route, service, state, now):
+    def __init__(self, request, route, service, organisation, state, now):
         self.request = request
         self.route = route
         self.service = service
+        self.organisation = organisation
         self.state = state
         self.arrived_at = now
         self.deadline_at = min(request.deadline, now + route.timeout_s)
@@ -179,7 +183,8 @@
         server, request = self.server, self.request
         return (
             f"run={self.run_id} server={server.name} software={server.software} "
-            f"route={self.route.name} resumes={request.resumed_attempt} "
+            f"route={self.route.name} organisation={self.organisation} "
+            f"resumes={request.resumed_attempt} "
             f"adapter={request.key} send={self.sends} "
             f"waited_s={now - self.arrived_at:.3f} attempt={request.attempt_id} "
             f"parts={','.join(request.shared_parts)}"
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -5,15 +5,9 @@
 from medlarbeam.algorithms.direct_routing import AdapterAffinityRouting
 from medlarbeam.charts.loader import load_chart
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.gateway_effects import (
-    AbortResponse,
-    CancelFleetRun,
-    PassErrorResponse,
-    RefuseRequest,
-)
+from medlarbeam.classes.gateway_effects import AbortResponse, CancelFleetRun, PassErrorResponse
 from medlarbeam.classes.gateway_messages import (
     CallerDisconnected,
-    GatewayRequest,
     RunCompleted,
     RunErrorResponse,
     RunInterrupted,
@@ -21,10 +15,10 @@
     RunStarted,
 )
 from medlarbeam.exceptions import ErrorKind, Failure, RunState
+from medlarbeam.gateway.admission import RESPONSE_SLACK_S, refuse
 from medlarbeam.gateway.crash_evidence import list_request_fingerprints
 from medlarbeam.gateway.load_requests import LoadRequests
-from medlarbeam.gateway.relay import RETRY_AFTER_S, ElapsedTimes, Relay, RelayTimers
-from medlarbeam.gateway.route_table import choose_service
+from medlarbeam.gateway.relay import RETRY_AFTER_S, ElapsedTimes, RelayTimers
 from medlarbeam.gateway.run_plan import plan_run
 from medlarbeam.gateway.run_refusals import RunRefusals
 from medlarbeam.gateway.server_selector import ServerSelector
@@ -39,7 +33,6 @@
 PAUSE_RECHECK_S = 0.1  # between selections while a request waits for the end of a pause
 RECHECK_INTERVAL_S = 0.05  # between selections while no backend server is available
 NO_SERVER_WAIT_SHARE = 0.5  # of the latency goal, after which the request is refused
-RESPONSE_SLACK_S = 0.15  # for a response that the backend server sends at its deadline
 
 
 class Relays(Component):
@@ -76,7 +69,6 @@
     def handlers(self):
         """Return the handler method of each message class."""
         return {
-            GatewayRequest: self.handle_request,
             CallerDisconnected: self.handle_caller_disconnected,
             RunStarted: self.handle_run_started,
             RunCompleted: self.handle_run_completed,
@@ -91,40 +83,19 @@
 
     # New requests
 
-    def handle_request(self, request, now, out):
-        """Route a new request and send it to a backend server if one is available."""
-        fleet = self.node.fleet
-        if not fleet.is_known():
-            failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, "no configuration is available yet")
-            self._refuse(request, failure, RETRY_AFTER_S, out)
-            return
-        route = fleet.routes.match(request.host, request.path)
-        if route is None:
-            reason = f"no route for {request.host}{request.path} in config {fleet.config.version}"
-            failure = Failure(ErrorKind.UNKNOWN_SERVICE, reason)
-            self._refuse(request, failure, 0.0, out)
-            return
-        service = choose_service(route, self.node.rng)
-        relay = Relay(request, route, service, self.chart.initial, now)
-        if not self.node.lifecycle.can_finish(relay.deadline_at + RESPONSE_SLACK_S, now):
-            failure = Failure(ErrorKind.SHUTTING_DOWN, "it might not end before this node stops")
-            self._refuse(request, failure, RETRY_AFTER_S, out)
-            return
+    def open(self, relay, now, out):
+        """Send an admitted request to a backend server if one is available."""
+        request = relay.request
         failure = self.node.origins.bind(relay, now, out)
         if failure is not None:
-            self._refuse(request, failure, 0.0, out)
+            refuse(request, failure, 0.0, out)
             return
-        relay.goal_at = now + route.latency_goal_s - self.elapsed_times.estimate(relay, now)
+        relay.goal_at = now + relay.route.latency_goal_s - self.elapsed_times.estimate(relay, now)
         self.open_relays[request.request_id] = relay
         if request.runs_elsewhere is None:
-            self.retry_budget.record_first_attempt(relay.service, len(fleet.nodes), now)
+            self.retry_budget.record_first_attempt(relay.service, len(self.node.fleet.nodes), now)
         self._dispatch(relay, now, out)
 
-    def _refuse(self, request, failure, retry_after_s, out):
-        text = f"attempt={request.attempt_id} {failure!r}"
-        out.emit(LogEvent("request_refused", text, request.request_id))
-        out.emit(RefuseRequest(request.request_id, failure, retry_after_s))
-
     def handle_caller_disconnected(self, message, now, out):
         """Cancel the run of a request whose caller has disconnected."""
         relay = self.open_relays.get(message.request_id)
@@ -395,8 +366,12 @@
         return self.retry_budget.can_acquire(relay.service, len(self.node.fleet.nodes), now)
 
     def has_node_left(self, relay, now, out, message):
-        """Return whether the request may be forwarded to one more node."""
-        return self.node.forwarding.has_node_left(relay)
+        """Return whether the request may be forwarded to one more node.
+
+        A node with the same configuration or a newer one has found the request not authorised.
+        """
+        is_authorised = relay.refusal_kind is not ErrorKind.NOT_AUTHORIZED
+        return is_authorised and self.node.forwarding.has_node_left(relay)
 
     def cancel_forwarded(self, relay, now, out, message):
         """Cancel the request at the node to which it was forwarded."""
@@ -471,7 +446,7 @@
 
     def _fail(self, relay, failure, retry_after_s, out):
         relay.outcome = failure.kind.value
-        self._refuse(relay.request, failure, retry_after_s, out)
+        refuse(relay.request, failure, retry_after_s, out)
 
     def _abort_response(self, relay, out):
         relay.outcome = "cut"
--- a/medlarbeam/gateway/run_plan.py
+++ b/medlarbeam/gateway/run_plan.py
@@ -60,4 +60,5 @@
         first_event_timeout_s,
         event_gap_timeout_s,
         needs_acceptance=needs_acceptance(relay),
+        organisation=relay.organisation,
     )
--- a/medlarbeam/gateway/tests/crash_fleet.py
+++ b/medlarbeam/gateway/tests/crash_fleet.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.fleet import NodeRegistration, Quarantine
+from medlarbeam.classes.fleet import NodeRegistration
 from medlarbeam.classes.gateway_effects import (
     AbortResponse,
     CancelFleetRun,
@@ -29,6 +29,7 @@
     StoreSnapshot,
     StoreSynced,
 )
+from medlarbeam.classes.node_records import Quarantine
 from medlarbeam.classes.server_messages import ProbeResult, RunClosed
 from medlarbeam.classes.server_starts import AcceptRun, RejectRun
 from medlarbeam.gateway.gateway import Gateway
--- a/medlarbeam/gateway/tests/test_crash_suspects.py
+++ b/medlarbeam/gateway/tests/test_crash_suspects.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from medlarbeam.classes.fleet import NodeRegistration, Quarantine
+from medlarbeam.classes.fleet import NodeRegistration
 from medlarbeam.classes.gateway_effects import (
     CancelFleetRun,
     ProbeServer,
@@ -27,6 +27,7 @@
     StoreSetBack,
     StoreSnapshot,
 )
+from medlarbeam.classes.node_records import Quarantine
 from medlarbeam.classes.peer_messages import ClearanceReport, DeathReport, LostRun
 from medlarbeam.classes.server_messages import ProbeResult
 from medlarbeam.exceptions import ErrorKind, RunState
--- a/medlarbeam/gateway/tests/test_inquiry_review.py
+++ b/medlarbeam/gateway/tests/test_inquiry_review.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from medlarbeam.classes.fleet import Quarantine
 from medlarbeam.classes.gateway_effects import ProbeServer, SendDatagram, WithdrawQuarantine
 from medlarbeam.classes.gateway_messages import (
     NodeDatagram,
@@ -14,6 +13,7 @@
     RunStarted,
     StoreSynced,
 )
+from medlarbeam.classes.node_records import Quarantine
 from medlarbeam.classes.peer_messages import DeathReport, LostRun
 from medlarbeam.classes.server_messages import ProbeResult, RunClosed
 from medlarbeam.classes.server_starts import AcceptRun, RejectRun
--- a/medlarbeam/gateway/tests/test_order_rights.py
+++ b/medlarbeam/gateway/tests/test_order_rights.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from medlarbeam.classes.fleet import NodeRegistration, OrderRight, SettledEra
+from medlarbeam.classes.fleet import NodeRegistration, OrderRight
 from medlarbeam.classes.gateway_effects import AcquireRight, RecordSettledEra, RenewLease
 from medlarbeam.classes.gateway_messages import (
     EntryDeleted,
@@ -13,6 +13,7 @@
     StoreSnapshot,
     StoreSynced,
 )
+from medlarbeam.classes.node_records import SettledEra
 from medlarbeam.gateway.order_rights import REVISION_BITS, RIGHT_VALIDITY_S
 from medlarbeam.gateway.tests.fleet_samples import (
     make_config,
--- a/medlarbeam/platform/caller_connection.py
+++ b/medlarbeam/platform/caller_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import re
 from http import HTTPStatus
 
 from aiohttp.http_exceptions import HttpProcessingError
@@ -20,7 +21,7 @@
 # Bytes of a piece that are neither small nor mostly payload make the piece costly to parse.
 COSTLY_BYTES = 2048
 REFUSAL = b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-MAX_QUOTED_CHARACTERS = 120  # of a parser's error, which quotes the caller
+MAX_ERROR_CHARACTERS = 80
 
 
 class CallerConnection(RequestHandler, asyncio.BufferedProtocol):
@@ -189,11 +190,15 @@
         if isinstance(error, ConnectionError):
             log.info("connection closed within a request", extra={"event": "request_cut"})
         elif isinstance(error, HttpProcessingError):
-            text = " ".join(str(error).split())[:MAX_QUOTED_CHARACTERS]
-            log.info("malformed request: %s", ascii(text), extra={"event": "request_malformed"})
+            text = describe_malformed(error)
+            log.info("malformed request: %s", text, extra={"event": "request_malformed"})
         else:
             super().log_exception(*args, **options)
 
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Answer without the text of an error, which may quote a key of the caller."""
+        return super().handle_error(request, status, exc, f"{status} {HTTPStatus(status).phrase}")
+
     def end_request(self, now):
         """Note at `now` (s) that the response to a request is decided."""
         self.account.record_response(self.usage)
@@ -208,3 +213,12 @@
             and self.transport is not None
             and not self.transport.get_write_buffer_size()
         )
+
+
+def describe_malformed(error):
+    """Return what is wrong with a request, without what the parser quotes of it.
+
+    The quotation follows the first colon or quotation mark; it may contain a key.
+    """
+    text = re.split("[:'\"\n]", error.message or "")[0].strip()
+    return f"{type(error).__name__}: {ascii(text[:MAX_ERROR_CHARACTERS])}"
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -6,6 +6,7 @@
 from orjson import JSONDecodeError, dumps, loads
 from xxhash import xxh3_64_hexdigest
 
+from medlarbeam.algorithms.caller_access import digest_key
 from medlarbeam.classes.fleet import (
     DEFAULT_MAX_HEADER_BYTES,
     AdapterKey,
@@ -16,17 +17,17 @@
     NodeRegistration,
     OrderRight,
     PublishedVersion,
-    Quarantine,
     RouteKind,
     RouteTarget,
     ServerRegistration,
     Service,
     ServiceRoute,
-    SettledEra,
     SoftwareVersion,
     StreamReport,
     VersionStreams,
 )
+from medlarbeam.classes.node_records import Quarantine, SettledEra
+from medlarbeam.classes.organisations import Organisation
 from medlarbeam.exceptions import FormatError
 
 __all__ = [
@@ -190,6 +191,7 @@
 def decode_config(name, document, revision):
     """Decode the configuration document into a `FleetConfig`."""
     limits = read_field(document, "limits", dict, {})
+    has_organisations = "tenants" in document
     services = [decode_service(s) for s in read_field(document, "services", list)]
     return FleetConfig(
         read_field(document, "version", int),
@@ -197,9 +199,22 @@
         {service.name: service for service in services},
         read_field(limits, "maxBodyBytes", int, DEFAULT_MAX_BODY_BYTES),
         read_field(limits, "maxHeaderBytes", int, DEFAULT_MAX_HEADER_BYTES),
+        decode_organisations(read_field(document, "tenants", list)) if has_organisations else None,
     )
 
 
+def decode_organisations(documents):
+    """Decode the organisations of a configuration into a list of `Organisation`."""
+    organisations = []
+    for number, document in enumerate(documents):
+        name = read_field(document, "name", str)
+        if not name.isprintable() or not name.strip():
+            raise FormatError(f"the name of organisation {number} cannot be sent in a header")
+        keys = read_texts(document, "apiKeys")
+        organisations.append(Organisation(name, [digest_key(key) for key in keys if key]))
+    return organisations
+
+
 def decode_route(document):
     """Decode a route of the configuration into a `ServiceRoute`."""
     kind = ROUTE_KINDS.get(read_field(document, "routeKind", str))
@@ -226,6 +241,7 @@
         read_field(document, "attempts", int, 1),
         read_field(document, "priority", int, 5),
         read_field(document, "resumable", bool, False),
+        read_field(document, "public", bool, False),
     )
 
 
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -7,9 +7,12 @@
 
 from xxhash import xxh3_64_hexdigest
 
+from medlarbeam.algorithms.caller_access import digest_key
 from medlarbeam.classes.fleet import AdapterKey, SoftwareVersion
 from medlarbeam.classes.gateway_effects import ServerLoad
 from medlarbeam.classes.gateway_messages import PauseRequest
+from medlarbeam.classes.organisations import NO_CREDENTIAL, CallerCredential
+from medlarbeam.platform.header_rules import REQUEST_RULES, RESPONSE_RULES, pass_headers
 
 __all__ = [
     "ATTEMPT_ID",
@@ -23,6 +26,7 @@
     "forwarded_headers",
     "origin_headers",
     "parse_adapter_key",
+    "parse_credential",
     "parse_deadline_s",
     "parse_last_event",
     "parse_leaving",
@@ -40,10 +44,16 @@
 ]
 
 ATTEMPT_ID = "X-Attempt-Id"
+# Version of the configuration that a node has applied to a request that it forwards.
+CONFIG_VERSION = "Medlarbeam-Config"
 INSTANCE_ID = "X-Instance-Id"
 LAST_EVENT_ID = "Last-Event-Id"
 LEAVING = "Server-Leaving"  # "1" in all responses of a server that takes no new requests
+KEY = "X-Key"
+# Digest of the key of a request that a node forwards, see `digest_key`.
+KEY_DIGEST = "Medlarbeam-Key-Digest"
 NOT_RUN = "X-Not-Executed"
+ORGANISATION = "X-Tenant"
 # Service and software version that have begun a stream; exchanged by nodes only.
 ORIGIN = "Medlarbeam-Origin"
 RATE_LIMIT = "Server-Limit"  # requests per second that the server takes from all nodes together
@@ -62,47 +72,6 @@
 MAX_LOGGED_CHARACTERS = 40  # of a header value that goes into a log line
 DECIMAL = re.compile(r"[0-9]+(?:\.[0-9]*)?|\.[0-9]+")
 
-# Hop-by-hop headers, and headers that the HTTP library generates itself.
-HOP_BY_HOP = {
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-}
-# Headers that control a backend server. They are removed from caller requests, so that callers
-# cannot forge them.
-INTERNAL_HEADERS = {
-    "kv-fetch",
-    "kv-from",
-    "medlarbeam-origin",
-    "medlarbeam-runs",
-    "wait-ms",
-    "x-deadline-ms",
-    "x-expect-instance",
-    "x-expect-version",
-    "x-hold",
-    "x-kv-backup",
-    "x-pin-ms",
-    "x-request-priority",
-}
-
-
-def _filter(headers, excluded):
-    connection_options = {
-        name.strip().lower()
-        for value in headers.getall("Connection", ())
-        for name in value.split(",")
-    }
-    excluded = excluded | connection_options
-    return [(name, value) for name, value in headers.items() if name.lower() not in excluded]
-
 
 def replace_invalid(text):
     """Return `text` with bytes that are not UTF-8 replaced, so that it can be encoded again."""
@@ -111,7 +80,7 @@
 
 def forwarded_headers(headers):
     """Return the caller's headers that are forwarded, as a list of ``(name, value)``."""
-    return _filter(headers, HOP_BY_HOP | INTERNAL_HEADERS)
+    return pass_headers(headers, REQUEST_RULES)
 
 
 def response_headers(headers, status=200):
@@ -120,11 +89,10 @@
     ``Retry-After`` of a server error is removed: it states when that one server takes requests of
     this node again, while another server may take the caller's next attempt at once.
     """
-    internal = {name.lower() for name in (INSTANCE_ID, LEAVING, ORIGIN, RATE_LIMIT, REFUSAL_LIMIT)}
-    internal |= {"date", "server", "x-server-load"}
-    if status >= 500:
-        internal.add(RETRY_AFTER.lower())
-    return _filter(headers, HOP_BY_HOP | internal)
+    passed = pass_headers(headers, RESPONSE_RULES)
+    if status < 500:
+        return passed
+    return [(name, value) for name, value in passed if name.lower() != RETRY_AFTER.lower()]
 
 
 def run_headers(forwarded, effect, last_event, now):
@@ -142,14 +110,15 @@
     """
     headers = [(n, v) for n, v in forwarded if not (last_event and n.lower() == "last-event-id")]
     headers.append(("X-Deadline-Ms", str(max(1, int((effect.deadline - now) * 1000)))))
+    # At the address of a node there may be a backend server by now, which then refuses the request.
+    headers.append(("X-Expect-Instance", effect.server.name))
+    if effect.organisation:
+        headers.append((ORGANISATION, effect.organisation))
     if last_event:
         headers.append((LAST_EVENT_ID, str(last_event)))
     if effect.forwarded_runs is not None:
         return headers + _list_forwarding_headers(forwarded, effect, last_event)
-    headers += [
-        ("X-Expect-Instance", effect.server.name),
-        ("X-Request-Priority", str(min(9, max(0, effect.priority)))),
-    ]
+    headers.append(("X-Request-Priority", str(min(9, max(0, effect.priority)))))
     if effect.version:
         headers.append(("X-Expect-Version", str(effect.version)))
     return headers
@@ -157,7 +126,12 @@
 
 def _list_forwarding_headers(forwarded, effect, last_event):
     """Return what another node has to know; it sets the headers for the backend server itself."""
-    headers = [(RUNS_ELSEWHERE, str(effect.forwarded_runs))]
+    headers = [
+        (RUNS_ELSEWHERE, str(effect.forwarded_runs)),
+        (CONFIG_VERSION, str(effect.credential.config_version)),
+        *((KEY_DIGEST, digest) for digest in effect.credential.key_digests),
+        ("Connection", f"{RUNS_ELSEWHERE}, {CONFIG_VERSION}, {KEY_DIGEST}"),
+    ]
     if last_event and not any(name.lower() == RESUMES.lower() for name, _ in forwarded):
         # For the other node this is the rest of a stream that the caller's attempt has begun.
         headers += [(RESUMES, value) for name, value in forwarded if name == ATTEMPT_ID]
@@ -185,6 +159,22 @@
     return SoftwareVersion(replace_invalid(unquote(service)), replace_invalid(unquote(software)))
 
 
+def parse_credential(headers, is_from_node):
+    """Return the `CallerCredential` of a request.
+
+    Parameters
+    ----------
+    headers : multidict.CIMultiDictProxy
+    is_from_node : bool
+        Whether another node forwards the request. One of an earlier build passes the caller's key.
+    """
+    if is_from_node and CONFIG_VERSION in headers:
+        version = _parse_number(headers[CONFIG_VERSION], None)
+        return CallerCredential(tuple(headers.getall(KEY_DIGEST, ())), version)
+    keys = headers.getall(KEY, ())
+    return CallerCredential(tuple(digest_key(key) for key in keys)) if keys else NO_CREDENTIAL
+
+
 def parse_deadline_s(headers):
     """Return the caller's deadline in seconds from now, infinity if it sent no valid one."""
     return _parse_number(headers.get("X-Deadline-Ms", ""), inf) / 1000.0
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -29,6 +29,7 @@
     NOT_RUN,
     forwarded_headers,
     parse_adapter_key,
+    parse_credential,
     parse_deadline_s,
     parse_last_event,
     parse_origin,
@@ -47,7 +48,7 @@
 DEFAULT_DEADLINE_S = 30.0  # for requests without a deadline
 FALLBACK_MAX_BODY_BYTES = 4 << 20  # until a configuration is received
 # Statuses that tell the caller that the request was not run; other failures before a run get 503.
-NOT_RUN_STATUSES = {400, 404, 413, 429, 503}
+NOT_RUN_STATUSES = {400, 401, 404, 413, 429, 503}
 
 
 def parse_address(text):
@@ -309,6 +310,7 @@
         parse_resumed_attempt(http_request.headers),
         runs_elsewhere,
         parse_origin(http_request.headers) if runs_elsewhere is not None else None,
+        parse_credential(http_request.headers, runs_elsewhere is not None),
     )
 
 
--- a/medlarbeam/platform/tests/test_caller_keys.py
+++ b/medlarbeam/platform/tests/test_caller_keys.py
@@ -9,6 +9,7 @@
 from orjson import dumps
 
 from medlarbeam.classes.record import Record
+from medlarbeam.platform.tests.raw_caller import RawCaller
 from medlarbeam.platform.tests.test_forwarding import run_stranded
 from medlarbeam.platform.tests.test_whole_path import (
     BROKEN,
@@ -121,7 +122,7 @@
     ("two-keys", [KEY, ("X-Key", "key-of-bolt")], REFUSED),
     ("two-keys-in-one-header", [("X-Key", "key-of-acme, key-of-bolt")], REFUSED),
     ("name-of-an-organisation", [("X-Key", "acme")], REFUSED),
-    ("withdrawn-key", [("X-Key", "withdrawn-key")], REFUSED),
+    ("withdrawn-key", [("X-Key", "former-key-of-acme")], REFUSED),
 ]
 PUBLIC_CALLERS = [
     ("no-key", [], ""),
@@ -174,7 +175,7 @@
 async def withdraw_key(deployments):
     """Write a configuration with one more key, and one without it."""
     acme, *others = ORGANISATIONS
-    former = [{**acme, "apiKeys": [*acme["apiKeys"], "withdrawn-key"]}, *others]
+    former = [{**acme, "apiKeys": [*acme["apiKeys"], "former-key-of-acme"]}, *others]
     await adopt(deployments, 4, former)
     await adopt(deployments, 5)
 
@@ -202,3 +203,50 @@
     if organisation is REFUSED:
         return Outcome(caller, True, set(), False)
     return Outcome(caller, False, {organisation}, False)
+
+
+# Header lines of a request that the parser refuses.
+MALFORMED = [
+    ("space-before-the-colon", "X-Key : secret"),
+    ("space-before-the-name", " X-Key: secret"),
+    ("line-that-is-folded", "X-Key: a\r\n secret"),
+    ("bare-carriage-return", "X-Key: secret\rX-A: secret"),
+    ("bare-line-feed", "X-A: 1\nX-Key: secret"),
+    ("two-hosts", "Host: secret"),
+    ("two-lengths", "Content-Length: 7\r\nX-Key: secret"),
+    ("no-colon", "X-Key secret"),
+]
+
+
+@pytest.mark.parametrize("line", [m[1] for m in MALFORMED], ids=[m[0] for m in MALFORMED])
+def test_key_is_in_no_log_line_and_no_answer_to_a_malformed_request(line, caplog):
+    async def scenario(deployment, session):
+        caller = RawCaller(deployment.front, HOST)
+        caller.send_request("pay", "id-1", headers=f"{line}\r\n")
+        answer = await caller.receive()
+        caller.close()
+        return answer
+
+    with caplog.at_level("DEBUG"):
+        status, head, body = run(scenario)
+    assert status == 400
+    assert "secret" not in head + body.decode() + caplog.text
+
+
+def test_key_is_in_no_log_line_of_requests_and_configurations(caplog):
+    async def scenario(deployment, session):
+        await withdraw_key([deployment])
+        conflict = {"name": "late", "apiKeys": ["key-of-acme"]}
+        await adopt([deployment], 6, [*ORGANISATIONS, conflict])
+        write_config(deployment, 7, [{"name": "acme", "apiKeys": ["key-of-acme", 5]}])
+        return [
+            await call([deployment], session, "pay", caller, headers)
+            for caller, headers, _ in CALLERS
+        ]
+
+    with caplog.at_level("DEBUG"):
+        outcomes = run(scenario)
+    assert outcomes == [expect_outcome(*caller) for caller in CALLERS]
+    assert "a key of 'late' is held by 'acme'" in caplog.text
+    keys = [key for organisation in ORGANISATIONS for key in organisation["apiKeys"]]
+    assert not [key for key in [*keys, "former-key-of-acme", "k" * 3000] if key in caplog.text]
--- a/medlarbeam/platform/tests/test_earlier_builds.py
+++ b/medlarbeam/platform/tests/test_earlier_builds.py
@@ -13,12 +13,11 @@
     AdapterKey,
     NodeRegistration,
     OrderRight,
-    Quarantine,
-    SettledEra,
     SoftwareVersion,
     StreamReport,
     VersionStreams,
 )
+from medlarbeam.classes.node_records import Quarantine, SettledEra
 from medlarbeam.classes.peer_messages import (
     AdapterDemand,
     AdapterHolding,
