--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -55,6 +55,8 @@
         Monotonic time (s) after which the request is dropped instead of written.
     allow_resend : bool
         Whether the HTTP library may send the request again on a new connection.
+    target : str or None
+        Request target to send in place of that of the URL.
 
     Attributes
     ----------
@@ -66,9 +68,10 @@
     `sent` becomes True just before the first byte is written.
     """
 
-    __slots__ = ("allow_resend", "connected_at", "not_after", "read_clock", "sent")
+    __slots__ = ("allow_resend", "connected_at", "not_after", "read_clock", "sent", "target")
 
-    def __init__(self, read_clock=None, not_after=None, allow_resend=False):
+    def __init__(self, read_clock=None, not_after=None, allow_resend=False, target=None):
+        self.target = target
         self.read_clock = read_clock
         self.not_after = not_after
         self.allow_resend = allow_resend
@@ -94,6 +97,15 @@
         CURRENT_GUARD.reset(token)
 
 
+class SentTarget:
+    """Stands for the URL of a request whose target is sent as it is."""
+
+    __slots__ = ("raw_path_qs",)
+
+    def __init__(self, target):
+        self.raw_path_qs = target
+
+
 class GuardedRequest(ClientRequest):
     """Request that consults the current `SendGuard` once the connection is established.
 
@@ -107,6 +119,8 @@
         guard = CURRENT_GUARD.get()
         guard.permit_send()
         guard.connected_at = conn.protocol.connected_at
+        if guard.target is not None:
+            self.url = SentTarget(guard.target)
         return await super().send(conn)
 
 
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -21,7 +21,7 @@
     GatewayRequest,
 )
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
-from medlarbeam.exceptions import ERROR_RESPONSES, RunState
+from medlarbeam.exceptions import ERROR_RESPONSES, ErrorKind, FormatError, RunState
 from medlarbeam.platform.caller_account import CallerAccount, CallerLimits
 from medlarbeam.platform.caller_listener import CallerListener
 from medlarbeam.platform.headers import (
@@ -40,6 +40,7 @@
     parse_tokens,
     replace_invalid,
 )
+from medlarbeam.platform.request_checks import check_request
 
 __all__ = ["Exchange", "HttpFrontEnd", "parse_address"]
 
@@ -64,13 +65,13 @@
     ----------
     http_request : aiohttp.web.BaseRequest
     body : bytes
+    headers : list of tuple
+        Request headers that are forwarded.
     request : GatewayRequest
     driver : NodeDriver
 
     Attributes
     ----------
-    headers : list of tuple
-        Request headers that are forwarded.
     last_event : int
         Id of the last event that the caller received, 0 for none.
     stream : aiohttp.web.StreamResponse or None
@@ -96,12 +97,12 @@
         "timing",
     )
 
-    def __init__(self, http_request, body, request, driver):
+    def __init__(self, http_request, body, headers, request, driver):
         self.driver = driver
         self.http_request = http_request
         self.body = body
         self.request = request
-        self.headers = forwarded_headers(http_request.headers)
+        self.headers = headers
         self.last_event = parse_last_event(http_request.headers)
         self.stream = None
         self.timing = None
@@ -226,6 +227,12 @@
         body = await self._read_body(http_request)
         if body is None:
             return Response(status=413, headers={"Connection": "close"})
+        headers = forwarded_headers(http_request.headers)
+        try:
+            check_request(http_request.method, http_request.raw_path, headers)
+        except FormatError as error:
+            log.info("request refused: %s", error, extra={"event": "request_malformed"})
+            return build_bad_request(error)
         now = self.driver.read_clock()
         self.request_count += 1
         request = parse_request(
@@ -235,7 +242,7 @@
             now,
             runs_elsewhere,
         )
-        exchange = Exchange(http_request, body, request, self.driver)
+        exchange = Exchange(http_request, body, headers, request, self.driver)
         self.exchanges[request.request_id] = exchange
         try:
             self.driver.deliver(request)
@@ -321,6 +328,14 @@
     return xxh3_64_intdigest("\n".join(fields).encode("utf-8", "surrogateescape") + b"\n" + body)
 
 
+def build_bad_request(error):
+    """Return the HTTP response to a request that `check_request` has refused."""
+    kind = ErrorKind.INVALID_REQUEST
+    answer = ERROR_RESPONSES[kind]
+    document = {"error": kind.value, "reason": str(error), "run": answer.run_state.value}
+    return Response(status=answer.status, body=dumps(document), content_type="application/json")
+
+
 def build_refusal(exchange, effect):
     """Return the HTTP response for a `RefuseRequest` effect."""
     failure = effect.failure
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -177,7 +177,9 @@
     # Runs
 
     async def _run(self, effect, exchange):
-        guard = SendGuard()
+        # `yarl.URL` drops the question mark of an empty query.
+        target = exchange.http_request.raw_path
+        guard = SendGuard(target=target if target.endswith("?") else None)
         try:
             with apply_send_guard(guard):
                 message = await self._send_and_relay(effect, exchange, guard)
