--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -8,6 +8,7 @@
 from aiohttp import (
     ClientError,
     ClientRequest,
+    ClientResponse,
     ClientResponseError,
     ClientSession,
     DummyCookieJar,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "CALL_ERRORS",
+    "InvalidStatusError",
     "NoDnsResolver",
     "NotSentError",
     "SendGuard",
@@ -35,6 +37,8 @@
 MAX_MESSAGES = 16  # heads in the response to one request, interim ones included
 PARSED_BYTES = 4096  # at a time; 4 KB hold some 200 heads, which take about 1 ms
 
+MIN_STATUS, MAX_STATUS = 200, 599  # of a final response; RFC 9110, section 15
+
 IDLE_TIMEOUT_S = 15.0
 
 CURRENT_GUARD = ContextVar("medlarbeam_current_call")
@@ -44,6 +48,10 @@
     """A request was dropped after the connection was established and before it was written."""
 
 
+class InvalidStatusError(MedlarbeamError):
+    """The status of a response is that of no final response, so the server is faulty."""
+
+
 class SendGuard:
     """Permits or refuses to send one request, and records whether it was sent.
 
@@ -124,6 +132,19 @@
         return await super().send(conn)
 
 
+class CheckedResponse(ClientResponse):
+    """Response whose status is that of a final response."""
+
+    __slots__ = ()
+
+    async def start(self, connection):
+        """Read the head; raise InvalidStatusError, which closes the connection."""
+        await super().start(connection)
+        if not MIN_STATUS <= self.status <= MAX_STATUS:
+            raise InvalidStatusError(f"HTTP status {self.status:03d}")
+        return self
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Connection of a client that closes it when heads of responses arrive without end.
 
@@ -245,6 +266,7 @@
         connector=connector,
         cookie_jar=DummyCookieJar(),
         request_class=GuardedRequest,
+        response_class=CheckedResponse,
         timeout=timeout,
     )
 
--- a/medlarbeam/platform/tests/test_faulty_peers.py
+++ b/medlarbeam/platform/tests/test_faulty_peers.py
@@ -13,6 +13,7 @@
 from medlarbeam.gateway.server_selector import ServerSelector
 from medlarbeam.platform.http_front_end import parse_address
 from medlarbeam.platform.tests.raw_caller import RawCaller
+from medlarbeam.platform.tests.test_forwarding import run_stranded
 from medlarbeam.platform.tests.test_whole_path import (
     CONFIG,
     HOST,
@@ -21,6 +22,7 @@
     run,
     wait_until,
 )
+from medlarbeam.standins.platform_worker import INVALID_STATUSES
 
 ADAPTER = "X-Model: m0/a1\r\n"
 
@@ -96,6 +98,26 @@
     assert events and STREAM.startswith(events)
 
 
+INVALID_STATUS_ROUTES = [("pay", {1}), ("read", {1, 2}), ("draft", {1})]
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True], ids=["direct", "forwarded"])
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_status_of_no_final_response_is_not_passed_on(status, is_forwarded):
+    async def play(first, other, session):
+        other.set_response_mode(f"status_{status}")
+        return [
+            (await first.call(session, name, f"id-{name}"), other.count_runs(f"id-{name}") in runs)
+            for name, runs in INVALID_STATUS_ROUTES
+        ]
+
+    if is_forwarded:
+        outcomes = run_stranded(play)
+    else:
+        outcomes = run(lambda deployment, session: play(deployment, deployment, session))
+    assert [(answer[0], is_expected) for answer, is_expected in outcomes] == [(502, True)] * 3
+
+
 UNENDING = [
     ("trickled-response", "trickle", "pay", {504}),
     ("trickled-response-that-may-be-retried", "trickle", "read", {502, 504}),
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -17,10 +17,19 @@
     encode_event,
 )
 
-__all__ = ["HEAD_STARTS", "LEAVING_HEADER", "RESPONDERS", "PlatformWorker", "encode_event"]
+__all__ = [
+    "HEAD_STARTS",
+    "INVALID_STATUSES",
+    "LEAVING_HEADER",
+    "RESPONDERS",
+    "PlatformWorker",
+    "encode_event",
+]
 
 LEAVING_HEADER = b"Server-Leaving: 1\r\n"
 MAX_RECEIVED = 10_000
+# Status codes that no final response has.
+INVALID_STATUSES = ("000", "099", "0", "101", "600", "999", "1000", "2x0", "-200", "0200")
 PIECE_PAUSE_S = 0.15
 TRICKLE_PAUSE_S = 0.05
 OK_HEAD_START = b"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n"
@@ -319,6 +328,27 @@
         return True
 
 
+class StatusResponse:
+    """Writes a signed response with a status line of its own.
+
+    Parameters
+    ----------
+    status : str
+        Text in place of the status code.
+    """
+
+    __slots__ = ("status",)
+
+    def __init__(self, status):
+        self.status = status
+
+    async def __call__(self, worker, writer, attempt, body_parts):
+        """Respond to a request; return True, since the connection stays open."""
+        head = build_head(worker, attempt, headers=b"Content-Length: 4\r\n\r\n")
+        writer.write(head.replace(b" 200 ", f" {self.status} ".encode(), 1) + b"paid")
+        return True
+
+
 async def send_empty_success(worker, writer, attempt, body_parts):
     """Send a signed response with a status of success and no body."""
     writer.write(build_head(worker, attempt, 204, b"\r\n"))
@@ -448,6 +478,7 @@
     "unsigned": send_unsigned,
     "encoded": send_encoded,
     "twice": send_extra_response,
+    **{f"status_{status}": StatusResponse(status) for status in INVALID_STATUSES},
     "garbage": send_garbage,
     **ENDLESS_RESPONDERS,
     "never": send_nothing,
