Decide forwarded requests by no older configuration than the node that forwards them (CONFIG)

Cause: a forwarded request was routed by the receiver's copy of the configuration, which may be older than that of the sender or of the node that had the request before. The same holds for keys: a receiver with an older copy would run a withdrawn one, or refuse one that was added.

Change: a forwarded request names the newest version that the sender knows to be applied, and answers name that of the receiver. A node that learns of a newer version reads the store before it decides, for 0.5 s at most; then it refuses forwarded requests as not run, and serves its own callers by what it knows.

--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -9,6 +9,7 @@
     "AcquireRightResult",
     "CallerConnections",
     "CallerDisconnected",
+    "ConfigVersionStated",
     "EntryDeleted",
     "EntryUpdated",
     "GatewayRequest",
@@ -115,6 +116,15 @@
         self.shared_parts = shared_parts
 
 
+class ConfigVersionStated(Record):
+    """Another node has answered a forwarded request by this version of the configuration."""
+
+    __slots__ = ("version",)
+
+    def __init__(self, version):
+        self.version = version
+
+
 class CallerConnections(Record):
     """Number of open connections of callers, the response to `CloseIdleConnections`."""
 
--- a/medlarbeam/gateway/admission.py
+++ b/medlarbeam/gateway/admission.py
@@ -3,8 +3,15 @@
 from math import inf
 
 from medlarbeam.classes.effects import LogEvent
-from medlarbeam.classes.gateway_effects import RefuseRequest
-from medlarbeam.classes.gateway_messages import GatewayRequest
+from medlarbeam.classes.gateway_effects import RefuseRequest, SyncStore
+from medlarbeam.classes.gateway_messages import (
+    CallerDisconnected,
+    ConfigVersionStated,
+    EntryUpdated,
+    GatewayRequest,
+    StoreSetBack,
+    StoreSnapshot,
+)
 from medlarbeam.exceptions import ErrorKind, Failure
 from medlarbeam.gateway.relay import RETRY_AFTER_S, Relay
 from medlarbeam.gateway.route_table import choose_service
@@ -13,19 +20,123 @@
 __all__ = ["Admission", "refuse"]
 
 RESPONSE_SLACK_S = 0.15  # for a response that the backend server sends at its deadline
+# For the store to answer; it takes some ms, or 0.25 s if it is slow.
+CONFIG_WAIT_S = 0.5
+
+
+class WaitingRequest:
+    """A request that has waited for a version of the configuration since a time (s)."""
+
+    __slots__ = ("arrived_at", "request", "version")
+
+    def __init__(self, request, version, arrived_at):
+        self.request = request
+        self.version = version
+        self.arrived_at = arrived_at
 
 
 class Admission(Component):
-    """Admits requests by the newest configuration that this node knows, or refuses them."""
+    """Admits requests by the newest configuration that this node knows, or refuses them.
 
-    __slots__ = ()
+    Nodes read a new configuration at different times. A node that learns from another one that a
+    newer version is applied reads the store before it decides again, so that requests that go
+    through several nodes are not decided by an older version after a newer one.
+
+    Attributes
+    ----------
+    applied_version : int
+        Newest version of the configuration that some node is known to apply.
+    missed_version : int
+        Newest version for which this node has waited in vain; callers do not wait for it again.
+    waiting : dict of str to WaitingRequest
+        By request id, the oldest first.
+    """
+
+    __slots__ = ("applied_version", "missed_version", "waiting")
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.applied_version = 0
+        self.missed_version = 0
+        self.waiting = {}
 
     def handlers(self):
         """Return the handler method of each message class."""
-        return {GatewayRequest: self.handle_request}
+        return {
+            CallerDisconnected: self.handle_caller_disconnected,
+            ConfigVersionStated: self.handle_version_stated,
+            EntryUpdated: self.handle_store_change,
+            GatewayRequest: self.handle_request,
+            StoreSetBack: self.handle_set_back,
+            StoreSnapshot: self.handle_store_change,
+        }
+
+    # Versions of the configuration
+
+    def find_version(self):
+        """Return the version of the configuration that this node knows, 0 for none."""
+        config = self.node.fleet.config
+        return config.version if config is not None else 0
+
+    def find_applied_version(self):
+        """Return the newest version that this node or another one is known to apply."""
+        return max(self.find_version(), self.applied_version)
+
+    def handle_version_stated(self, message, now, out):
+        """Read the store if another node applies a newer version."""
+        if message.version > self.find_applied_version():
+            self.applied_version = message.version
+            out.emit(SyncStore())
+
+    def handle_set_back(self, message, now, out):
+        """Forget versions that the store may have lost."""
+        self.applied_version = self.missed_version = 0
+
+    def handle_store_change(self, message, now, out):
+        """Admit the requests whose version is known now."""
+        if not self.waiting:
+            return
+        version = self.find_version()
+        known = [w for w in self.waiting.values() if w.version <= version]
+        for waiting in known:
+            del self.waiting[waiting.request.request_id]
+            self._admit(waiting.request, waiting.arrived_at, now, out)
+
+    # Requests
 
     def handle_request(self, request, now, out):
-        """Open a relay for a new request, or refuse it."""
+        """Admit or refuse a new request, or let it wait for a newer configuration."""
+        stated = request.credential.config_version
+        version = self.applied_version if stated is None else stated
+        can_wait = self.node.fleet.store_unavailable_since is None
+        can_wait = can_wait and not self.node.lifecycle.is_leaving()
+        if version <= self.find_version() or (stated is None and version <= self.missed_version):
+            self._admit(request, now, now, out)
+        elif can_wait:
+            self.waiting[request.request_id] = WaitingRequest(request, version, now)
+            out.emit(SyncStore())
+        else:
+            self._decide_behind(request, version, now, now, out)
+
+    def _decide_behind(self, request, version, arrived_at, now, out):
+        """Decide on a request without the version of the configuration that it needs.
+
+        Another node can decide on a forwarded request. A caller is served by what this node knows,
+        so that an outage of the store does not end the service.
+        """
+        if version > self.missed_version:
+            self.missed_version = version
+            detail = f"version={self.find_version()} applied_elsewhere={version}"
+            out.emit(LogEvent("config_behind", detail, level="warning"))
+        if request.runs_elsewhere is None:
+            self._admit(request, arrived_at, now, out)
+            return
+        reason = f"config {version} is not known here yet, only {self.find_version()}"
+        failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, reason)
+        refuse(request, failure, RETRY_AFTER_S, out)
+
+    def _admit(self, request, arrived_at, now, out):
+        """Open a relay for a request, or refuse it."""
         fleet = self.node.fleet
         if not fleet.is_known():
             failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, "no configuration is available yet")
@@ -42,19 +153,29 @@
             refuse(request, organisation, 0.0, out)
             return
         service = choose_service(route, self.node.rng)
-        relay = Relay(request, route, service, organisation, self.node.relays.chart.initial, now)
+        initial = self.node.relays.chart.initial
+        relay = Relay(request, route, service, organisation, initial, arrived_at)
         if not self.node.lifecycle.can_finish(relay.deadline_at + RESPONSE_SLACK_S, now):
             failure = Failure(ErrorKind.SHUTTING_DOWN, "it might not end before this node stops")
             refuse(request, failure, RETRY_AFTER_S, out)
             return
         self.node.relays.open(relay, now, out)
 
+    def handle_caller_disconnected(self, message, now, out):
+        """Forget a request whose caller has disconnected."""
+        self.waiting.pop(message.request_id, None)
+
     def tick(self, now, out):
-        """Do nothing; a request is admitted or refused when it arrives."""
+        """Decide on the requests that have waited long enough."""
+        while self.next_deadline() <= now:
+            waiting = self.waiting.pop(next(iter(self.waiting)))
+            self._decide_behind(waiting.request, waiting.version, waiting.arrived_at, now, out)
 
     def next_deadline(self):
-        """Return infinity."""
-        return inf
+        """Return the time (s) at which the oldest waiting request has waited long enough."""
+        if not self.waiting:
+            return inf
+        return next(iter(self.waiting.values())).arrived_at + CONFIG_WAIT_S
 
 
 def refuse(request, failure, retry_after_s, out):
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -121,7 +121,8 @@
                 origin,
                 organisation=relay.organisation,
                 credential=CallerCredential(
-                    relay.request.credential.key_digests, self.node.fleet.config.version
+                    relay.request.credential.key_digests,
+                    self.node.admission.find_applied_version(),
                 ),
             )
         )
--- a/medlarbeam/gateway/tests/test_server_selector.py
+++ b/medlarbeam/gateway/tests/test_server_selector.py
@@ -95,7 +95,7 @@
             "r1", "t1", "host", "/chat/x", now + 5.0, key, 100, 7, prompt_tokens=tokens
         )
         route = self.gateway.fleet.routes.match("host", "/chat/x")
-        relay = Relay(request, route, "llm", "waiting", now)
+        relay = Relay(request, route, "llm", "", "waiting", now)
         relay.excluded.update(n for n in self.names if rng.random() < 0.1)
         return relay
 
--- a/medlarbeam/platform/header_rules.py
+++ b/medlarbeam/platform/header_rules.py
@@ -6,7 +6,7 @@
 
 from enum import Enum
 
-__all__ = ["REQUEST_RULES", "RESPONSE_RULES", "HeaderRule", "pass_headers"]
+__all__ = ["NODE_PREFIX", "REQUEST_RULES", "RESPONSE_RULES", "HeaderRule", "pass_headers"]
 
 NODE_PREFIX = "medlarbeam-"  # of headers that only nodes send to one another
 
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -12,7 +12,12 @@
 from medlarbeam.classes.gateway_effects import ServerLoad
 from medlarbeam.classes.gateway_messages import PauseRequest
 from medlarbeam.classes.organisations import NO_CREDENTIAL, CallerCredential
-from medlarbeam.platform.header_rules import REQUEST_RULES, RESPONSE_RULES, pass_headers
+from medlarbeam.platform.header_rules import (
+    NODE_PREFIX,
+    REQUEST_RULES,
+    RESPONSE_RULES,
+    pass_headers,
+)
 
 __all__ = [
     "ATTEMPT_ID",
@@ -23,9 +28,10 @@
     "ORIGIN",
     "RUNS_ELSEWHERE",
     "SIGNATURE",
+    "answer_headers",
     "forwarded_headers",
-    "origin_headers",
     "parse_adapter_key",
+    "parse_config_version",
     "parse_credential",
     "parse_deadline_s",
     "parse_last_event",
@@ -130,24 +136,44 @@
         (RUNS_ELSEWHERE, str(effect.forwarded_runs)),
         (CONFIG_VERSION, str(effect.credential.config_version)),
         *((KEY_DIGEST, digest) for digest in effect.credential.key_digests),
-        ("Connection", f"{RUNS_ELSEWHERE}, {CONFIG_VERSION}, {KEY_DIGEST}"),
     ]
     if last_event and not any(name.lower() == RESUMES.lower() for name, _ in forwarded):
         # For the other node this is the rest of a stream that the caller's attempt has begun.
         headers += [(RESUMES, value) for name, value in forwarded if name == ATTEMPT_ID]
     if effect.origin is not None:
-        headers += origin_headers(effect.origin)
-    return headers
+        headers.append((ORIGIN, encode_origin(effect.origin)))
+    return add_options(headers)
 
 
-def origin_headers(version):
-    """Return the headers that tell another node the `SoftwareVersion` that has begun a stream.
+def add_options(headers):
+    """Return headers for another node with a connection option for each that only nodes know.
 
-    The connection option makes a node that does not know the header remove it, instead of passing
-    it on to a backend server or a caller.
+    The options make a node of an earlier build remove headers that it does not know, instead of
+    passing them on to a backend server or a caller.
     """
-    names = (quote(name, safe="") for name in (version.service, version.software))
-    return [(ORIGIN, "/".join(names)), ("Connection", ORIGIN)]
+    names = dict.fromkeys(name for name, _ in headers if name.lower().startswith(NODE_PREFIX))
+    return [*headers, ("Connection", ", ".join(names))]
+
+
+def answer_headers(config_version, origin=None):
+    """Return the headers of an answer to a forwarded request.
+
+    Parameters
+    ----------
+    config_version : int
+        Version of the configuration that this node applies.
+    origin : SoftwareVersion or None
+        Version that has begun the stream.
+    """
+    headers = [(CONFIG_VERSION, str(config_version))]
+    if origin is not None:
+        headers.append((ORIGIN, encode_origin(origin)))
+    return add_options(headers)
+
+
+def encode_origin(version):
+    """Return the value of the header that states the `SoftwareVersion` that began a stream."""
+    return "/".join(quote(name, safe="") for name in (version.service, version.software))
 
 
 def parse_origin(headers):
@@ -159,6 +185,11 @@
     return SoftwareVersion(replace_invalid(unquote(service)), replace_invalid(unquote(software)))
 
 
+def parse_config_version(headers):
+    """Return the version of the configuration that another node states, 0 if it states none."""
+    return _parse_number(headers.get(CONFIG_VERSION, ""))
+
+
 def parse_credential(headers, is_from_node):
     """Return the `CallerCredential` of a request.
 
@@ -169,8 +200,9 @@
         Whether another node forwards the request. One of an earlier build passes the caller's key.
     """
     if is_from_node and CONFIG_VERSION in headers:
-        version = _parse_number(headers[CONFIG_VERSION], None)
-        return CallerCredential(tuple(headers.getall(KEY_DIGEST, ())), version)
+        return CallerCredential(
+            tuple(headers.getall(KEY_DIGEST, ())), parse_config_version(headers)
+        )
     keys = headers.getall(KEY, ())
     return CallerCredential(tuple(digest_key(key) for key in keys)) if keys else NO_CREDENTIAL
 
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -27,6 +27,7 @@
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
     NOT_RUN,
+    answer_headers,
     forwarded_headers,
     parse_adapter_key,
     parse_credential,
@@ -125,24 +126,30 @@
         The connection stays open after a stream whose head did not announce it, since its caller
         may use the connection again; it is closed later, when it is idle.
         """
-        if not response.prepared and not self.driver.is_ready():
+        if response.prepared:
+            return
+        if not self.driver.is_ready():
             response.force_close()
+        self._keep_connection_options(response)
 
-    def _keep_connection_options(self, stream):
+    def _keep_connection_options(self, response):
         """Add the option ``close`` if it is due; aiohttp adds it only where there is no other."""
-        options = stream.headers.get("Connection")
-        keep_alive = stream.keep_alive
+        options = response.headers.get("Connection")
+        keep_alive = response.keep_alive
         if keep_alive is None:
             keep_alive = self.http_request.keep_alive
         if options is not None and not keep_alive:
-            stream.headers["Connection"] = f"close, {options}"
+            response.headers["Connection"] = f"close, {options}"
+
+    def read_config_version(self):
+        """Return the version of the configuration in force, 0 before the first one."""
+        return self.driver.node.admission.find_version()
 
     async def begin_stream(self, status, headers):
         """Send the response headers of a stream, unless they were already sent."""
         if self.stream is None:
             stream = StreamResponse(status=status, headers=headers)
             self.announce_close(stream)
-            self._keep_connection_options(stream)
             stream.enable_chunked_encoding()
             self.stream = stream
             await stream.prepare(self.http_request)
@@ -343,6 +350,8 @@
     if failure.run_state is RunState.NOT_RUN and status not in NOT_RUN_STATUSES:
         status = 503
     headers = {ATTEMPT_ID: exchange.request.attempt_id}
+    if exchange.request.runs_elsewhere is not None:
+        headers |= answer_headers(exchange.read_config_version())
     if effect.retry_after_s:
         headers["Retry-After"] = f"{effect.retry_after_s:.3f}"
     if exchange.request.runs_elsewhere is not None and failure.run_state is RunState.NOT_RUN:
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -25,6 +25,7 @@
     StartFleetRun,
 )
 from medlarbeam.classes.gateway_messages import (
+    ConfigVersionStated,
     RunCompleted,
     RunErrorResponse,
     RunInterrupted,
@@ -60,7 +61,8 @@
 from medlarbeam.platform.event_splitter import EventSplitter
 from medlarbeam.platform.headers import (
     INSTANCE_ID,
-    origin_headers,
+    answer_headers,
+    parse_config_version,
     parse_leaving,
     parse_load,
     parse_origin,
@@ -223,6 +225,9 @@
                 refusal = find_refusal(response, exchange)
                 source = find_answer_source(response, refusal, effect.is_stream)
                 self._report_leaving(effect.server, response, effect.request_id, source)
+                if effect.forwarded_runs is not None:
+                    version = parse_config_version(response.headers)
+                    self.driver.deliver(ConfigVersionStated(version))
                 if refusal:
                     await discard_body(response)
                     attempt_id = exchange.request.attempt_id
@@ -233,7 +238,7 @@
                     origin = effect.server.software_version()
                     if effect.needs_acceptance:
                         origin = await self._wait_for_acceptance(effect, guard)
-                    headers = build_stream_headers(response, exchange, origin)
+                    headers = build_answer_headers(response, exchange, origin)
                     await self._relay_stream(effect, exchange, response, headers, timer, guard)
                     check_response_end(response, protocol)
                     timer.pause()
@@ -249,7 +254,7 @@
         buffered = Response(
             status=response.status,
             body=body,
-            headers=response_headers(response.headers, response.status),
+            headers=build_answer_headers(response, exchange),
         )
         if 200 <= response.status < 300:
             exchange.finish(buffered)
@@ -435,9 +440,9 @@
         response.close()
 
 
-def build_stream_headers(response, exchange, origin):
-    """Return the headers of a stream for the caller, or for the node that forwards its request."""
-    headers = response_headers(response.headers)
+def build_answer_headers(response, exchange, origin=None):
+    """Return the headers of an answer for the caller, or for the node that forwards its request."""
+    headers = response_headers(response.headers, response.status)
     if exchange.request.runs_elsewhere is not None:
-        headers += origin_headers(origin)
+        headers += answer_headers(exchange.read_config_version(), origin)
     return headers
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -13,9 +13,10 @@
 from medlarbeam.classes.gateway_effects import ServerLoad, StartFleetRun
 from medlarbeam.gateway.tests.fleet_samples import make_server
 from medlarbeam.platform.headers import (
+    answer_headers,
     forwarded_headers,
-    origin_headers,
     parse_adapter_key,
+    parse_config_version,
     parse_deadline_s,
     parse_last_event,
     parse_leaving,
@@ -89,7 +90,8 @@
 @pytest.mark.parametrize("version", [o[1] for o in ORIGINS], ids=[o[0] for o in ORIGINS])
 def test_origin_of_a_stream_reaches_other_nodes_only(version):
     # A node of an earlier build removes the header, as its connection option asks for.
-    headers = CIMultiDict(origin_headers(version))
+    headers = CIMultiDict(answer_headers(7, version))
+    assert parse_config_version(headers) == 7
     assert parse_origin(headers) == version
     assert all(value.isascii() and value.isprintable() for value in headers.values())
     assert forwarded_headers(headers) == response_headers(headers) == []
