--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -9,14 +9,17 @@
 import pytest
 from multidict import CIMultiDict
 
+from medlarbeam.algorithms.caller_access import digest_key
 from medlarbeam.classes.fleet import AdapterKey, SoftwareVersion
 from medlarbeam.classes.gateway_effects import ServerLoad, StartFleetRun
+from medlarbeam.classes.organisations import CallerCredential
 from medlarbeam.gateway.tests.fleet_samples import make_server
 from medlarbeam.platform.headers import (
     answer_headers,
     forwarded_headers,
     parse_adapter_key,
     parse_config_version,
+    parse_credential,
     parse_deadline_s,
     parse_last_event,
     parse_leaving,
@@ -44,6 +47,10 @@
     ("transfer-encoding", "Transfer-Encoding", False),
     ("connection", "Connection", False),
     ("forged-origin", "Medlarbeam-Origin", False),
+    ("forged-header-of-a-later-build", "Medlarbeam-Later", False),
+    ("forged-organisation", "X-Tenant", False),
+    ("key", "X-Key", False),
+    ("header-that-the-protocol-does-not-name", "X-Other", True),
     ("header-listed-in-connection", "X-One-Hop", False),
 ]
 
@@ -79,6 +86,59 @@
     assert [v for n, v in headers if n == name] == [value]
 
 
+DIGEST = digest_key("key")
+# Headers of a request, whether another node forwards it, digests of keys, and the version stated.
+CREDENTIALS = [
+    ("caller", {"X-Key": "key"}, False, (DIGEST,), None),
+    ("caller-without-a-key", {}, False, (), None),
+    (
+        "caller-that-forges-a-digest",
+        {"Medlarbeam-Key-Digest": DIGEST, "Medlarbeam-Config": "9"},
+        False,
+        (),
+        None,
+    ),
+    ("node", {"Medlarbeam-Key-Digest": DIGEST, "Medlarbeam-Config": "9"}, True, (DIGEST,), 9),
+    ("node-on-a-public-route", {"Medlarbeam-Config": "9"}, True, (), 9),
+    ("node-of-an-earlier-build", {"X-Key": "key"}, True, (DIGEST,), None),
+    ("version-that-is-no-number", {"Medlarbeam-Config": "x"}, True, (), 0),
+]
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_from_node", "digests", "version"),
+    [c[1:] for c in CREDENTIALS],
+    ids=[c[0] for c in CREDENTIALS],
+)
+def test_credential_of_a_request(headers, is_from_node, digests, version):
+    credential = parse_credential(CIMultiDict(headers), is_from_node)
+    assert credential == CallerCredential(digests, version)
+
+
+def test_node_of_an_earlier_build_passes_on_the_organisation_and_no_digest():
+    effect = StartFleetRun(
+        "r", "q", make_server("n2", "llm"), 3.0, 0, 0, False, True, inf, inf, forwarded_runs=0
+    )
+    effect.organisation, effect.credential = "acme", CallerCredential((DIGEST,), 9)
+    headers = CIMultiDict(run_headers(forwarded_headers(CALLER_WITH_KEY), effect, 0, 2.0))
+    assert headers["X-Expect-Instance"] == "n2"  # refused by a backend server at that address
+    options = {option.strip().lower() for option in headers["Connection"].split(",")}
+    kept = {n: v for n, v in headers.items() if n.lower() not in options | EARLIER_INTERNAL_HEADERS}
+    assert kept == {"X-Attempt-Id": "id-1", "X-Tenant": "acme"}
+
+
+CALLER_WITH_KEY = CIMultiDict({"X-Attempt-Id": "id-1", "X-Key": "key", "X-Tenant": "bolt"})
+# What a gateway of the build c56242d removes from a request that another one forwards.
+EARLIER_INTERNAL_HEADERS = {
+    "connection",
+    "medlarbeam-origin",
+    "medlarbeam-runs",
+    "x-deadline-ms",
+    "x-expect-instance",
+    "x-request-priority",
+}
+
+
 ORIGINS = [
     ("plain-names", SoftwareVersion("llm", "v1")),
     ("names-with-separators", SoftwareVersion("a/b", "1.0/2, close")),
