Take an entry with missing fields for that of another writer (DRAIN)

Cause: version, coldRemainingMs, seq and born could be missing. A missing start counted as start 0, which replaced the draining server by a fresh one.

Change: an entry without one of the fields that PROTOCOL.md lists names no server to use. An entry without a start says nothing of another start of a known server.

--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -315,6 +315,8 @@
 
     def _apply_server(self, entry, now, out):
         known = self.servers.get(entry.name)
+        if known is not None and not entry.started_at_ms:
+            entry.started_at_ms = known.entry.started_at_ms  # it says nothing of another start
         is_stale = self.is_set_back and known is not None
         if is_stale and entry.started_at_ms < known.entry.started_at_ms:
             return  # the copy has an earlier start of the backend server
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -276,7 +276,13 @@
 
 
 def decode_server(name, document, revision):
-    """Decode the registration of a backend server into a `ServerRegistration`."""
+    """Decode the registration of a backend server into a `ServerRegistration`.
+
+    An entry without one of the fields that each server writes is of another writer, and names no
+    server to use. `born` may be missing.
+    """
+    read_field(document, "coldRemainingMs", float)
+    read_field(document, "seq", int)
     state = DRAINING_BY_STATE.get(read_field(document, "state", str))
     if state is None:
         raise FormatError(f"unknown server state {document['state']!r}")
@@ -292,7 +298,7 @@
         read_whole_number(document, "born", 0, MAX_TIME_MS, 0),
         [read_field(m, "name", str) for m in read_field(document, "models", list, [])],
         decode_adapters(read_field(document, "models", list, [])),
-        read_field(document, "version", str, ""),
+        read_field(document, "version", str),
     )
 
 
--- a/medlarbeam/platform/tests/gateway_process.py
+++ b/medlarbeam/platform/tests/gateway_process.py
@@ -65,6 +65,7 @@
         await asyncio.get_running_loop().create_server(self.runner.server, host, int(port))
         await self.worker.start()
         document = {"service": "ledger", "address": self.worker.address, "zone": "z1"}
+        document |= {"coldRemainingMs": 0, "seq": 1}
         document |= {"version": "v1", "slots": 4, "state": "ready", "born": 1, "models": []}
         self.store.put("servers/l1", dumps(document))
         await self.gateway.start()
--- a/medlarbeam/platform/tests/test_odd_entries.py
+++ b/medlarbeam/platform/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from base64 import b64decode
 
 import pytest
 from orjson import dumps, loads
@@ -13,6 +14,7 @@
 from medlarbeam.platform.tests.test_whole_path import CONFIG, route, run, wait_until
 
 ENTRY = {"service": "llm", "address": "127.0.0.1:9", "zone": "z1", "slots": 4, "state": "ready"}
+ENTRY |= {"version": "v1", "coldRemainingMs": 0, "seq": 1}
 ODD_ENTRIES = [
     ("deeply-nested", b'{"models":' + b"[" * 100_000 + b"]" * 100_000 + b"}"),
     ("number-too-large", dumps(ENTRY).replace(b"4", b"9" * 400)),
@@ -25,6 +27,7 @@
     ("negative-slots", dumps({**ENTRY, "slots": -4})),
     ("start-too-large", dumps({**ENTRY, "born": (1 << 64) - 1})),
     ("bytes-that-are-no-text", b"\xff\xfe\x00"),
+    *((f"no-{name}", dumps({n: v for n, v in ENTRY.items() if n != name})) for name in ENTRY),
 ]
 KEYS = ["servers/odd", "medlarbeam/node/odd", "medlarbeam/streams/odd", "medlarbeam/right/w9"]
 
@@ -48,6 +51,34 @@
     assert not is_used
 
 
+# Fields that an entry of another writer lacks, written over that of a server that drains.
+MISSING_FIELDS = [
+    ("start", ("born",)),
+    ("software-and-start", ("version", "born")),
+    ("all-but-the-address", ("version", "coldRemainingMs", "seq", "born")),
+]
+
+
+@pytest.mark.parametrize(
+    "names", [m[1] for m in MISSING_FIELDS], ids=[m[0] for m in MISSING_FIELDS]
+)
+def test_draining_server_is_not_used_again_after_an_entry_with_missing_fields(names):
+    async def scenario(deployment, session):
+        worker = deployment.workers["l1"]
+        fleet = deployment.shell.node.fleet
+        deployment.register(worker, "draining")
+        await wait_until(lambda: fleet.servers["l1"].draining)
+        entry = loads(b64decode(deployment.store.items["servers/l1"].value)) | {"state": "ready"}
+        odd = {name: value for name, value in entry.items() if name not in names}
+        deployment.store.put("servers/l1", dumps(odd))
+        await wait_until(lambda: fleet.revision == deployment.store.revision)
+        for number in range(20):
+            await deployment.call(session, "pay", f"id-{number}")
+        return worker.request_count
+
+    assert run(scenario) == 0
+
+
 def test_unexpected_error_does_not_end_the_replication(monkeypatch):
     failures = [RuntimeError("unexpected")] * 3
 
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -132,6 +132,8 @@
             "zone": "z1",
             "version": software,
             "slots": 4,
+            "coldRemainingMs": 0,
+            "seq": 1,
             "state": state,
             "born": worker.incarnation or 1,
             "models": models,
--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -394,6 +394,7 @@
             "address": self.proxies[name].address,
             "zone": f"fd-{int(name[-1]) % 2}",
             "slots": worker.places,
+            "coldRemainingMs": 0,
             "state": state,
             "seq": self.sequence,
             "version": worker.software,
