--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -18,6 +18,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from medlarbeam.daemon.paced_reading import PIECE_BYTES, PacedReading
+from medlarbeam.daemon.read_turns import ReadTurns
 from medlarbeam.exceptions import FormatError, MedlarbeamError
 
 __all__ = [
@@ -145,7 +147,7 @@
         return self
 
 
-class BoundedResponseHandler(ResponseHandler):
+class BoundedResponseHandler(PacedReading, ResponseHandler, asyncio.BufferedProtocol):
     """Connection of a client that closes it when heads of responses arrive without end.
 
     aiohttp parses all bytes that have arrived before anything else runs, and skips any number of
@@ -156,6 +158,9 @@
     loop : asyncio.AbstractEventLoop
     read_clock : callable
         Returns the monotonic time (s).
+    buffer : memoryview
+    turns : ReadTurns
+        See `PacedReading`.
 
     Attributes
     ----------
@@ -169,10 +174,22 @@
         Bytes that have arrived on the connection.
     """
 
-    __slots__ = ("connected_at", "message_count", "read_clock", "received_at", "received_bytes")
+    __slots__ = (
+        "buffer",
+        "connected_at",
+        "message_count",
+        "read_clock",
+        "received_at",
+        "received_bytes",
+        "turns",
+        "waits_for_turn",
+    )
 
-    def __init__(self, loop, read_clock):
+    def __init__(self, loop, read_clock, buffer, turns):
         super().__init__(loop)
+        self.buffer = buffer
+        self.turns = turns
+        self.waits_for_turn = False
         self.read_clock = read_clock
         self.connected_at = None
         self.message_count = 0
@@ -200,6 +217,14 @@
         if data:
             self.received_at = self.read_clock()
         self.received_bytes += len(data)
+        payload_before = self._count_payload()
+        self._parse(data)
+        self.record_piece(len(data), self._count_payload() - payload_before)
+
+    def _count_payload(self):
+        return self._payload.total_bytes if self._payload is not None else 0
+
+    def _parse(self, data):
         for start in range(0, len(data) or 1, PARSED_BYTES):
             super().data_received(data[start : start + PARSED_BYTES])
             if self.transport is None or self.exception() is not None:
@@ -217,7 +242,10 @@
 
     def __init__(self, read_clock, **options):
         super().__init__(**options)
-        self._factory = partial(BoundedResponseHandler, asyncio.get_running_loop(), read_clock)
+        loop = asyncio.get_running_loop()
+        buffer = memoryview(bytearray(PIECE_BYTES))
+        turns = ReadTurns(loop.call_soon)
+        self._factory = partial(BoundedResponseHandler, loop, read_clock, buffer, turns)
 
 
 class NoDnsResolver(AbstractResolver):
--- a/medlarbeam/platform/caller_connection.py
+++ b/medlarbeam/platform/caller_connection.py
@@ -8,31 +8,27 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.web_protocol import RequestHandler
 
+from medlarbeam.daemon.paced_reading import PacedReading
 from medlarbeam.exceptions import ERROR_RESPONSES
 from medlarbeam.platform.caller_account import PieceReport
 
-__all__ = ["PIECE_BYTES", "CallerConnection"]
+__all__ = ["CallerConnection"]
 
 log = logging.getLogger(__name__)
 
-# Bytes that are read and parsed at once. An asyncio transport reads up to 256 KB, whose parsing
-# takes about 60 ms in chunks of one byte.
-PIECE_BYTES = 8192
-# Bytes of a piece that are neither small nor mostly payload make the piece costly to parse.
-COSTLY_BYTES = 2048
 REFUSAL = b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 MAX_ERROR_CHARACTERS = 80
 
 
-class CallerConnection(RequestHandler, asyncio.BufferedProtocol):
+class CallerConnection(PacedReading, RequestHandler, asyncio.BufferedProtocol):
     """Connection of a caller that knows whether a request is arriving or being served.
 
     Parameters
     ----------
     manager : aiohttp.web.Server
     buffer : memoryview
-        Receives the bytes of each read; all connections of a loop share it.
     turns : ReadTurns
+        See `PacedReading`.
     account : CallerAccount
 
     Attributes
@@ -84,14 +80,6 @@
         self.account.close(self.usage)
         super().connection_lost(exc)
 
-    def get_buffer(self, sizehint):
-        """Return the buffer for the next read, which bounds its size."""
-        return self.buffer
-
-    def buffer_updated(self, nbytes):
-        """Parse the bytes that were read."""
-        self.data_received(bytes(self.buffer[:nbytes]))
-
     def data_received(self, data):
         """Note that a request arrives; its handler starts some turns of the event loop later."""
         self.has_open_request = True
@@ -101,9 +89,7 @@
         if heads:
             self._note_message()
             payload_before = 0
-        grown = self._count_payload() - payload_before
-        if len(data) - grown > max(COSTLY_BYTES, grown):
-            self._wait_for_turn()
+        self.record_piece(len(data), self._count_payload() - payload_before)
         self._record(PieceReport(len(data), heads, self._count_payload(), self._is_complete()))
 
     def _note_message(self):
@@ -155,19 +141,8 @@
         if transport.get_write_buffer_size():
             transport.abort()  # a caller that does not read would keep the connection open
 
-    def _wait_for_turn(self):
-        if not self.waits_for_turn and self.transport is not None:
-            self.waits_for_turn = True
-            self._pause_transport_reading()
-            self.turns.add(self._resume_in_turn)
-
-    def _resume_in_turn(self):
-        self.waits_for_turn = False
-        if not self._reading_paused and not self._buffer_paused:
-            self._resume_transport_reading()
-
     def _resume_transport_reading(self):
-        if not self.waits_for_turn and not self._paused:
+        if not self._paused:
             super()._resume_transport_reading()
 
     def pause_writing(self):
--- a/medlarbeam/platform/caller_listener.py
+++ b/medlarbeam/platform/caller_listener.py
@@ -7,8 +7,9 @@
 
 from aiohttp.web import Server
 
-from medlarbeam.platform.caller_connection import PIECE_BYTES, CallerConnection
-from medlarbeam.platform.read_turns import ReadTurns
+from medlarbeam.daemon.paced_reading import PIECE_BYTES
+from medlarbeam.daemon.read_turns import ReadTurns
+from medlarbeam.platform.caller_connection import CallerConnection
 
 __all__ = ["CallerListener"]
 
--- a/medlarbeam/platform/tests/test_caller_connection.py
+++ b/medlarbeam/platform/tests/test_caller_connection.py
@@ -11,9 +11,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from medlarbeam.daemon.paced_reading import PIECE_BYTES
+from medlarbeam.daemon.read_turns import ReadTurns
 from medlarbeam.platform.caller_account import CONNECTION_BYTES, CallerAccount, CallerLimits
-from medlarbeam.platform.caller_connection import PIECE_BYTES, CallerConnection
-from medlarbeam.platform.read_turns import ReadTurns
+from medlarbeam.platform.caller_connection import CallerConnection
 from medlarbeam.platform.tests.raw_caller import RawCaller
 from medlarbeam.platform.tests.test_whole_path import HOST, run
 
