Follow the review of the fix: odd heads of answers, requests while a node is behind

What the review showed (its scripts are not kept): - An answer whose head has a control character, or any stream to a caller of HTTP/1.0: the response object was set before its head was written, writing raised, and the next run wrote bare chunks (MIXED). Such answers are rejected when their head is read; HTTP/1.0 is refused with 400, since it cannot mark a broken stream. - Two signatures, an empty one, two attempt ids and other transfer codings than chunked were passed on. - A node that knows it is behind answered 401 and 404 for what the newer configuration allows; it answers 503, not run. It waits in a planned stop too, never longer than a request has left, and decides at once where the store has shown that it has no newer version. A version that is stated counts for 10 s, so that a false one does not stay. - A caller of an earlier build could forge the digest and the version; they count only where the connection option names them, as nodes do. - Repeated Content-Encoding is no longer refused. A 400 names the attempt, and says so to a node.

Evidence: test_answer_has_a_whole_head_and_one_signature, test_caller_of_an_earlier_protocol_version_is_refused, test_admission.py, test_headers.py. The first failed for a control character with the response set first.

--- a/medlarbeam/gateway/admission.py
+++ b/medlarbeam/gateway/admission.py
@@ -11,6 +11,7 @@
     GatewayRequest,
     StoreSetBack,
     StoreSnapshot,
+    StoreSynced,
 )
 from medlarbeam.exceptions import ErrorKind, Failure
 from medlarbeam.gateway.relay import RETRY_AFTER_S, Relay
@@ -22,6 +23,9 @@
 RESPONSE_SLACK_S = 0.15  # for a response that the backend server sends at its deadline
 # For the store to answer; it takes some ms, or 0.25 s if it is slow.
 CONFIG_WAIT_S = 0.5
+# For which a version that another node states is waited for. A real one is known here sooner.
+STATED_S = 10.0
+MISSED_S = 1.0  # after a wait in vain, in which callers do not wait again
 
 
 class WaitingRequest:
@@ -45,19 +49,23 @@
     Attributes
     ----------
     applied_version : int
-        Newest version of the configuration that some node is known to apply.
-    missed_version : int
-        Newest version for which this node has waited in vain; callers do not wait for it again.
+        Newest version of the configuration that some node is known to apply, while it is newer
+        than that of this node; 0 otherwise.
+    stated_until : float
+        Time (s) until which `applied_version` counts.
+    missed_until : float
+        Time (s) until which requests of callers do not wait, since others have waited in vain.
     waiting : dict of str to WaitingRequest
         By request id, the oldest first.
     """
 
-    __slots__ = ("applied_version", "missed_version", "waiting")
+    __slots__ = ("applied_version", "missed_until", "stated_until", "waiting")
 
     def __init__(self, node):
         super().__init__(node)
         self.applied_version = 0
-        self.missed_version = 0
+        self.missed_until = -inf
+        self.stated_until = -inf
         self.waiting = {}
 
     def handlers(self):
@@ -69,6 +77,7 @@
             GatewayRequest: self.handle_request,
             StoreSetBack: self.handle_set_back,
             StoreSnapshot: self.handle_store_change,
+            StoreSynced: self.handle_synced,
         }
 
     # Versions of the configuration
@@ -78,19 +87,31 @@
         config = self.node.fleet.config
         return config.version if config is not None else 0
 
-    def find_applied_version(self):
+    def find_applied_version(self, now):
         """Return the newest version that this node or another one is known to apply."""
-        return max(self.find_version(), self.applied_version)
+        stated = self.applied_version if now < self.stated_until else 0
+        return max(self.find_version(), stated)
 
     def handle_version_stated(self, message, now, out):
         """Read the store if another node applies a newer version."""
-        if message.version > self.find_applied_version():
+        if message.version > self.find_applied_version(now):
             self.applied_version = message.version
+            self.stated_until = now + STATED_S
             out.emit(SyncStore())
 
     def handle_set_back(self, message, now, out):
         """Forget versions that the store may have lost."""
-        self.applied_version = self.missed_version = 0
+        self.stated_until = -inf
+
+    def handle_synced(self, message, now, out):
+        """Decide on the requests whose version the store did not have after their arrival."""
+        late = [w for w in self.waiting.values() if w.arrived_at <= message.sent_at]
+        for waiting in late:
+            self._end_wait(waiting, now, out)
+
+    def _end_wait(self, waiting, now, out):
+        del self.waiting[waiting.request.request_id]
+        self._decide_behind(waiting.request, waiting.version, waiting.arrived_at, now, out)
 
     def handle_store_change(self, message, now, out):
         """Admit the requests whose version is known now."""
@@ -107,36 +128,56 @@
     def handle_request(self, request, now, out):
         """Admit or refuse a new request, or let it wait for a newer configuration."""
         stated = request.credential.config_version
-        version = self.applied_version if stated is None else stated
-        can_wait = self.node.fleet.store_unavailable_since is None
-        can_wait = can_wait and not self.node.lifecycle.is_leaving()
-        if version <= self.find_version() or (stated is None and version <= self.missed_version):
+        version = self.find_applied_version(now) if stated is None else stated
+        if version <= self.find_version():
             self._admit(request, now, now, out)
-        elif can_wait:
+        elif self._can_wait(request, now):
+            if not any(waiting.version >= version for waiting in self.waiting.values()):
+                out.emit(SyncStore())
             self.waiting[request.request_id] = WaitingRequest(request, version, now)
-            out.emit(SyncStore())
         else:
             self._decide_behind(request, version, now, now, out)
 
+    def _can_wait(self, request, now):
+        if request.runs_elsewhere is None and now < self.missed_until:
+            return False
+        is_store_known = self.node.fleet.store_unavailable_since is None
+        is_in_time = request.deadline > now + CONFIG_WAIT_S
+        return (
+            is_store_known
+            and is_in_time
+            and self.node.lifecycle.can_finish(now + CONFIG_WAIT_S, now)
+        )
+
     def _decide_behind(self, request, version, arrived_at, now, out):
         """Decide on a request without the version of the configuration that it needs.
 
         Another node can decide on a forwarded request. A caller is served by what this node knows,
-        so that an outage of the store does not end the service.
+        so that an outage of the store does not end the service; but the newer version may have the
+        route or the key that this one lacks.
         """
-        if version > self.missed_version:
-            self.missed_version = version
+        if now >= self.missed_until:
+            self.missed_until = now + MISSED_S
             detail = f"version={self.find_version()} applied_elsewhere={version}"
             out.emit(LogEvent("config_behind", detail, level="warning"))
         if request.runs_elsewhere is None:
-            self._admit(request, arrived_at, now, out)
+            self._admit(request, arrived_at, now, out, is_behind=True)
             return
         reason = f"config {version} is not known here yet, only {self.find_version()}"
         failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, reason)
         refuse(request, failure, RETRY_AFTER_S, out)
 
-    def _admit(self, request, arrived_at, now, out):
-        """Open a relay for a request, or refuse it."""
+    def _admit(self, request, arrived_at, now, out, is_behind=False):
+        """Open a relay for a request, or refuse it.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+        arrived_at, now : float
+        out : Outbox
+        is_behind : bool
+            Whether another node is known to apply a newer configuration.
+        """
         fleet = self.node.fleet
         if not fleet.is_known():
             failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, "no configuration is available yet")
@@ -145,12 +186,14 @@
         route = fleet.routes.match(request.host, request.path)
         if route is None:
             reason = f"no route for {request.host}{request.path} in config {fleet.config.version}"
-            refuse(request, Failure(ErrorKind.UNKNOWN_SERVICE, reason), 0.0, out)
+            self._refuse_by_config(
+                request, Failure(ErrorKind.UNKNOWN_SERVICE, reason), is_behind, out
+            )
             return
         organisation = fleet.access.identify(request.credential, route)
         if isinstance(organisation, Failure):
             organisation.reason += f" in config {fleet.config.version}"
-            refuse(request, organisation, 0.0, out)
+            self._refuse_by_config(request, organisation, is_behind, out)
             return
         service = choose_service(route, self.node.rng)
         initial = self.node.relays.chart.initial
@@ -161,6 +204,12 @@
             return
         self.node.relays.open(relay, now, out)
 
+    def _refuse_by_config(self, request, failure, is_behind, out):
+        if is_behind:
+            reason = f"{failure.reason}, another node applies a newer one"
+            failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, reason)
+        refuse(request, failure, RETRY_AFTER_S if is_behind else 0.0, out)
+
     def handle_caller_disconnected(self, message, now, out):
         """Forget a request whose caller has disconnected."""
         self.waiting.pop(message.request_id, None)
@@ -168,8 +217,7 @@
     def tick(self, now, out):
         """Decide on the requests that have waited long enough."""
         while self.next_deadline() <= now:
-            waiting = self.waiting.pop(next(iter(self.waiting)))
-            self._decide_behind(waiting.request, waiting.version, waiting.arrived_at, now, out)
+            self._end_wait(next(iter(self.waiting.values())), now, out)
 
     def next_deadline(self):
         """Return the time (s) at which the oldest waiting request has waited long enough."""
--- a/medlarbeam/gateway/tests/test_admission.py
+++ b/medlarbeam/gateway/tests/test_admission.py
@@ -12,22 +12,25 @@
     ConfigVersionStated,
     GatewayRequest,
     StoreSetBack,
+    StoreSynced,
     StoreUnavailable,
 )
 from medlarbeam.classes.organisations import CallerCredential
-from medlarbeam.gateway.admission import CONFIG_WAIT_S
+from medlarbeam.gateway.admission import CONFIG_WAIT_S, STATED_S
 from medlarbeam.gateway.tests.fleet_samples import ROUTES, make_config, make_harness
 
 OLD, NEW = 1, 2
+SHORT = "short"  # of a caller with a short deadline
 # The newer configuration has no route for the requests.
 NEW_CONFIG = make_config(NEW, [route for route in ROUTES if route.name != "pay"])
 
 
 def send(harness, stated):
-    """Pass a payment, forwarded by a node that states a version, or of a caller if it is None."""
-    credential = CallerCredential((), stated)
-    runs_elsewhere = None if stated is None else 0
-    path, deadline = "/pay/x", harness.now + 5.0
+    """Pass a payment, forwarded by a node that states a version, or of a caller otherwise."""
+    is_of_caller = stated in (None, SHORT)
+    credential = CallerCredential((), None if is_of_caller else stated)
+    runs_elsewhere = None if is_of_caller else 0
+    path, deadline = "/pay/x", harness.now + (CONFIG_WAIT_S / 2 if stated == SHORT else 5.0)
     harness.deliver(
         GatewayRequest(
             f"r{harness.now}",
@@ -83,6 +86,15 @@
     harness.write_entry("op/config", NEW_CONFIG)
 
 
+def learn_newer_long_ago(harness):
+    learn_newer(harness)
+    harness.now += STATED_S
+
+
+def answer_without_it(harness):
+    harness.effects = harness.deliver(StoreSynced(harness.now))
+
+
 def wait_in_vain(harness):
     harness.pass_time(CONFIG_WAIT_S - 0.01)
     assert not name_outcome(harness)
@@ -99,6 +111,17 @@
     ("store-is-away", lose_store, NEW, "catalog_unconfirmed", None, ""),
     ("caller-of-a-node-that-learnt-more", learn_newer, None, "", read_newer, "unknown_service"),
     ("caller-while-the-store-is-silent", learn_newer, None, "", wait_in_vain, "run"),
+    ("store-has-no-newer-version", learn_newer, None, "", answer_without_it, "run"),
+    (
+        "forwarded-and-the-store-has-none",
+        do_nothing,
+        NEW,
+        "",
+        answer_without_it,
+        "catalog_unconfirmed",
+    ),
+    ("version-was-stated-long-ago", learn_newer_long_ago, None, "run", None, ""),
+    ("deadline-is-before-the-end-of-the-wait", learn_newer, SHORT, "run", None, ""),
     ("caller-does-not-wait-again", learn_newer_in_vain, None, "run", None, ""),
     ("caller-while-the-store-is-away", learn_newer_and_lose_store, None, "run", None, ""),
     ("version-is-lost-with-the-store", learn_newer_and_set_store_back, None, "run", None, ""),
@@ -137,6 +160,13 @@
 
 def test_forwarded_request_states_the_newest_version_that_any_node_applies():
     harness = make_harness()
-    assert harness.gateway.admission.find_applied_version() == OLD
+    assert harness.gateway.admission.find_applied_version(harness.now) == OLD
     learn_newer(harness)
-    assert harness.gateway.admission.find_applied_version() == NEW
+    assert harness.gateway.admission.find_applied_version(harness.now) == NEW
+
+
+def test_key_that_only_the_newer_configuration_has_is_not_refused_for_good():
+    harness = make_harness(config=make_config(OLD, [r for r in ROUTES if r.name != "pay"]))
+    learn_newer_in_vain(harness)
+    send(harness, None)
+    assert name_outcome(harness) == "catalog_unconfirmed"
--- a/medlarbeam/platform/header_rules.py
+++ b/medlarbeam/platform/header_rules.py
@@ -6,7 +6,14 @@
 
 from enum import Enum
 
-__all__ = ["NODE_PREFIX", "REQUEST_RULES", "RESPONSE_RULES", "HeaderRule", "pass_headers"]
+__all__ = [
+    "NODE_PREFIX",
+    "REQUEST_RULES",
+    "RESPONSE_RULES",
+    "HeaderRule",
+    "pass_headers",
+    "read_options",
+]
 
 NODE_PREFIX = "medlarbeam-"  # of headers that only nodes send to one another
 
@@ -72,7 +79,9 @@
     "server-leaving",
     "server-limit",
     "x-instance-id",
+    "x-key",
     "x-server-load",
+    "x-tenant",
 )
 
 
@@ -89,6 +98,15 @@
 RESPONSE_RULES = build_rules(SERVER_HEADERS, SYSTEM_RESPONSE_HEADERS)
 
 
+def read_options(headers):
+    """Return the options of a connection, the names of headers among them, in lowercase."""
+    return {
+        name.strip().lower()
+        for value in headers.getall("Connection", ())
+        for name in value.split(",")
+    }
+
+
 def pass_headers(headers, rules):
     """Return the headers that are passed on, as a list of ``(name, value)``.
 
@@ -102,11 +120,7 @@
     A connection option removes no header whose rule is `HeaderRule.END_TO_END`: RFC 9110, section
     7.6.1, forbids senders to list such a header.
     """
-    options = {
-        name.strip().lower()
-        for value in headers.getall("Connection", ())
-        for name in value.split(",")
-    }
+    options = read_options(headers)
     passed = []
     for name, value in headers.items():
         lowered = name.lower()
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -17,6 +17,7 @@
     REQUEST_RULES,
     RESPONSE_RULES,
     pass_headers,
+    read_options,
 )
 
 __all__ = [
@@ -199,7 +200,8 @@
     is_from_node : bool
         Whether another node forwards the request. One of an earlier build passes the caller's key.
     """
-    if is_from_node and CONFIG_VERSION in headers:
+    # A node of an earlier build passes what its caller has forged, and names it in no option.
+    if is_from_node and CONFIG_VERSION.lower() in read_options(headers):
         return CallerCredential(
             tuple(headers.getall(KEY_DIGEST, ())), parse_config_version(headers)
         )
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -236,10 +236,10 @@
             return Response(status=413, headers={"Connection": "close"})
         headers = forwarded_headers(http_request.headers)
         try:
-            check_request(http_request.method, http_request.raw_path, headers)
+            check_request(http_request, headers)
         except FormatError as error:
             log.info("request refused: %s", error, extra={"event": "request_malformed"})
-            return build_bad_request(error)
+            return build_bad_request(error, http_request.headers, runs_elsewhere is not None)
         now = self.driver.read_clock()
         self.request_count += 1
         request = parse_request(
@@ -335,12 +335,16 @@
     return xxh3_64_intdigest("\n".join(fields).encode("utf-8", "surrogateescape") + b"\n" + body)
 
 
-def build_bad_request(error):
+def build_bad_request(error, request_headers, is_from_node):
     """Return the HTTP response to a request that `check_request` has refused."""
     kind = ErrorKind.INVALID_REQUEST
     answer = ERROR_RESPONSES[kind]
-    document = {"error": kind.value, "reason": str(error), "run": answer.run_state.value}
-    return Response(status=answer.status, body=dumps(document), content_type="application/json")
+    headers = {ATTEMPT_ID: request_headers[ATTEMPT_ID]} if ATTEMPT_ID in request_headers else {}
+    if is_from_node:
+        headers[NOT_RUN] = "1"
+    body = dumps({"error": kind.value, "reason": str(error), "run": answer.run_state.value})
+    status = answer.status
+    return Response(status=status, body=body, content_type="application/json", headers=headers)
 
 
 def build_refusal(exchange, effect):
--- a/medlarbeam/platform/server_responses.py
+++ b/medlarbeam/platform/server_responses.py
@@ -1,5 +1,7 @@
 """Checks of the responses of backend servers."""
 
+import re
+
 from aiohttp import ClientOSError
 
 from medlarbeam.exceptions import FormatError
@@ -18,6 +20,10 @@
 ]
 
 
+# In a header value; RFC 9110, section 5.5. The HTTP library does not write such a value.
+CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
+
 class BadResponseError(Exception):
     """The response is malformed or does not belong to the request that was sent."""
 
@@ -67,15 +73,24 @@
 
 def check_response(response, exchange):
     """Raise BadResponseError unless the headers show a signed response to this request."""
-    if response.headers.get(ATTEMPT_ID, "") != exchange.request.attempt_id:
+    headers = response.headers
+    if headers.getall(ATTEMPT_ID, []) != [exchange.request.attempt_id]:
         response.close()
         raise BadResponseError("the response has the attempt id of another request")
+    if headers.get("Transfer-Encoding", "chunked").strip().lower() != "chunked":
+        response.close()
+        raise BadResponseError("the response has an unsupported Transfer-Encoding")
     if "Content-Encoding" in response.headers:
         response.close()
         raise BadResponseError("the response has an unsupported Content-Encoding")
-    if 200 <= response.status < 300 and SIGNATURE not in response.headers:
+    if CONTROL_CHARACTER.search("".join(headers.values())):
+        response.close()
+        raise BadResponseError("the response has a header with a control character")
+    signatures = headers.getall(SIGNATURE, [])
+    is_signed = len(signatures) == 1 and bool(signatures[0])
+    if len(signatures) > 1 or 200 <= response.status < 300 and not is_signed:
         response.close()
-        raise BadResponseError("the response is not signed")
+        raise BadResponseError("the response is not signed once")
 
 
 def is_framed(response):
--- a/medlarbeam/platform/tests/test_caller_keys.py
+++ b/medlarbeam/platform/tests/test_caller_keys.py
@@ -46,7 +46,8 @@
     """Return the requests with an attempt id that reached backend servers."""
     workers = [w for deployment in deployments for w in deployment.workers.values()]
     received = [request for worker in workers for request in worker.received]
-    return [r for r in received if r.read_values("X-Attempt-Id") == [attempt]]
+    # One without an id would be of any request.
+    return [r for r in received if r.read_values("X-Attempt-Id") in ([attempt], [])]
 
 
 class Outcome(Record):
--- a/medlarbeam/platform/tests/test_faulty_peers.py
+++ b/medlarbeam/platform/tests/test_faulty_peers.py
@@ -118,6 +118,53 @@
     assert [(answer[0], is_expected) for answer, is_expected in outcomes] == [(502, True)] * 3
 
 
+ODD_HEADS = [
+    ("control-character-in-a-value", "head_control_character", "pay", 502),
+    ("control-character-in-the-head-of-a-stream", "head_control_character", "draft", 502),
+    ("control-character-in-a-resumable-stream", "head_control_character", "chat", 502),
+    ("two-signatures", "head_two_stamps", "pay", 502),
+    ("signature-that-is-empty", "head_empty_stamp", "pay", 502),
+    ("two-attempt-ids", "head_two_attempt_ids", "draft", 502),
+    ("options-that-name-the-signature", "head_options", "draft", 200),
+    ("organisation-in-an-answer", "head_organisation", "pay", 200),
+]
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True], ids=["direct", "forwarded"])
+@pytest.mark.parametrize(
+    ("response_mode", "name", "status"), [h[1:] for h in ODD_HEADS], ids=[h[0] for h in ODD_HEADS]
+)
+def test_answer_has_a_whole_head_and_one_signature(response_mode, name, status, is_forwarded):
+    async def play(first, other, session):
+        other.set_response_mode(response_mode)
+        caller = RawCaller(first.front, HOST)
+        caller.send_request(name, "id-1", headers="" if name == "pay" else ADAPTER)
+        answer = await caller.receive()
+        caller.close()
+        return answer
+
+    if is_forwarded:
+        answer = run_stranded(play)
+    else:
+        answer = run(lambda deployment, session: play(deployment, deployment, session))
+    assert answer[0] == status
+    assert status != 200 or answer[1].count("\r\nx-server-stamp: s.1\r\n") == 1
+    assert "x-tenant" not in answer[1] and "x-key" not in answer[1]
+
+
+def test_caller_of_an_earlier_protocol_version_is_refused():
+    """Guards against streams whose breaking off such a caller cannot notice."""
+
+    async def scenario(deployment, session):
+        caller = RawCaller(deployment.front, HOST)
+        head = f"POST /chat/1 HTTP/1.0\r\nHost: {HOST}\r\nX-Attempt-Id: id-1\r\n{ADAPTER}"
+        caller.send(f"{head}Content-Length: 5\r\n\r\norder".encode())
+        answer = await caller.receive()
+        return answer[0], deployment.count_runs("id-1")
+
+    assert run(scenario) == (400, 0)
+
+
 UNENDING = [
     ("trickled-response", "trickle", "pay", {504}),
     ("trickled-response-that-may-be-retried", "trickle", "read", {502, 504}),
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -87,6 +87,7 @@
 
 
 DIGEST = digest_key("key")
+STATED = {"Medlarbeam-Config": "9", "Connection": "Medlarbeam-Runs, Medlarbeam-Config"}
 # Headers of a request, whether another node forwards it, digests of keys, and the version stated.
 CREDENTIALS = [
     ("caller", {"X-Key": "key"}, False, (DIGEST,), None),
@@ -98,10 +99,17 @@
         (),
         None,
     ),
-    ("node", {"Medlarbeam-Key-Digest": DIGEST, "Medlarbeam-Config": "9"}, True, (DIGEST,), 9),
-    ("node-on-a-public-route", {"Medlarbeam-Config": "9"}, True, (), 9),
+    ("node", {"Medlarbeam-Key-Digest": DIGEST, **STATED}, True, (DIGEST,), 9),
+    ("node-on-a-public-route", STATED, True, (), 9),
     ("node-of-an-earlier-build", {"X-Key": "key"}, True, (DIGEST,), None),
-    ("version-that-is-no-number", {"Medlarbeam-Config": "x"}, True, (), 0),
+    (
+        "digest-that-a-caller-of-an-earlier-build-has-forged",
+        {"X-Key": "key", "Medlarbeam-Config": "9", "Medlarbeam-Key-Digest": "0"},
+        True,
+        (DIGEST,),
+        None,
+    ),
+    ("version-that-is-no-number", {**STATED, "Medlarbeam-Config": "x"}, True, (), 0),
 ]
 
 
--- a/medlarbeam/platform/tests/test_unchanged_requests.py
+++ b/medlarbeam/platform/tests/test_unchanged_requests.py
@@ -42,6 +42,7 @@
     ("options-that-name-headers-of-the-request", "POST", "/chat/1", PROMPT + OPTIONS, b"order"),
     ("header-twice-that-is-not-of-the-protocol", "POST", "/pay/1", "X-A: 1\r\nX-A: 2\r\n", b"x"),
     ("value-that-is-not-ascii", "POST", "/pay/1", "X-A: \u00e4\r\n", b"x"),
+    ("two-codings", "POST", "/pay/1", "Content-Encoding: a\r\nContent-Encoding: b\r\n", b"x"),
     ("header-of-nodes", "POST", "/pay/1", "Medlarbeam-Later: 1\r\nX-A: 1\r\n", b"x"),
 ]
 REMOVED = {"connection", "content-length", "medlarbeam-later", "transfer-encoding"}
--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -9,6 +9,7 @@
 from orjson import dumps, loads
 
 from medlarbeam.standins.endless_responses import ENDLESS_RESPONDERS
+from medlarbeam.standins.odd_heads import ODD_HEADS
 from medlarbeam.standins.received_request import ReceivedRequest
 from medlarbeam.standins.worker_framing import (
     STAMP_HEADER,
@@ -481,6 +482,7 @@
     **{f"status_{status}": StatusResponse(status) for status in INVALID_STATUSES},
     "garbage": send_garbage,
     **ENDLESS_RESPONDERS,
+    **{f"head_{name}": respond for name, respond in ODD_HEADS.items()},
     "never": send_nothing,
     **{f"head_broken_{name}": BrokenHead(start) for name, start in HEAD_STARTS.items()},
 }
