Learn newer configurations from other gateways (CONFIG)

Cause: the store was the only source of the configuration, and a version that another gateway applies was learnt only from the answer to a forwarded request.

Change: a gateway reports the version that it adopts to all others. What is passed on has digests in place of keys.

--- a/medlarbeam/classes/fleet.py
+++ b/medlarbeam/classes/fleet.py
@@ -248,6 +248,8 @@
         Maximum size of a request head (bytes).
     organisations : list of Organisation or None
         None if callers need no keys.
+    shared_document : bytes
+        Its document for other nodes, without keys.
     """
 
     __slots__ = (
@@ -256,6 +258,7 @@
         "organisations",
         "routes",
         "services",
+        "shared_document",
         "version",
     )
 
@@ -267,8 +270,10 @@
         max_body_bytes,
         max_header_bytes=DEFAULT_MAX_HEADER_BYTES,
         organisations=None,
+        shared_document=b"",
     ):
         self.organisations = organisations
+        self.shared_document = shared_document
         self.version = version
         self.routes = routes
         self.services = services
--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -7,6 +7,7 @@
     "AcquireRight",
     "CancelFleetRun",
     "CloseIdleConnections",
+    "FetchConfig",
     "FetchEngineState",
     "PassErrorResponse",
     "ProbeServer",
@@ -346,6 +347,15 @@
         self.server = server
 
 
+class FetchConfig(Record):
+    """Ask another node, a `NodeRegistration`, for its configuration; `ConfigFetched` follows."""
+
+    __slots__ = ("node",)
+
+    def __init__(self, node):
+        self.node = node
+
+
 class SyncStore(Record):
     """Read the changes of the store now; `StoreSynced` or `StoreUnavailable` follows."""
 
--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -9,6 +9,7 @@
     "AcquireRightResult",
     "CallerConnections",
     "CallerDisconnected",
+    "ConfigFetched",
     "ConfigVersionStated",
     "EntryDeleted",
     "EntryUpdated",
@@ -117,14 +118,34 @@
 
 
 class ConfigVersionStated(Record):
-    """Another node has answered a forwarded request by this version of the configuration."""
+    """The node `node` has answered a forwarded request by this version of the configuration."""
 
-    __slots__ = ("version",)
+    __slots__ = ("node", "version")
 
-    def __init__(self, version):
+    def __init__(self, node, version):
+        self.node = node
         self.version = version
 
 
+class ConfigFetched(Record):
+    """Answer of the node `node` to `FetchConfig`.
+
+    Parameters
+    ----------
+    node : str
+    config : FleetConfig or None
+    reason : str
+        Why there is no configuration, "" if there is one.
+    """
+
+    __slots__ = ("config", "node", "reason")
+
+    def __init__(self, node, config, reason=""):
+        self.node = node
+        self.config = config
+        self.reason = reason
+
+
 class CallerConnections(Record):
     """Number of open connections of callers, the response to `CloseIdleConnections`."""
 
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -575,10 +575,20 @@
 
 
 class PathReport(Record):
-    """The sender reaches no backend server of `lost`, the list of all such services."""
+    """What the sender reaches and applies.
 
-    __slots__ = ("lost", "node")
+    Parameters
+    ----------
+    node : str
+    lost : list of str
+        All services of which it reaches no backend server.
+    config_version : int
+        Version of the configuration that it applies, 0 if it states none.
+    """
+
+    __slots__ = ("config_version", "lost", "node")
 
-    def __init__(self, node, lost):
+    def __init__(self, node, lost, config_version=0):
+        self.config_version = config_version
         self.node = node
         self.lost = lost
--- a/medlarbeam/gateway/admission.py
+++ b/medlarbeam/gateway/admission.py
@@ -6,10 +6,9 @@
 from medlarbeam.classes.gateway_effects import RefuseRequest, SyncStore
 from medlarbeam.classes.gateway_messages import (
     CallerDisconnected,
-    ConfigVersionStated,
+    ConfigFetched,
     EntryUpdated,
     GatewayRequest,
-    StoreSetBack,
     StoreSnapshot,
     StoreSynced,
 )
@@ -21,10 +20,8 @@
 __all__ = ["Admission", "refuse"]
 
 RESPONSE_SLACK_S = 0.15  # for a response that the backend server sends at its deadline
-# For the store to answer; it takes some ms, or 0.25 s if it is slow.
+# For the store or another node to answer; the store takes some ms, or 0.25 s if it is slow.
 CONFIG_WAIT_S = 0.5
-# For which a version that another node states is waited for. A real one is known here sooner.
-STATED_S = 10.0
 MISSED_S = 1.0  # after a wait in vain, in which callers do not wait again
 
 
@@ -42,67 +39,36 @@
 class Admission(Component):
     """Admits requests by the newest configuration that this node knows, or refuses them.
 
-    Nodes read a new configuration at different times. A node that learns from another one that a
-    newer version is applied reads the store before it decides again, so that requests that go
-    through several nodes are not decided by an older version after a newer one.
+    A node that learns from another one that a newer version is applied catches up before it decides
+    again, so that requests that go through several nodes are not decided by an older version after
+    a newer one.
 
     Attributes
     ----------
-    applied_version : int
-        Newest version of the configuration that some node is known to apply, while it is newer
-        than that of this node; 0 otherwise.
-    stated_until : float
-        Time (s) until which `applied_version` counts.
     missed_until : float
         Time (s) until which requests of callers do not wait, since others have waited in vain.
     waiting : dict of str to WaitingRequest
         By request id, the oldest first.
     """
 
-    __slots__ = ("applied_version", "missed_until", "stated_until", "waiting")
+    __slots__ = ("missed_until", "waiting")
 
     def __init__(self, node):
         super().__init__(node)
-        self.applied_version = 0
         self.missed_until = -inf
-        self.stated_until = -inf
         self.waiting = {}
 
     def handlers(self):
         """Return the handler method of each message class."""
         return {
             CallerDisconnected: self.handle_caller_disconnected,
-            ConfigVersionStated: self.handle_version_stated,
-            EntryUpdated: self.handle_store_change,
+            ConfigFetched: self.handle_config_change,
+            EntryUpdated: self.handle_config_change,
             GatewayRequest: self.handle_request,
-            StoreSetBack: self.handle_set_back,
-            StoreSnapshot: self.handle_store_change,
+            StoreSnapshot: self.handle_config_change,
             StoreSynced: self.handle_synced,
         }
 
-    # Versions of the configuration
-
-    def find_version(self):
-        """Return the version of the configuration that this node knows, 0 for none."""
-        config = self.node.fleet.config
-        return config.version if config is not None else 0
-
-    def find_applied_version(self, now):
-        """Return the newest version that this node or another one is known to apply."""
-        stated = self.applied_version if now < self.stated_until else 0
-        return max(self.find_version(), stated)
-
-    def handle_version_stated(self, message, now, out):
-        """Read the store if another node applies a newer version."""
-        if message.version > self.find_applied_version(now):
-            self.applied_version = message.version
-            self.stated_until = now + STATED_S
-            out.emit(SyncStore())
-
-    def handle_set_back(self, message, now, out):
-        """Forget versions that the store may have lost."""
-        self.stated_until = -inf
-
     def handle_synced(self, message, now, out):
         """Decide on the requests whose version the store did not have after their arrival."""
         late = [w for w in self.waiting.values() if w.arrived_at <= message.sent_at]
@@ -113,11 +79,11 @@
         del self.waiting[waiting.request.request_id]
         self._decide_behind(waiting.request, waiting.version, waiting.arrived_at, now, out)
 
-    def handle_store_change(self, message, now, out):
+    def handle_config_change(self, message, now, out):
         """Admit the requests whose version is known now."""
         if not self.waiting:
             return
-        version = self.find_version()
+        version = self.node.config_versions.find_version()
         known = [w for w in self.waiting.values() if w.version <= version]
         for waiting in known:
             del self.waiting[waiting.request.request_id]
@@ -128,8 +94,9 @@
     def handle_request(self, request, now, out):
         """Admit or refuse a new request, or let it wait for a newer configuration."""
         stated = request.credential.config_version
-        version = self.find_applied_version(now) if stated is None else stated
-        if version <= self.find_version():
+        versions = self.node.config_versions
+        version = versions.find_applied() if stated is None else stated
+        if version <= versions.find_version():
             self._admit(request, now, now, out)
         elif self._can_wait(request, now):
             if not any(waiting.version >= version for waiting in self.waiting.values()):
@@ -141,13 +108,8 @@
     def _can_wait(self, request, now):
         if request.runs_elsewhere is None and now < self.missed_until:
             return False
-        is_store_known = self.node.fleet.store_unavailable_since is None
-        is_in_time = request.deadline > now + CONFIG_WAIT_S
-        return (
-            is_store_known
-            and is_in_time
-            and self.node.lifecycle.can_finish(now + CONFIG_WAIT_S, now)
-        )
+        until = now + CONFIG_WAIT_S
+        return request.deadline > until and self.node.lifecycle.can_finish(until, now)
 
     def _decide_behind(self, request, version, arrived_at, now, out):
         """Decide on a request without the version of the configuration that it needs.
@@ -158,12 +120,12 @@
         """
         if now >= self.missed_until:
             self.missed_until = now + MISSED_S
-            detail = f"version={self.find_version()} applied_elsewhere={version}"
+            detail = f"version={self._known()} applied_elsewhere={version}"
             out.emit(LogEvent("config_behind", detail, level="warning"))
         if request.runs_elsewhere is None:
             self._admit(request, arrived_at, now, out, is_behind=True)
             return
-        reason = f"config {version} is not known here yet, only {self.find_version()}"
+        reason = f"config {version} is not known here yet, only {self._known()}"
         failure = Failure(ErrorKind.CATALOG_UNCONFIRMED, reason)
         refuse(request, failure, RETRY_AFTER_S, out)
 
@@ -204,6 +166,9 @@
             return
         self.node.relays.open(relay, now, out)
 
+    def _known(self):
+        return self.node.config_versions.find_version()
+
     def _refuse_by_config(self, request, failure, is_behind, out):
         if is_behind:
             reason = f"{failure.reason}, another node applies a newer one"
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -13,6 +13,7 @@
 )
 from medlarbeam.classes.gateway_effects import SendDatagram
 from medlarbeam.classes.gateway_messages import (
+    ConfigFetched,
     EntryDeleted,
     EntryUpdated,
     LeaseRenewed,
@@ -191,6 +192,7 @@
     def handlers(self):
         """Return the handler method of each message class."""
         return {
+            ConfigFetched: self.handle_config_fetched,
             EntryUpdated: self.handle_entry_updated,
             EntryDeleted: self.handle_entry_deleted,
             StoreSetBack: self.handle_set_back,
@@ -300,6 +302,11 @@
         elif isinstance(value, SettledEra):
             self.settled_era = max(self.settled_era, value.era)
 
+    def handle_config_fetched(self, message, now, out):
+        """Apply the configuration of another node if it is newer."""
+        if message.config is not None:
+            self._apply_config(message.config, now, out)
+
     def _apply_config(self, config, now, out):
         if self.config is not None and config.version <= self.config.version:
             return
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -122,7 +122,7 @@
                 organisation=relay.organisation,
                 credential=CallerCredential(
                     relay.request.credential.key_digests,
-                    self.node.admission.find_applied_version(now),
+                    self.node.config_versions.find_applied(),
                 ),
             )
         )
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from medlarbeam.gateway.adapter_uses import AdapterUses
 from medlarbeam.gateway.admission import Admission
+from medlarbeam.gateway.config_versions import ConfigVersions
 from medlarbeam.gateway.crash_inquiries import CrashInquiries
 from medlarbeam.gateway.crash_reports import CrashReports
 from medlarbeam.gateway.crash_suspects import CrashSuspects
@@ -47,6 +48,7 @@
 
     __slots__ = (
         "admission",
+        "config_versions",
         "crash_reports",
         "crashes",
         "fleet",
@@ -95,6 +97,7 @@
         self.holdings = Holdings(self)
         self.orders = Orders(self)
         self.relays = Relays(self)
+        self.config_versions = ConfigVersions(self)
         self.admission = Admission(self)
         self.forwarding = Forwarding(self)
         self.stalls = StalledRuns(self)
@@ -120,6 +123,7 @@
                 self.rights,
                 self.holdings,
                 self.orders,
+                self.config_versions,
                 self.admission,
                 self.relays,
                 self.forwarding,
--- a/medlarbeam/gateway/server_paths.py
+++ b/medlarbeam/gateway/server_paths.py
@@ -162,17 +162,19 @@
         path.due_at = now + PROBE_INTERVAL_S
         out.emit(LogEvent("path_lost", f"service={path.service}", level="warning"))
         self.node.relays.wake_service(path.service, now)
-        self._report(now, out)
+        self.report(now, out)
 
     def announce_return(self, path, now, out):
         """Log that the path is back, and tell the other nodes."""
         out.emit(LogEvent("path_regained", f"service={path.service}"))
-        self._report(now, out)
+        self.report(now, out)
 
-    def _report(self, now, out):
+    def report(self, now, out):
+        """Tell the other nodes of the paths of this node, and the configuration that it applies."""
         lost = [service for service in self.paths if self.is_lost(service)]
         self.report_at = now + REPORT_INTERVAL_S if lost else inf
-        self.node.fleet.broadcast(PathReport(self.node.settings.name, lost), out)
+        version = self.node.config_versions.find_version()
+        self.node.fleet.broadcast(PathReport(self.node.settings.name, lost, version), out)
 
     # The paths of other nodes
 
@@ -203,7 +205,7 @@
                     path.due_at = now + PROBE_INTERVAL_S
                     self._probe(path, 2, now, out)
         if self.report_at <= now:
-            self._report(now, out)
+            self.report(now, out)
 
     def next_deadline(self):
         """Return the time (s) of the next probe, end of a check, or report."""
--- a/medlarbeam/platform/__main__.py
+++ b/medlarbeam/platform/__main__.py
@@ -15,6 +15,7 @@
 from medlarbeam.daemon.shell import Shell
 from medlarbeam.exceptions import SettingsError
 from medlarbeam.gateway.gateway import Gateway
+from medlarbeam.platform.config_client import ConfigClient
 from medlarbeam.platform.datagrams import DatagramEndpoint
 from medlarbeam.platform.http_front_end import HttpFrontEnd, parse_address
 from medlarbeam.platform.logs import EventLogger, configure_logging
@@ -69,6 +70,7 @@
     shell.attach(MetricsServer(shell, metrics_address, metrics, count_dropped_lines, front.account))
     shell.attach(StoreClient(shell, settings))
     shell.attach(DatagramEndpoint(shell, settings))
+    shell.attach(ConfigClient(shell))
     shell.attach(ServerClient(shell, settings, front.exchanges))
     shell.attach(front)
     return shell
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -40,6 +40,7 @@
     "SERVER_PREFIX",
     "SOFTWARE_PREFIX",
     "STREAMS_PREFIX",
+    "decode_config",
     "decode_engine_state",
     "decode_entry",
     "decode_object",
@@ -63,6 +64,8 @@
 SOFTWARE_PREFIX = "medlarbeam/software/"
 STREAMS_PREFIX = "medlarbeam/streams/"
 
+KEY_DIGESTS = "keyDigests"  # in the configuration as nodes pass it on
+
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -191,7 +194,9 @@
 def decode_config(name, document, revision):
     """Decode the configuration document into a `FleetConfig`."""
     limits = read_field(document, "limits", dict, {})
-    has_organisations = "tenants" in document
+    organisations = None
+    if "tenants" in document:
+        organisations = decode_organisations(read_field(document, "tenants", list))
     services = [decode_service(s) for s in read_field(document, "services", list)]
     return FleetConfig(
         read_field(document, "version", int),
@@ -199,10 +204,19 @@
         {service.name: service for service in services},
         read_field(limits, "maxBodyBytes", int, DEFAULT_MAX_BODY_BYTES),
         read_field(limits, "maxHeaderBytes", int, DEFAULT_MAX_HEADER_BYTES),
-        decode_organisations(read_field(document, "tenants", list)) if has_organisations else None,
+        organisations,
+        encode_shared_config(document, organisations),
     )
 
 
+def encode_shared_config(document, organisations):
+    """Encode a configuration for other nodes, with digests in place of keys."""
+    if organisations is None:
+        return dumps(document)
+    shared = [{"name": o.name, KEY_DIGESTS: o.key_digests} for o in organisations]
+    return dumps({**document, "tenants": shared})
+
+
 def decode_organisations(documents):
     """Decode the organisations of a configuration into a list of `Organisation`."""
     organisations = []
@@ -210,8 +224,9 @@
         name = read_field(document, "name", str)
         if not name.isprintable() or not name.strip():
             raise FormatError(f"the name of organisation {number} cannot be sent in a header")
-        keys = read_texts(document, "apiKeys")
-        organisations.append(Organisation(name, [digest_key(key) for key in keys if key]))
+        digests = read_texts(document, KEY_DIGESTS)
+        digests += [digest_key(key) for key in read_texts(document, "apiKeys") if key]
+        organisations.append(Organisation(name, digests))
     return organisations
 
 
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -24,9 +24,11 @@
 from medlarbeam.exceptions import ERROR_RESPONSES, ErrorKind, FormatError, RunState
 from medlarbeam.platform.caller_account import CallerAccount, CallerLimits
 from medlarbeam.platform.caller_listener import CallerListener
+from medlarbeam.platform.config_client import CONFIG_PATH
 from medlarbeam.platform.headers import (
     ATTEMPT_ID,
     NOT_RUN,
+    RUNS_ELSEWHERE,
     answer_headers,
     forwarded_headers,
     parse_adapter_key,
@@ -143,7 +145,7 @@
 
     def read_config_version(self):
         """Return the version of the configuration in force, 0 before the first one."""
-        return self.driver.node.admission.find_version()
+        return self.driver.node.config_versions.find_version()
 
     async def begin_stream(self, status, headers):
         """Send the response headers of a stream, unless they were already sent."""
@@ -224,12 +226,20 @@
             http_request.protocol.end_request(self.driver.read_clock())
 
     async def handle_forwarded(self, http_request):
-        """Respond to a request that another node forwards."""
+        """Respond to a request that another node forwards, or that asks for the configuration."""
         try:
+            if http_request.path == CONFIG_PATH and RUNS_ELSEWHERE not in http_request.headers:
+                return self._share_config()
             return await self._respond(http_request, parse_runs_elsewhere(http_request.headers))
         finally:
             http_request.protocol.end_request(self.driver.read_clock())
 
+    def _share_config(self):
+        config = self.driver.node.fleet.config
+        if config is None:
+            return Response(status=404)
+        return Response(body=config.shared_document, content_type="application/json")
+
     async def _respond(self, http_request, runs_elsewhere=None):
         body = await self._read_body(http_request)
         if body is None:
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -227,7 +227,7 @@
                 self._report_leaving(effect.server, response, effect.request_id, source)
                 if effect.forwarded_runs is not None:
                     version = parse_config_version(response.headers)
-                    self.driver.deliver(ConfigVersionStated(version))
+                    self.driver.deliver(ConfigVersionStated(effect.server.name, version))
                 if refusal:
                     await discard_body(response)
                     attempt_id = exchange.request.attempt_id
--- a/medlarbeam/platform/tests/test_caller_keys.py
+++ b/medlarbeam/platform/tests/test_caller_keys.py
@@ -4,17 +4,22 @@
 not set, and against requests that run although no configuration in force allows it.
 """
 
+import asyncio
+
 import pytest
-from aiohttp import ClientError
+from aiohttp import ClientError, ClientSession, ClientTimeout
 from orjson import dumps
 
+from medlarbeam.classes.fleet import NodeRegistration
 from medlarbeam.classes.record import Record
+from medlarbeam.platform.documents import encode_node
 from medlarbeam.platform.tests.raw_caller import RawCaller
 from medlarbeam.platform.tests.test_forwarding import run_stranded
 from medlarbeam.platform.tests.test_whole_path import (
     BROKEN,
     CONFIG,
     HOST,
+    Deployment,
     route,
     run,
     wait_until,
@@ -206,6 +211,32 @@
     return Outcome(caller, False, {organisation}, False)
 
 
+def test_key_is_refused_where_the_store_turns_a_gateway_away_when_it_is_withdrawn():
+    async def execute():
+        async with Deployment() as first, Deployment("n2") as other:
+            for deployment, peer in ((first, other), (other, first)):
+                address = peer.shell.node.settings.address
+                node = NodeRegistration(peer.name, "z1", address, 5)
+                deployment.store.put(f"medlarbeam/node/{peer.name}", encode_node(node))
+            await withdraw_key([first, other])
+            await wait_until(lambda: "n1" in other.shell.node.fleet.nodes)
+            first.store.injected_fault = "busy"
+            fleet = first.shell.node.fleet
+            await wait_until(lambda: fleet.store_unavailable_since is not None)
+            acme, *others = ORGANISATIONS
+            await adopt([other], 6, [{**acme, "apiKeys": ["key-of-acme"]}, *others])
+            await wait_until(lambda: fleet.config.version == 6)
+            async with ClientSession(timeout=ClientTimeout(total=8)) as session:
+                return [
+                    await call([first], session, "pay", caller, headers)
+                    for caller, headers, _ in CALLERS
+                ]
+
+    expected = [expect_outcome(*caller) for caller in CALLERS]
+    expected[1] = expect_outcome("second-key", [], REFUSED)
+    assert asyncio.run(execute()) == expected
+
+
 # Header lines of a request that the parser refuses.
 MALFORMED = [
     ("space-before-the-colon", "X-Key : secret"),
--- a/medlarbeam/platform/tests/test_documents.py
+++ b/medlarbeam/platform/tests/test_documents.py
@@ -7,7 +7,7 @@
 from base64 import b64encode
 
 import pytest
-from orjson import dumps
+from orjson import dumps, loads
 
 from medlarbeam.classes.fleet import (
     AdapterKey,
@@ -18,6 +18,7 @@
 )
 from medlarbeam.exceptions import FormatError
 from medlarbeam.platform.documents import (
+    decode_config,
     decode_engine_state,
     decode_entry,
     encode_node,
@@ -207,3 +208,31 @@
     )
     assert state.loading == {AdapterKey("m0", "a9"): 3}
     assert state.orders == 4 and state.models == {"m0"}
+
+
+def test_configuration_for_other_nodes_has_the_same_organisations_and_no_key():
+    organisations = [{"name": "acme", "apiKeys": ["secret-1", "secret-2"]}, {"name": "empty"}]
+    config = decode_config("", {**CONFIG, "tenants": organisations}, 0)
+    assert b"secret" not in config.shared_document
+    shared = decode_config("", loads(config.shared_document), 0)
+    assert shared.organisations == config.organisations
+    assert shared.routes == config.routes
+
+
+ODD_ORGANISATIONS = [
+    ("null", None),
+    ("no-list", {"name": "acme"}),
+    ("no-name", [{"apiKeys": ["k"]}]),
+    ("empty-name", [{"name": " ", "apiKeys": ["k"]}]),
+    ("name-with-a-line-feed", [{"name": "a\nb", "apiKeys": ["k"]}]),
+    ("key-that-is-a-number", [{"name": "acme", "apiKeys": [5]}]),
+    ("keys-that-are-no-list", [{"name": "acme", "apiKeys": "k"}]),
+]
+
+
+@pytest.mark.parametrize(
+    "organisations", [o[1] for o in ODD_ORGANISATIONS], ids=[o[0] for o in ODD_ORGANISATIONS]
+)
+def test_configuration_with_an_odd_organisation_is_rejected(organisations):
+    with pytest.raises(FormatError):
+        decode_config("", {**CONFIG, "tenants": organisations}, 0)
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -321,4 +321,5 @@
 struct PathReport {
   node @0 :Text;
   lost @1 :List(Text);
+  configVersion @2 :UInt64;
 }
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -183,7 +183,7 @@
         ListField("leaving", _LEAVING_SERVER),
     ),
     "streamReport": StructLayout(StreamReport, "node", ListField("streams", _VERSION_STREAMS)),
-    "pathReport": StructLayout(PathReport, "node", TextListField("lost")),
+    "pathReport": StructLayout(PathReport, "node config_version", TextListField("lost")),
     "clearanceReport": StructLayout(ClearanceReport, "node", TextListField("fingerprints")),
 }
 _MEMBERS = {layout.record_class: member for member, layout in _LAYOUTS.items()}
