Ask only components with deadlines for the next one, and early where nothing waits

The next deadline is asked for after each message, 390 times a second in a gateway of a grown site. Components without timers are no longer asked, and six others return early while they wait for nothing.

--- a/medlarbeam/gateway/crash_inquiries.py
+++ b/medlarbeam/gateway/crash_inquiries.py
@@ -420,5 +420,7 @@
 
     def next_deadline(self):
         """Return the time (s) of the next step of an inquiry."""
+        if not self.inquiries and not self.answered:
+            return inf
         due = min((inquiry.next_due() for inquiry in self.inquiries.values()), default=inf)
         return min([due, *(inquiry.opened_at + INQUIRY_S for inquiry in self.answered)])
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -465,7 +465,9 @@
 
     def next_deadline(self):
         """Return the time (s) at which a backend server may be used again, or is forgotten."""
-        return min(self.forget_at, min(self.doubtful_until.values(), default=inf))
+        if not self.doubtful_until:
+            return self.forget_at
+        return min(self.forget_at, *self.doubtful_until.values())
 
     def list_present(self, service, now):
         """Return the names of the backend servers of `service` that are not gone.
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -215,7 +215,3 @@
 
     def tick(self, now, out):
         """Do nothing; the timers of the relays cover forwarded requests."""
-
-    def next_deadline(self):
-        """Return infinity."""
-        return inf
--- a/medlarbeam/gateway/leaving_servers.py
+++ b/medlarbeam/gateway/leaving_servers.py
@@ -162,4 +162,4 @@
 
     def next_deadline(self):
         """Return the time (s) of the next report or expiry."""
-        return min(self.report_at, min(self.hints.values(), default=inf))
+        return min(self.report_at, *self.hints.values()) if self.hints else self.report_at
--- a/medlarbeam/gateway/refusal_limits.py
+++ b/medlarbeam/gateway/refusal_limits.py
@@ -86,7 +86,3 @@
 
     def tick(self, now, out):
         """Do nothing; limits are compared with the time when they are used."""
-
-    def next_deadline(self):
-        """Return infinity."""
-        return inf
--- a/medlarbeam/gateway/server_paths.py
+++ b/medlarbeam/gateway/server_paths.py
@@ -209,4 +209,8 @@
 
     def next_deadline(self):
         """Return the time (s) of the next probe, end of a check, or report."""
-        return min(self.report_at, *(path.due_at for path in self.paths.values()), inf)
+        earliest = self.report_at
+        for path in self.paths.values():  # after each message, so without a generator
+            if path.due_at < earliest:
+                earliest = path.due_at
+        return earliest
--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -323,7 +323,9 @@
 
     def next_deadline(self):
         """Return the time (s) at which the next pause or recovery ends."""
-        return min((self._find_end(pause) for pause in self.pauses.values()), default=inf)
+        if not self.pauses:
+            return inf
+        return min(self._find_end(pause) for pause in self.pauses.values())
 
     def _find_end(self, pause):
         is_paused = self.chart.has_tag(pause, "paused")
--- a/medlarbeam/gateway/server_starts.py
+++ b/medlarbeam/gateway/server_starts.py
@@ -431,6 +431,8 @@
 
     def next_deadline(self):
         """Return the time (s) of the next check, or at which a run is given up."""
+        if not self.waiting:
+            return self.cleanup_at
         records = [self.records[name] for name in self.waiting]
         times = [run.give_up_at for record in records for run in record.pending]
         times += [record.check_at for record in records]
--- a/medlarbeam/gateway/stalled_runs.py
+++ b/medlarbeam/gateway/stalled_runs.py
@@ -1,7 +1,5 @@
 """Runs that send no data for too long."""
 
-from math import inf
-
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.gateway_effects import CancelFleetRun
 from medlarbeam.classes.gateway_messages import RunInterrupted, RunStalled
@@ -60,7 +58,3 @@
 
     def tick(self, now, out):
         """Do nothing; the shell measures the time without data."""
-
-    def next_deadline(self):
-        """Return infinity."""
-        return inf
--- a/medlarbeam/node/component.py
+++ b/medlarbeam/node/component.py
@@ -66,9 +66,9 @@
     def tick(self, now, out):
         """Perform the actions that are due at `now` (s)."""
 
-    @abstractmethod
     def next_deadline(self):
         """Return the time (s) at which `tick` has to be called next, infinity for never."""
+        return inf
 
 
 class ComponentHost:
@@ -77,12 +77,22 @@
     Parameters
     ----------
     components : list of Component
+
+    Attributes
+    ----------
+    timed_components : list of Component
+        Those that override `next_deadline`, which is called after each message.
     """
 
-    __slots__ = ("components", "message_handlers")
+    __slots__ = ("components", "message_handlers", "timed_components")
 
     def __init__(self, components):
         self.components = components
+        self.timed_components = [
+            component
+            for component in components
+            if type(component).next_deadline is not Component.next_deadline
+        ]
         self.message_handlers = {}
         for component in components:
             self.register(component)
@@ -111,7 +121,7 @@
         """Call the components that are due and return the list of effects."""
         out = Outbox()
         self.record_time(now)
-        for component in self.components:
+        for component in self.timed_components:
             if component.next_deadline() <= now:
                 component.tick(now, out)
         return out.effects
@@ -119,7 +129,7 @@
     def next_deadline(self):
         """Return the time (s) at which `tick` has to be called next."""
         earliest = inf
-        for component in self.components:  # after each message, so without a generator
+        for component in self.timed_components:  # after each message, so without a generator
             deadline = component.next_deadline()
             if deadline < earliest:
                 earliest = deadline
