--- a/medlarbeam/readwrite/peer_fields.py
+++ b/medlarbeam/readwrite/peer_fields.py
@@ -59,7 +59,7 @@
 
     def read(self, reader):
         """Return the value of the field of a struct reader."""
-        return getattr(reader, self.wire_name)
+        return reader._get(self.wire_name)
 
 
 class FloatField(PlainField):
@@ -69,7 +69,7 @@
 
     def read(self, reader):
         """Return the value of the field of a struct reader."""
-        value = getattr(reader, self.wire_name)
+        value = reader._get(self.wire_name)
         if isnan(value):
             raise FormatError(f"{self.name} is not a number")
         return value
@@ -90,7 +90,7 @@
 
     def read(self, reader):
         """Return the value of the field of a struct reader."""
-        return self.enum_class(getattr(reader, self.wire_name))
+        return self.enum_class(reader._get(self.wire_name))
 
 
 class TextListField(PeerField):
@@ -104,7 +104,7 @@
 
     def read(self, reader):
         """Return the value of the field of a struct reader."""
-        return list(getattr(reader, self.wire_name))
+        return list(reader._get(self.wire_name))
 
 
 class RecordField(PeerField):
@@ -124,7 +124,7 @@
         """Return the value of the field of a struct reader."""
         if not reader._has(self.wire_name):
             raise FormatError(f"{self.name} is missing")
-        return self.layout.read(getattr(reader, self.wire_name))
+        return self.layout.read(reader._get(self.wire_name))
 
 
 class OptionalField(RecordField):
@@ -155,7 +155,7 @@
 
     def read(self, reader):
         """Return the value of the field of a struct reader."""
-        return [self.layout.read(item) for item in getattr(reader, self.wire_name)]
+        return [self.layout.read(item) for item in reader._get(self.wire_name)]
 
 
 class MapField(PeerField):
@@ -184,7 +184,7 @@
 
     def read(self, reader):
         """Return the value of the field of a struct reader."""
-        items = getattr(reader, self.wire_name)
+        items = reader._get(self.wire_name)
         result = {getattr(item, self.key): getattr(item, self.value) for item in items}
         if len(result) != len(items):
             raise FormatError(f"{self.name} has a duplicate {self.key}")
