--- a/medlarbeam/bench/tests/test_benches.py
+++ b/medlarbeam/bench/tests/test_benches.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import orjson
 import pytest
@@ -13,6 +14,7 @@
     chart_cost,
     control_cost,
     gateway_cost,
+    process_cost,
     record_cost,
     request_cost,
 )
@@ -70,6 +72,20 @@
     assert {"GatewayRequest", "HoldingReport", "UseReport", "tick"} <= {m.message for m in messages}
 
 
+def check_process():
+    size = FleetSize("tiny", 3, 4, 1, 3, 60, 8, 60.0, 1.0)
+    with TemporaryDirectory() as folder:
+        row, causes = process_cost.measure(SEED, size, 1.0, Path(folder))
+    assert row.ready_s > 0 and row.datagrams_per_s > 1
+    assert row.answers["200"] > 20 and set(row.answers) <= {"200", "503"}
+    net_ms_per_s = sum(cause.ms_per_s for cause in causes)
+    assert row.ms_per_s == pytest.approx(net_ms_per_s + row.clock_ms_per_s)
+    groups = {group.cause for group in process_cost.sum_groups(causes)}
+    assert {"relay", "requests", "datagrams", "store", "decisions", "timers", "charts"} <= groups
+    entries = find_row(causes, cause="store: decoding of entries")
+    assert entries.times_per_s > 0
+
+
 def check_chart():
     row = chart_cost.measure(100, 3)
     assert (row.chart, row.rounds) == ("ownership", 3) and row.fire_us > 0
@@ -91,6 +107,7 @@
         pytest.param(check_request, id="role-does-not-run-its-requests"),
         pytest.param(check_records, id="vm-list-does-not-grow-with-the-cells"),
         pytest.param(check_gateway, id="calls-or-decisions-of-a-gateway-not-repeatable"),
+        pytest.param(check_process, id="cause-missing-or-parts-differ-from-the-whole"),
         pytest.param(check_chart, id="chart-event-cycle-not-declared"),
         pytest.param(check_ratios, id="ratio-inverted"),
     ],
