--- a/medlarbeam/platform/logs.py
+++ b/medlarbeam/platform/logs.py
@@ -18,8 +18,11 @@
 def configure_logging(settings, loop):
     """Configure logging to write JSON lines to standard output; return the `NonBlockingLogHandler`.
 
-    Each line contains the name of the node and its failure domain.
+    Each line contains the name of the node and its failure domain. No line contains the caller,
+    thread or process that a log record has by default; finding them out took a fifth of its time.
     """
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
+    logging._srcfile = None  # as the logging HOWTO of Python has it, section "Optimization"
     handler = NonBlockingLogHandler(STANDARD_OUTPUT, loop.time, loop.call_later)
     handler.setFormatter(JsonFormatter(settings.name, settings.failure_domain))
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
