Soak: organisations with keys, and callers that use them oddly

Change: a key ring holds the operator's keys and the time of each configuration. Callers send a key, and keep what they sent. Workers record each request with its time, and answer 400 to one without an attempt id, which raised KeyError before.

--- a/medlarbeam/soak/deployment.py
+++ b/medlarbeam/soak/deployment.py
@@ -21,6 +21,7 @@
     "ADAPTERS",
     "ADAPTER_CAPACITY",
     "EXPIRY_S",
+    "PUBLIC_ROUTE",
     "Deployment",
     "GatewayProcess",
     "build_route",
@@ -71,12 +72,14 @@
     }
 
 
+PUBLIC_ROUTE = "open"
 ROUTES = [
     build_route("read", "idempotent", "ledger"),
     build_route("pay", "non_idempotent", "ledger", attempts=1),
     build_route("chat", "streaming", "llm", resumable=True, gapAimMs=250),
     build_route("draft", "streaming", "llm", attempts=1, gapAimMs=250, priority=2),
     build_route("story", "streaming", "llm", resumable=True, gapAimMs=500, timeoutMs=8000),
+    build_route(PUBLIC_ROUTE, "idempotent", "ledger", public=True),
 ]
 
 
@@ -165,6 +168,8 @@
         Number of gateway processes and of LLM workers.
     builds : list of pathlib.Path
         Source trees whose gateways run, in turn; this one by default.
+    key_ring : KeyRing or None
+        Keys of the organisations, None for a configuration without organisations.
 
     Attributes
     ----------
@@ -197,6 +202,7 @@
         "gateway_names",
         "gateways",
         "harmful_requests",
+        "key_ring",
         "orders",
         "peer_links",
         "proxies",
@@ -214,8 +220,9 @@
         "workers",
     )
 
-    def __init__(self, folder, rng, gateways=3, engines=3, builds=(SOURCE_TREE,)):
+    def __init__(self, folder, rng, gateways=3, engines=3, builds=(SOURCE_TREE,), key_ring=None):
         self.builds = list(builds)
+        self.key_ring = key_ring
         self.states = {}
         self.sequence = 0
         self.folder = folder
@@ -450,4 +457,7 @@
             "routes": routes,
             "services": self.services,
         }
+        if self.key_ring is not None:
+            document["tenants"] = self.key_ring.encode()
+            self.key_ring.record(self.version, asyncio.get_running_loop().time())
         self.store.put("op/config", dumps(document))
--- a/medlarbeam/soak/faults.py
+++ b/medlarbeam/soak/faults.py
@@ -240,6 +240,7 @@
                 Random(rng.random()),
                 deployment.harmful_requests,
                 ("5e5e", HARMFUL_PART),
+                deployment.key_ring,
             )
             for number in range(HARMFUL_CALLERS)
         ]
--- a/medlarbeam/soak/records.py
+++ b/medlarbeam/soak/records.py
@@ -4,9 +4,48 @@
 
 from medlarbeam.classes.record import Record
 
-__all__ = ["INCOMPLETE", "EndTime", "FaultInterval", "RequestRecord"]
+__all__ = [
+    "FAULT_FREE_S",
+    "INCOMPLETE",
+    "STORE_KINDS",
+    "EndTime",
+    "FaultInterval",
+    "RequestRecord",
+    "SentRequest",
+]
 
 INCOMPLETE = -1  # status of a request that got no complete response
+FAULT_FREE_S = 3.0  # time bounds are checked only after this long without a relevant fault
+STORE_KINDS = {"store", "store_link", "store_loss", "store_set_back"}
+
+
+class SentRequest(Record):
+    """A request as its caller sent it.
+
+    Parameters
+    ----------
+    method, target : str
+    headers : list of tuple
+        ``(name, value)``, also repeated ones.
+    body : bytes
+    """
+
+    __slots__ = ("body", "headers", "method", "target")
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    def read_values(self, name):
+        """Return the values of all headers called `name`, which is compared without case."""
+        return [value for field, value in self.headers if field.lower() == name.lower()]
+
+    def find_key(self):
+        """Return the key of the request, None if it has none or several."""
+        keys = self.read_values("X-Key")
+        return keys[0] if len(keys) == 1 else None
 
 
 class RequestRecord(Record):
@@ -21,6 +60,8 @@
     body : bytes
     headers_sent : bool
         Whether the request headers were sent, that is, whether a connection was established.
+    sent : SentRequest or None
+        The request itself, None if it was not kept.
     """
 
     __slots__ = (
@@ -30,11 +71,14 @@
         "gateway",
         "headers_sent",
         "route",
+        "sent",
         "sent_at",
         "status",
     )
 
-    def __init__(self, attempt, route, gateway, sent_at, ended_at, status, body, headers_sent):
+    def __init__(
+        self, attempt, route, gateway, sent_at, ended_at, status, body, headers_sent, sent=None
+    ):
         self.attempt = attempt
         self.route = route
         self.gateway = gateway
@@ -43,6 +87,7 @@
         self.status = status
         self.body = body
         self.headers_sent = headers_sent
+        self.sent = sent
 
 
 class EndTime(Record):
--- a/medlarbeam/soak/worker.py
+++ b/medlarbeam/soak/worker.py
@@ -15,6 +15,7 @@
     "ArrivalRecord",
     "FallRecord",
     "OrderRecord",
+    "ReceiptRecord",
     "RunRecord",
     "SoakWorker",
     "expected_body",
@@ -27,6 +28,7 @@
 FAULTS = ("error", "reset", "half", "refuse", "endless_line_feeds", "endless_early_hints")
 PLACES = 4  # requests that run at once
 REFUSAL_WINDOW_S = 1.0
+OWN_TARGETS = ("/report", "/order")  # requests of gateways, not of callers
 
 
 class RunRecord(Record):
@@ -90,6 +92,25 @@
         self.is_loaded = True
 
 
+class ReceiptRecord(Record):
+    """A request as it reached a worker.
+
+    Parameters
+    ----------
+    worker : str
+    at : float
+        Time (s).
+    request : ReceivedRequest
+    """
+
+    __slots__ = ("at", "request", "worker")
+
+    def __init__(self, worker, at, request):
+        self.worker = worker
+        self.at = at
+        self.request = request
+
+
 class OrderRecord(Record):
     """An order received by a worker, accepted or not, and the adapters held after it."""
 
@@ -145,6 +166,8 @@
     failure_mode : FailureMode
         What gateways see of it from a crash until it is back.
     falls : list of FallRecord
+    receipts : list of ReceiptRecord
+        All requests of callers; `received` has only the latest ones.
     framing : Framing
         Framing of its complete responses and of harmful ones.
     harmful_events : int or None
@@ -173,6 +196,7 @@
         "order_records",
         "places",
         "preloaded",
+        "receipts",
         "refused_at",
         "rng",
         "running",
@@ -197,6 +221,7 @@
         self.running = 0
         self.refused_at = deque()
         self.falls = []
+        self.receipts = []
         self.failure_mode = FAILURE_MODES["reset"]
         self.framing = FRAMINGS["chunked"]
         self.harmful_events = None
@@ -207,13 +232,18 @@
 
     async def _handle_request(self, writer, request, headers):
         writer.write(self.late_bytes.pop(writer, b""))
+        if request.target not in OWN_TARGETS:
+            now = asyncio.get_running_loop().time()
+            self.receipts.append(ReceiptRecord(self.name, now, request))
         return await super()._handle_request(writer, request, headers)
 
     async def respond(self, writer, request, headers):
         """Execute a request if it is addressed to this worker and its adapter is loaded."""
         if headers.get("x-expect-instance") != self.name:
             return self.write_response(writer, 421, b"", b"")
-        attempt = headers["x-attempt-id"]
+        attempt = headers.get("x-attempt-id", "")
+        if not attempt:
+            return self.write_response(writer, 400, b"X-Not-Executed: 1\r\n", b"")
         now = asyncio.get_running_loop().time()
         arrival = self._record_arrival(attempt, now)
         adapter = headers.get("x-model", "").partition("/")[2]
@@ -303,7 +333,7 @@
         text = self.pause_values[0] if len(self.pause_values) == 1 else ""
         is_number = text.replace(".", "", 1).isdigit()
         pause_s = float(text) if is_number else 0.0 if self.pause_values else left_s
-        attempt = headers["x-attempt-id"]
+        attempt = headers.get("x-attempt-id", "")
         self._record_arrival(attempt, now, now + pause_s)
         return super().refuse_paused(writer, headers, left_s)
 
