Soak: rules about keys and organisations (UNASKED, ROUTE, CONFIG, DENIED, REFUSED)

The checker compares what workers received with what callers sent and with the configurations in force, those of the last 2 s (configApplyMs) and one more second; or all so far, for a gateway that a fault kept from them in the last 3 s (contactMs). Requests whose key some configuration in force does not hold are not owed in RECOVER.

--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -4,9 +4,10 @@
 from math import inf
 
 from medlarbeam.classes.record import Record
+from medlarbeam.soak.access_checker import ACCESS_CHECKS, is_owed
 from medlarbeam.soak.deployment import ADAPTER_CAPACITY, DRAIN_S, ORDER_GAP_S
 from medlarbeam.soak.faults import RATE_LIMIT
-from medlarbeam.soak.records import INCOMPLETE
+from medlarbeam.soak.records import FAULT_FREE_S, INCOMPLETE, STORE_KINDS
 from medlarbeam.soak.worker import expected_body
 
 __all__ = ["History", "find_violations"]
@@ -15,13 +16,12 @@
 STREAM_ROUTES = ("chat", "draft")
 PASSED_STATUSES = (200, 500)  # responses of workers, as gateways pass them on
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-FAULT_FREE_S = 3.0  # time bounds are checked only after this long without a relevant fault
 RESUME_GRACE_S = 0.3  # orders of a gateway are ignored for this long after SIGCONT
 # A request that did not run and ended within this time does not count as accepted.
 ACCEPT_GRACE_S = 0.2
 RESPONSE_LIMIT_S = 3.8  # deadline of the callers (3 s) plus time to deliver the response
 MIN_SERVED_SHARE = 0.9  # of the requests sent after the recovery deadline
-HARMLESS_KINDS = {"reload", "config"}
+HARMLESS_KINDS = {"reload", "config", "withdraw_key"}
 CONTACT_S = 3.0  # within which all gateways have to know of crashes and limits
 MAX_CRASHES = 5  # after which no more than `MAX_LATE_RUNS` harmful requests may reach workers
 MAX_LATE_RUNS = 3
@@ -33,7 +33,6 @@
 RATE_EXTRA = 5
 # Reset or silent connections excuse what happens up to `CONTACT_S` after them.
 MOMENTARY_KINDS = {"store_silence"}
-STORE_KINDS = {"store", "store_link", "store_loss", "store_set_back"}
 # A gateway that these kinds affect may not know of a drain or a limit.
 DISTURBING_KINDS = {"kill", "terminate", "freeze", "worker_link", *STORE_KINDS}
 
@@ -57,6 +56,12 @@
         Requests that reached workers, also those that were refused.
     falls : list of FallRecord
         Crashes of workers that had to refuse too many requests.
+    receipts : list of ReceiptRecord
+        Requests of callers as they reached workers.
+    key_ring : KeyRing or None
+        All configurations of keys; None if requests were recorded without what their callers sent.
+    started_at : float
+        Time (s) at which callers began; gateways start shortly before.
     """
 
     __slots__ = (
@@ -65,10 +70,13 @@
         "falls",
         "fault_intervals",
         "harmful_requests",
+        "key_ring",
         "orders",
+        "receipts",
         "recovery_deadline",
         "requests",
         "runs",
+        "started_at",
     )
 
     def __init__(
@@ -82,7 +90,13 @@
         crashed_at=(),
         arrivals=(),
         falls=(),
+        receipts=(),
+        key_ring=None,
+        started_at=-inf,
     ):
+        self.started_at = started_at
+        self.receipts = receipts
+        self.key_ring = key_ring
         self.arrivals = arrivals
         self.falls = falls
         self.harmful_requests = harmful_requests
@@ -335,7 +349,11 @@
 
 def check_recovery(history):
     """Yield a message if too few requests succeed after the recovery deadline."""
-    final = [request for request in history.requests if request.sent_at > history.recovery_deadline]
+    final = [
+        request
+        for request in history.requests
+        if request.sent_at > history.recovery_deadline and is_owed(history, request)
+    ]
     served = sum(1 for request in final if request.status == 200)
     if not final or served < MIN_SERVED_SHARE * len(final):
         outcomes = Counter((request.route, request.gateway, request.status) for request in final)
@@ -355,4 +373,5 @@
     check_refusal_limits,
     check_response_times,
     check_recovery,
+    *ACCESS_CHECKS,
 ]
