--- a/medlarbeam/standins/platform_worker.py
+++ b/medlarbeam/standins/platform_worker.py
@@ -159,12 +159,7 @@
         try:
             while True:
                 head_lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-                fields = [tuple(line.split(": ", 1)) for line in head_lines[1:] if line]
-                headers = {name.lower(): value for name, value in fields}
-                body = await reader.readexactly(int(headers.get("content-length", 0)))
-                method, target, _ = head_lines[0].split(" ")
-                request = ReceivedRequest(method, target, fields, body)
-                if not await self._handle_request(writer, request, headers):
+                if not await self.serve_request(reader, writer, head_lines):
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -172,6 +167,15 @@
             self.connections.discard(writer)
             writer.close()
 
+    async def serve_request(self, reader, writer, head_lines):
+        """Read and handle the request with this head; return whether the connection stays open."""
+        fields = [tuple(line.split(": ", 1)) for line in head_lines[1:] if line]
+        headers = {name.lower(): value for name, value in fields}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        method, target, _ = head_lines[0].split(" ")
+        request = ReceivedRequest(method, target, fields, body)
+        return await self._handle_request(writer, request, headers)
+
     async def _handle_request(self, writer, request, headers):
         """Handle one request; return whether the connection stays open."""
         path, body = request.target, request.body
