--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -22,6 +22,8 @@
 
 __all__ = [
     "CALL_ERRORS",
+    "CheckedResponse",
+    "IncompleteResponseError",
     "InvalidStatusError",
     "NoDnsResolver",
     "NotSentError",
@@ -52,6 +54,10 @@
     """The status of a response is that of no final response, so the server is faulty."""
 
 
+class IncompleteResponseError(MedlarbeamError):
+    """A response ended in a way that does not show that it is complete."""
+
+
 class SendGuard:
     """Permits or refuses to send one request, and records whether it was sent.
 
@@ -133,17 +139,46 @@
 
 
 class CheckedResponse(ClientResponse):
-    """Response whose status is that of a final response."""
+    """Response whose status is that of a final response, and whose end shows that it is complete.
 
-    __slots__ = ()
+    Attributes
+    ----------
+    protocol : BoundedResponseHandler
+        The connection, which the response keeps after its end.
+    """
+
+    __slots__ = ("protocol",)
 
     async def start(self, connection):
         """Read the head; raise InvalidStatusError, which closes the connection."""
+        self.protocol = connection.protocol
         await super().start(connection)
         if not MIN_STATUS <= self.status <= MAX_STATUS:
             raise InvalidStatusError(f"HTTP status {self.status:03d}")
         return self
 
+    async def read(self):
+        """Return the body; raise IncompleteResponseError if it may have been cut short."""
+        body = await super().read()
+        self.check_end()
+        return body
+
+    def is_framed(self):
+        """Return whether the response tells by itself where it ends."""
+        headers = self.headers
+        is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+        return is_chunked or "Content-Length" in headers or self.status in (204, 304)
+
+    def check_end(self):
+        """Raise IncompleteResponseError if the end of the connection may have cut the body short.
+
+        aiohttp takes any end of a connection for that of a response without a length, also a reset.
+        """
+        if self.is_framed():
+            return
+        if self.protocol.is_reset:
+            raise IncompleteResponseError("connection reset in a response without a length")
+
 
 class BoundedResponseHandler(ResponseHandler):
     """Connection of a client that closes it when heads of responses arrive without end.
@@ -161,6 +196,9 @@
     ----------
     connected_at : float or None
         Time (s) at which the connection was established.
+    is_reset : bool
+        Whether the connection ended with an error. aiohttp's own record of it is cleared when the
+        sending of a request is cancelled.
     message_count : int
         Heads that have arrived since the last request.
     received_at : float or None
@@ -169,12 +207,20 @@
         Bytes that have arrived on the connection.
     """
 
-    __slots__ = ("connected_at", "message_count", "read_clock", "received_at", "received_bytes")
+    __slots__ = (
+        "connected_at",
+        "is_reset",
+        "message_count",
+        "read_clock",
+        "received_at",
+        "received_bytes",
+    )
 
     def __init__(self, loop, read_clock):
         super().__init__(loop)
         self.read_clock = read_clock
         self.connected_at = None
+        self.is_reset = False
         self.message_count = 0
         self.received_at = None
         self.received_bytes = 0
@@ -184,6 +230,11 @@
         self.connected_at = self.read_clock()
         super().connection_made(transport)
 
+    def connection_lost(self, exc):
+        """Record a reset."""
+        self.is_reset = exc is not None
+        super().connection_lost(exc)
+
     def set_response_params(self, **options):
         """Expect the response to the next request."""
         self.message_count = 0
@@ -284,7 +335,15 @@
 
 
 async def read_body(response, limit):
-    """Return the body of a response; raise FormatError if it exceeds `limit` bytes."""
+    """Return the body of a response.
+
+    Raises
+    ------
+    FormatError
+        If it exceeds `limit` bytes.
+    IncompleteResponseError
+        If it may have been cut short.
+    """
     blocks = []
     size = 0
     async for block in response.content.iter_any():
@@ -293,4 +352,5 @@
             response.close()
             raise FormatError(f"response is larger than the limit of {limit} bytes")
         blocks.append(block)
+    response.check_end()
     return b"".join(blocks)
--- a/medlarbeam/daemon/tests/test_backend_client.py
+++ b/medlarbeam/daemon/tests/test_backend_client.py
@@ -30,6 +30,7 @@
 from medlarbeam.classes.requests import Rank, Request
 from medlarbeam.daemon.backend_client import BackendClient
 from medlarbeam.exceptions import ErrorKind, RunState
+from medlarbeam.standins.early_worker import EarlyAnswer, EarlyWorker
 
 CLOSE = "Connection: close"
 MODEL = "a@1"
@@ -169,6 +170,36 @@
     run(check())
 
 
+LONG = 8 << 20  # bytes of a request, more than the buffers of a connection hold
+UNREAD = [
+    ("reset-reported-as-complete", 2, EarlyAnswer("none", "reset", read_bytes=2)),
+    ("reset-under-an-upload-reported-as-complete", LONG, EarlyAnswer("none", "reset")),
+    ("reset-after-a-turn-reported-as-complete", LONG, EarlyAnswer("none", "reset", turns=1)),
+    ("reset-of-a-payment-that-is-declined", LONG, EarlyAnswer("none", "reset", status=402)),
+    ("part-of-a-length-reported-as-complete", LONG, EarlyAnswer("length", "reset")),
+    ("part-of-chunks-reported-as-complete", LONG, EarlyAnswer("chunks", "reset")),
+]
+
+
+@pytest.mark.parametrize("size, answer", [u[1:] for u in UNREAD], ids=[u[0] for u in UNREAD])
+def test_plain_run_that_is_answered_early_and_cut_short(size, answer):
+    """Guards against a part of a result that is taken for the whole."""
+
+    async def check():
+        worker = EarlyWorker("b1")
+        worker.early_answer = answer
+        await worker.start()
+        port = int(worker.address.rpartition(":")[2])
+        async with BackendClientHarness() as harness:
+            effect = make_run(port, service="till", path="charge", non_idempotent=True, key="k")
+            effect.request.body = "x" * size
+            messages = await harness.perform(effect)
+        worker.stop()
+        assert [summarize(m) for m in messages] == [LOST]
+
+    run(check())
+
+
 STALE = [
     ("idempotent-run-sent-twice", False, 1, [b""], [LOST]),
     # A payment uses a new connection, so the closed one does not affect it.
--- a/medlarbeam/platform/server_client.py
+++ b/medlarbeam/platform/server_client.py
@@ -4,7 +4,6 @@
 import logging
 
 from aiohttp import (
-    ClientError,
     ClientOSError,
     ClientPayloadError,
     ClientTimeout,
@@ -50,13 +49,14 @@
 from medlarbeam.classes.stream_timing import StreamTiming
 from medlarbeam.daemon.effect_handlers import EffectHandlerService
 from medlarbeam.daemon.http_client import (
+    CALL_ERRORS,
+    IncompleteResponseError,
     SendGuard,
     apply_send_guard,
     describe_error,
     open_session,
     read_body,
 )
-from medlarbeam.exceptions import FormatError
 from medlarbeam.platform.documents import decode_engine_state, decode_object, decode_start
 from medlarbeam.platform.event_splitter import EventSplitter
 from medlarbeam.platform.headers import (
@@ -72,14 +72,11 @@
 from medlarbeam.platform.server_probe import probe_server
 from medlarbeam.platform.server_responses import (
     BadResponseError,
-    IncompleteResponseError,
     check_response,
-    check_response_end,
     check_status,
     find_answer_source,
     find_pause,
     find_refusal,
-    is_framed,
 )
 from medlarbeam.platform.stall_timer import StallTimer
 
@@ -220,7 +217,6 @@
                 skip_auto_headers=NO_AUTO_HEADERS,
                 allow_redirects=False,
             ) as response:
-                protocol = response.connection.protocol if response.connection else None
                 load = parse_load(response.headers)
                 refusal = find_refusal(response, exchange)
                 source = find_answer_source(response, refusal, effect.is_stream)
@@ -240,13 +236,11 @@
                         origin = await self._wait_for_acceptance(effect, guard)
                     headers = build_answer_headers(response, exchange, origin)
                     await self._relay_stream(effect, exchange, response, headers, timer, guard)
-                    check_response_end(response, protocol)
                     timer.pause()
                     await self._confirm_end(effect, response)
                     exchange.finish(exchange.stream)
                     return RunCompleted(effect.run_id, response.status, load, exchange.timing)
                 body = await read_body(response, MAX_RESPONSE_BYTES)
-                check_response_end(response, protocol)
                 timer.pause()
                 await self._confirm_end(effect, response)
         if exchange.stream is not None and 200 <= response.status < 300:
@@ -271,7 +265,7 @@
 
     async def _confirm_end(self, effect, response):
         """Wait until it is known that the end of a connection is that of its response."""
-        if is_framed(response):
+        if response.is_framed():
             return
         answer = await self._ask(RunClosed(effect.run_id))
         if isinstance(answer, RejectRun):
@@ -333,6 +327,7 @@
             timer.resume()
         if splitter.is_inside_event():
             raise IncompleteResponseError("the stream ended inside an event")
+        response.check_end()
         await exchange.begin_stream(response.status, headers)
 
     def _report_leaving(self, server, response, request_id, source):
@@ -435,7 +430,7 @@
     try:
         async with asyncio.timeout(REFUSAL_TIMEOUT_S):
             await read_body(response, MAX_REFUSAL_BYTES)
-    except (ClientError, FormatError, OSError) as error:  # includes timeouts
+    except CALL_ERRORS as error:
         log.debug("response discarded: %s", error, extra={"event": "response_discarded"})
         response.close()
 
--- a/medlarbeam/platform/server_responses.py
+++ b/medlarbeam/platform/server_responses.py
@@ -1,20 +1,15 @@
 """Checks of the responses of backend servers."""
 
-from aiohttp import ClientOSError
-
 from medlarbeam.exceptions import FormatError
 from medlarbeam.platform.headers import ATTEMPT_ID, NOT_RUN, SIGNATURE, parse_pause
 
 __all__ = [
     "BadResponseError",
-    "IncompleteResponseError",
     "check_response",
-    "check_response_end",
     "check_status",
     "find_answer_source",
     "find_pause",
     "find_refusal",
-    "is_framed",
 ]
 
 
@@ -22,10 +17,6 @@
     """The response is malformed or does not belong to the request that was sent."""
 
 
-class IncompleteResponseError(BadResponseError):
-    """The connection ended before a response without a length was complete."""
-
-
 def find_refusal(response, exchange):
     """Return why the backend server did not run the request, "" if it did not refuse it.
 
@@ -76,22 +67,3 @@
     if 200 <= response.status < 300 and SIGNATURE not in response.headers:
         response.close()
         raise BadResponseError("the response is not signed")
-
-
-def is_framed(response):
-    """Return whether a response tells by itself where it ends."""
-    headers = response.headers
-    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-    return is_chunked or "Content-Length" in headers or response.status in (204, 304)
-
-
-def check_response_end(response, protocol):
-    """Raise BadResponseError if a response without a length ended with a connection reset.
-
-    For such a response aiohttp treats any close of the connection as the end of the body, even
-    after a reset.
-    """
-    if is_framed(response):
-        return
-    if protocol is not None and isinstance(protocol.exception(), ClientOSError):
-        raise IncompleteResponseError("connection reset in a response without a length")
--- a/medlarbeam/platform/tests/test_forwarding.py
+++ b/medlarbeam/platform/tests/test_forwarding.py
@@ -12,13 +12,17 @@
 from medlarbeam.platform.documents import encode_node
 from medlarbeam.platform.tests.test_whole_path import HOST, STREAM, Deployment, wait_until
 from medlarbeam.standins.free_ports import find_free_addresses
+from medlarbeam.standins.platform_worker import PlatformWorker
 
 
-def run_stranded(scenario):
-    """Run a scenario with a gateway that reaches no backend server, and one that does."""
+def run_stranded(scenario, worker_class=PlatformWorker):
+    """Run a scenario with a gateway that reaches no backend server, and one that does.
+
+    `worker_class` is the class of the backend servers.
+    """
 
     async def execute():
-        async with Deployment() as stranded, Deployment("n2") as other:
+        async with Deployment() as stranded, Deployment("n2", worker_class) as other:
             address = other.shell.node.settings.address
             node = NodeRegistration("n2", "z1", address, 5)
             stranded.store.put("medlarbeam/node/n2", encode_node(node))
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -16,8 +16,8 @@
 from orjson import dumps, loads
 
 from medlarbeam.classes.messages import Shutdown
+from medlarbeam.daemon.http_client import CheckedResponse
 from medlarbeam.gateway.tests.fleet_samples import make_settings
-from medlarbeam.platform import server_client
 from medlarbeam.platform.__main__ import build_gateway_shell
 from medlarbeam.platform.settings import PlatformSettings
 from medlarbeam.standins.free_ports import find_free_addresses
@@ -82,10 +82,10 @@
 
     __slots__ = ("addresses", "front", "name", "runner", "settings", "shell", "store", "workers")
 
-    def __init__(self, name="n1"):
+    def __init__(self, name="n1", worker_class=PlatformWorker):
         self.name = name
         self.store = PlatformStore()
-        self.workers = {name: PlatformWorker(name) for name in ("l1", "l2", "w1", "w2")}
+        self.workers = {name: worker_class(name) for name in ("l1", "l2", "w1", "w2")}
         self.runner = None
         self.shell = None
         self.addresses = find_free_addresses(4)
@@ -160,11 +160,11 @@
             return BROKEN, b""
 
 
-def run(scenario):
+def run(scenario, worker_class=PlatformWorker):
     """Run a scenario with a started deployment and a client session."""
 
     async def execute():
-        async with Deployment() as deployment:
+        async with Deployment(worker_class=worker_class) as deployment:
             async with ClientSession(timeout=ClientTimeout(total=8)) as session:
                 return await scenario(deployment, session)
 
@@ -301,8 +301,8 @@
 
 
 def test_truncated_response_is_accepted_without_the_check(monkeypatch):
-    """Shows that only `check_response_end` detects a truncated response without a length."""
-    monkeypatch.setattr(server_client, "check_response_end", lambda response, protocol: None)
+    """Shows that only `check_end` detects a truncated response without a length."""
+    monkeypatch.setattr(CheckedResponse, "check_end", lambda response: None)
 
     async def scenario(deployment, session):
         deployment.set_response_mode("unframed_reset")
