--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -1,9 +1,12 @@
 """HTTP client sessions that control whether a request is resent and record whether it was sent."""
 
 import asyncio
+import sys
 from contextlib import contextmanager
 from contextvars import ContextVar
+from fcntl import ioctl
 from functools import partial
+from termios import TIOCOUTQ
 
 from aiohttp import (
     ClientError,
@@ -172,12 +175,20 @@
     def check_end(self):
         """Raise IncompleteResponseError if the end of the connection may have cut the body short.
 
-        aiohttp takes any end of a connection for that of a response without a length, also a reset.
+        aiohttp takes any end of a connection for that of a response without a length. A reset is
+        none. Neither is an end at which the server had not received the whole request: the system
+        of a server whose process is killed closes the connection in order if the process had read
+        all that had arrived, and resets it only when more of the request arrives.
         """
         if self.is_framed():
             return
         if self.protocol.is_reset:
             raise IncompleteResponseError("connection reset in a response without a length")
+        if self.protocol.unreceived_bytes:
+            raise IncompleteResponseError(
+                "connection closed in a response without a length, with "
+                f"{self.protocol.unreceived_bytes} bytes of the request not received"
+            )
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -205,6 +216,8 @@
         Time (s) at which bytes have last arrived.
     received_bytes : int
         Bytes that have arrived on the connection.
+    unreceived_bytes : int
+        Bytes of requests that the server had not received when it closed the connection.
     """
 
     __slots__ = (
@@ -214,6 +227,7 @@
         "read_clock",
         "received_at",
         "received_bytes",
+        "unreceived_bytes",
     )
 
     def __init__(self, loop, read_clock):
@@ -224,12 +238,20 @@
         self.message_count = 0
         self.received_at = None
         self.received_bytes = 0
+        self.unreceived_bytes = 0
 
     def connection_made(self, transport):
         """Record the time."""
         self.connected_at = self.read_clock()
         super().connection_made(transport)
 
+    def eof_received(self):
+        """Record what the server has not received, and stop sending it."""
+        super().eof_received()
+        self.unreceived_bytes = count_unreceived(self.transport)
+        if self.unreceived_bytes:
+            self.transport.abort()  # it would be closed only once all is sent
+
     def connection_lost(self, exc):
         """Record a reset."""
         self.is_reset = exc is not None
@@ -334,6 +356,15 @@
     return f"{type(error).__name__}: {text}" if text else type(error).__name__
 
 
+def count_unreceived(transport):
+    """Return the number of bytes sent on a TCP connection that the peer has not acknowledged.
+
+    Those that are still in the buffers of this process are included.
+    """
+    answer = ioctl(transport.get_extra_info("socket").fileno(), TIOCOUTQ, bytes(4))
+    return transport.get_write_buffer_size() + int.from_bytes(answer, sys.byteorder)
+
+
 async def read_body(response, limit):
     """Return the body of a response.
 
--- a/medlarbeam/daemon/tests/test_backend_client.py
+++ b/medlarbeam/daemon/tests/test_backend_client.py
@@ -176,6 +176,8 @@
     ("reset-under-an-upload-reported-as-complete", LONG, EarlyAnswer("none", "reset")),
     ("reset-after-a-turn-reported-as-complete", LONG, EarlyAnswer("none", "reset", turns=1)),
     ("reset-of-a-payment-that-is-declined", LONG, EarlyAnswer("none", "reset", status=402)),
+    ("end-of-a-process-reported-as-complete", LONG, EarlyAnswer("none", "exhaust")),
+    ("half-close-reported-as-complete", LONG, EarlyAnswer("none", "half_close")),
     ("part-of-a-length-reported-as-complete", LONG, EarlyAnswer("length", "reset")),
     ("part-of-chunks-reported-as-complete", LONG, EarlyAnswer("chunks", "reset")),
 ]
--- a/medlarbeam/platform/tests/test_early_answers.py
+++ b/medlarbeam/platform/tests/test_early_answers.py
@@ -118,6 +118,8 @@
     ("reset-within-chunks", LONG, EarlyAnswer("chunks", "reset")),
     ("close-with-bytes-unread", LONG, EarlyAnswer("none", "close")),
     ("end-of-a-process-without-unread-bytes", LONG, EarlyAnswer("none", "exhaust")),
+    ("half-close-kept-until-the-deadline", LONG, EarlyAnswer("none", "half_close")),
+    ("half-close-with-a-part-in-the-system", SHORT, EarlyAnswer("none", "half_close")),
 ]
 
 
