--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -13,6 +13,7 @@
 )
 from medlarbeam.classes.gateway_effects import SendDatagram
 from medlarbeam.classes.gateway_messages import (
+    ConfigFetched,
     EntryDeleted,
     EntryUpdated,
     LeaseRenewed,
@@ -191,6 +192,7 @@
     def handlers(self):
         """Return the handler method of each message class."""
         return {
+            ConfigFetched: self.handle_config_fetched,
             EntryUpdated: self.handle_entry_updated,
             EntryDeleted: self.handle_entry_deleted,
             StoreSetBack: self.handle_set_back,
@@ -300,6 +302,11 @@
         elif isinstance(value, SettledEra):
             self.settled_era = max(self.settled_era, value.era)
 
+    def handle_config_fetched(self, message, now, out):
+        """Apply the configuration of another node if it is newer."""
+        if message.config is not None:
+            self._apply_config(message.config, now, out)
+
     def _apply_config(self, config, now, out):
         if self.config is not None and config.version <= self.config.version:
             return
@@ -315,6 +322,8 @@
 
     def _apply_server(self, entry, now, out):
         known = self.servers.get(entry.name)
+        if known is not None and not entry.started_at_ms:
+            entry.started_at_ms = known.entry.started_at_ms  # it says nothing of another start
         is_stale = self.is_set_back and known is not None
         if is_stale and entry.started_at_ms < known.entry.started_at_ms:
             return  # the copy has an earlier start of the backend server
@@ -456,7 +465,9 @@
 
     def next_deadline(self):
         """Return the time (s) at which a backend server may be used again, or is forgotten."""
-        return min(self.forget_at, min(self.doubtful_until.values(), default=inf))
+        if not self.doubtful_until:
+            return self.forget_at
+        return min(self.forget_at, *self.doubtful_until.values())
 
     def list_present(self, service, now):
         """Return the names of the backend servers of `service` that are not gone.
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -122,7 +122,7 @@
                 organisation=relay.organisation,
                 credential=CallerCredential(
                     relay.request.credential.key_digests,
-                    self.node.admission.find_applied_version(),
+                    self.node.config_versions.find_applied(),
                 ),
             )
         )
@@ -215,7 +215,3 @@
 
     def tick(self, now, out):
         """Do nothing; the timers of the relays cover forwarded requests."""
-
-    def next_deadline(self):
-        """Return infinity."""
-        return inf
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -40,6 +40,7 @@
     "SERVER_PREFIX",
     "SOFTWARE_PREFIX",
     "STREAMS_PREFIX",
+    "decode_config",
     "decode_engine_state",
     "decode_entry",
     "decode_object",
@@ -63,6 +64,8 @@
 SOFTWARE_PREFIX = "medlarbeam/software/"
 STREAMS_PREFIX = "medlarbeam/streams/"
 
+KEY_DIGESTS = "keyDigests"  # in the configuration as nodes pass it on
+
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -191,7 +194,9 @@
 def decode_config(name, document, revision):
     """Decode the configuration document into a `FleetConfig`."""
     limits = read_field(document, "limits", dict, {})
-    has_organisations = "tenants" in document
+    organisations = None
+    if "tenants" in document:
+        organisations = decode_organisations(read_field(document, "tenants", list))
     services = [decode_service(s) for s in read_field(document, "services", list)]
     return FleetConfig(
         read_field(document, "version", int),
@@ -199,10 +204,19 @@
         {service.name: service for service in services},
         read_field(limits, "maxBodyBytes", int, DEFAULT_MAX_BODY_BYTES),
         read_field(limits, "maxHeaderBytes", int, DEFAULT_MAX_HEADER_BYTES),
-        decode_organisations(read_field(document, "tenants", list)) if has_organisations else None,
+        organisations,
+        encode_shared_config(document, organisations),
     )
 
 
+def encode_shared_config(document, organisations):
+    """Encode a configuration for other nodes, with digests in place of keys."""
+    if organisations is None:
+        return dumps(document)
+    shared = [{"name": o.name, KEY_DIGESTS: o.key_digests} for o in organisations]
+    return dumps({**document, "tenants": shared})
+
+
 def decode_organisations(documents):
     """Decode the organisations of a configuration into a list of `Organisation`."""
     organisations = []
@@ -210,8 +224,9 @@
         name = read_field(document, "name", str)
         if not name.isprintable() or not name.strip():
             raise FormatError(f"the name of organisation {number} cannot be sent in a header")
-        keys = read_texts(document, "apiKeys")
-        organisations.append(Organisation(name, [digest_key(key) for key in keys if key]))
+        digests = read_texts(document, KEY_DIGESTS)
+        digests += [digest_key(key) for key in read_texts(document, "apiKeys") if key]
+        organisations.append(Organisation(name, digests))
     return organisations
 
 
@@ -276,7 +291,13 @@
 
 
 def decode_server(name, document, revision):
-    """Decode the registration of a backend server into a `ServerRegistration`."""
+    """Decode the registration of a backend server into a `ServerRegistration`.
+
+    An entry without one of the fields that each server writes is of another writer, and names no
+    server to use. `born` may be missing.
+    """
+    read_field(document, "coldRemainingMs", float)
+    read_field(document, "seq", int)
     state = DRAINING_BY_STATE.get(read_field(document, "state", str))
     if state is None:
         raise FormatError(f"unknown server state {document['state']!r}")
@@ -292,7 +313,7 @@
         read_whole_number(document, "born", 0, MAX_TIME_MS, 0),
         [read_field(m, "name", str) for m in read_field(document, "models", list, [])],
         decode_adapters(read_field(document, "models", list, [])),
-        read_field(document, "version", str, ""),
+        read_field(document, "version", str),
     )
 
 
--- a/medlarbeam/platform/tests/test_whole_path.py
+++ b/medlarbeam/platform/tests/test_whole_path.py
@@ -18,7 +18,7 @@
 from medlarbeam.classes.messages import Shutdown
 from medlarbeam.daemon.http_client import CheckedResponse
 from medlarbeam.gateway.tests.fleet_samples import make_settings
-from medlarbeam.platform.__main__ import build_gateway_shell
+from medlarbeam.platform.gateway_daemon import build_gateway_shell
 from medlarbeam.platform.settings import PlatformSettings
 from medlarbeam.standins.free_ports import find_free_addresses
 from medlarbeam.standins.platform_store import PlatformStore
@@ -132,6 +132,8 @@
             "zone": "z1",
             "version": software,
             "slots": 4,
+            "coldRemainingMs": 0,
+            "seq": 1,
             "state": state,
             "born": worker.incarnation or 1,
             "models": models,
