--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -1,9 +1,12 @@
 """HTTP client sessions that control whether a request is resent and record whether it was sent."""
 
 import asyncio
+import sys
 from contextlib import contextmanager
 from contextvars import ContextVar
+from fcntl import ioctl
 from functools import partial
+from termios import TIOCOUTQ
 
 from aiohttp import (
     ClientError,
@@ -24,6 +27,8 @@
 
 __all__ = [
     "CALL_ERRORS",
+    "CheckedResponse",
+    "IncompleteResponseError",
     "InvalidStatusError",
     "NoDnsResolver",
     "NotSentError",
@@ -54,6 +59,10 @@
     """The status of a response is that of no final response, so the server is faulty."""
 
 
+class IncompleteResponseError(MedlarbeamError):
+    """A response ended in a way that does not show that it is complete."""
+
+
 class SendGuard:
     """Permits or refuses to send one request, and records whether it was sent.
 
@@ -135,17 +144,54 @@
 
 
 class CheckedResponse(ClientResponse):
-    """Response whose status is that of a final response."""
+    """Response whose status is that of a final response, and whose end shows that it is complete.
 
-    __slots__ = ()
+    Attributes
+    ----------
+    protocol : BoundedResponseHandler
+        The connection, which the response keeps after its end.
+    """
+
+    __slots__ = ("protocol",)
 
     async def start(self, connection):
         """Read the head; raise InvalidStatusError, which closes the connection."""
+        self.protocol = connection.protocol
         await super().start(connection)
         if not MIN_STATUS <= self.status <= MAX_STATUS:
             raise InvalidStatusError(f"HTTP status {self.status:03d}")
         return self
 
+    async def read(self):
+        """Return the body; raise IncompleteResponseError if it may have been cut short."""
+        body = await super().read()
+        self.check_end()
+        return body
+
+    def is_framed(self):
+        """Return whether the response tells by itself where it ends."""
+        headers = self.headers
+        is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+        return is_chunked or "Content-Length" in headers or self.status in (204, 304)
+
+    def check_end(self):
+        """Raise IncompleteResponseError if the end of the connection may have cut the body short.
+
+        aiohttp takes any end of a connection for that of a response without a length. A reset is
+        none. Neither is an end at which the server had not received the whole request: the system
+        of a server whose process is killed closes the connection in order if the process had read
+        all that had arrived, and resets it only when more of the request arrives.
+        """
+        if self.is_framed():
+            return
+        if self.protocol.is_reset:
+            raise IncompleteResponseError("connection reset in a response without a length")
+        if self.protocol.unreceived_bytes:
+            raise IncompleteResponseError(
+                "connection closed in a response without a length, with "
+                f"{self.protocol.unreceived_bytes} bytes of the request not received"
+            )
+
 
 class BoundedResponseHandler(PacedReading, ResponseHandler, asyncio.BufferedProtocol):
     """Connection of a client that closes it when heads of responses arrive without end.
@@ -166,22 +212,29 @@
     ----------
     connected_at : float or None
         Time (s) at which the connection was established.
+    is_reset : bool
+        Whether the connection ended with an error. aiohttp's own record of it is cleared when the
+        sending of a request is cancelled.
     message_count : int
         Heads that have arrived since the last request.
     received_at : float or None
         Time (s) at which bytes have last arrived.
     received_bytes : int
         Bytes that have arrived on the connection.
+    unreceived_bytes : int
+        Bytes of requests that the server had not received when it closed the connection.
     """
 
     __slots__ = (
         "buffer",
         "connected_at",
+        "is_reset",
         "message_count",
         "read_clock",
         "received_at",
         "received_bytes",
         "turns",
+        "unreceived_bytes",
         "waits_for_turn",
     )
 
@@ -192,15 +245,29 @@
         self.waits_for_turn = False
         self.read_clock = read_clock
         self.connected_at = None
+        self.is_reset = False
         self.message_count = 0
         self.received_at = None
         self.received_bytes = 0
+        self.unreceived_bytes = 0
 
     def connection_made(self, transport):
         """Record the time."""
         self.connected_at = self.read_clock()
         super().connection_made(transport)
 
+    def eof_received(self):
+        """Record what the server has not received, and stop sending it."""
+        super().eof_received()
+        self.unreceived_bytes = count_unreceived(self.transport)
+        if self.unreceived_bytes:
+            self.transport.abort()  # it would be closed only once all is sent
+
+    def connection_lost(self, exc):
+        """Record a reset."""
+        self.is_reset = exc is not None
+        super().connection_lost(exc)
+
     def set_response_params(self, **options):
         """Expect the response to the next request."""
         self.message_count = 0
@@ -311,8 +378,25 @@
     return f"{type(error).__name__}: {text}" if text else type(error).__name__
 
 
+def count_unreceived(transport):
+    """Return the number of bytes sent on a TCP connection that the peer has not acknowledged.
+
+    Those that are still in the buffers of this process are included.
+    """
+    answer = ioctl(transport.get_extra_info("socket").fileno(), TIOCOUTQ, bytes(4))
+    return transport.get_write_buffer_size() + int.from_bytes(answer, sys.byteorder)
+
+
 async def read_body(response, limit):
-    """Return the body of a response; raise FormatError if it exceeds `limit` bytes."""
+    """Return the body of a response.
+
+    Raises
+    ------
+    FormatError
+        If it exceeds `limit` bytes.
+    IncompleteResponseError
+        If it may have been cut short.
+    """
     blocks = []
     size = 0
     async for block in response.content.iter_any():
@@ -321,4 +405,5 @@
             response.close()
             raise FormatError(f"response is larger than the limit of {limit} bytes")
         blocks.append(block)
+    response.check_end()
     return b"".join(blocks)
