Refuse requests without an attempt id; bytes that a system does not count

It gets 400, not run (test_request_without_an_attempt_id_is_not_sent_to_server_after_server). Where a system does not tell the unacknowledged bytes of a connection, those of the process count alone.

--- a/medlarbeam/daemon/http_client.py
+++ b/medlarbeam/daemon/http_client.py
@@ -1,6 +1,7 @@
 """HTTP client sessions that control whether a request is resent and record whether it was sent."""
 
 import asyncio
+import logging
 import sys
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -39,6 +40,8 @@
     "read_body",
 ]
 
+log = logging.getLogger(__name__)
+
 CALL_ERRORS = (ClientError, asyncio.TimeoutError, OSError, ValueError, MedlarbeamError)
 
 MAX_MESSAGES = 16  # heads in the response to one request, interim ones included
@@ -381,10 +384,16 @@
 def count_unreceived(transport):
     """Return the number of bytes sent on a TCP connection that the peer has not acknowledged.
 
-    Those that are still in the buffers of this process are included.
+    Those that are still in the buffers of this process are included. Where the system does not
+    tell, those in its own buffers are not.
     """
-    answer = ioctl(transport.get_extra_info("socket").fileno(), TIOCOUTQ, bytes(4))
-    return transport.get_write_buffer_size() + int.from_bytes(answer, sys.byteorder)
+    buffered = transport.get_write_buffer_size()
+    try:
+        answer = ioctl(transport.get_extra_info("socket").fileno(), TIOCOUTQ, bytes(4))
+    except OSError as error:
+        log.debug("unacknowledged bytes are not known: %s", error)
+        return buffered
+    return buffered + int.from_bytes(answer, sys.byteorder)
 
 
 async def read_body(response, limit):
--- a/medlarbeam/platform/request_checks.py
+++ b/medlarbeam/platform/request_checks.py
@@ -35,6 +35,8 @@
     if "#" in http_request.raw_path:
         raise FormatError("the request target has a fragment")
     names = [name.lower() for name, _ in headers]
+    if "x-attempt-id" not in names:
+        raise FormatError("the request has no attempt id")
     if len(set(names)) < len(names):
         for name in names:
             if names.count(name) > 1 and name in SINGLE_HEADERS:
--- a/medlarbeam/platform/tests/test_unchanged_requests.py
+++ b/medlarbeam/platform/tests/test_unchanged_requests.py
@@ -130,6 +130,17 @@
 ]
 
 
+def test_request_without_an_attempt_id_is_not_sent_to_server_after_server():
+    async def play(deployment, session):
+        caller = RawCaller(deployment.front, HOST)
+        head = f"POST /pay/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 5\r\n\r\n"
+        caller.send(head.encode() + b"order")
+        status, _, _ = await caller.receive()
+        return status, sum(worker.request_count for worker in deployment.workers.values())
+
+    assert run(play) == (400, 0)
+
+
 def test_request_that_cannot_be_passed_on_as_it_is_is_refused():
     async def play(deployment, session):
         outcomes = []
