--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -73,6 +73,7 @@
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
 
 MAX_SHARED_PARTS = 256
+LOAD_FIGURES = (3, 4)  # in the header with the load of a server
 MAX_DIGITS = 15  # of a number; `int` raises ValueError for thousands of digits
 MAX_PART_ID_CHARACTERS = 64
 MAX_ORIGIN_CHARACTERS = 1024
@@ -259,14 +260,17 @@
 
 
 def parse_load(headers):
-    """Return the `ServerLoad` in response headers, None if they have neither load nor limit."""
+    """Return the `ServerLoad` in response headers, None if they have neither load nor limit.
+
+    A fourth figure, how long work takes on the machine of the server, is not used.
+    """
     rate_limit = _parse_rate(headers.get(RATE_LIMIT, ""))
     refusal_limit = _parse_number(headers.get(REFUSAL_LIMIT, ""), None)
     parts = headers.get("X-Server-Load", "").split(",")
-    if len(parts) != 3:
+    if len(parts) not in LOAD_FIGURES:
         has_limit = rate_limit is not None or refusal_limit is not None
         return ServerLoad(0, 0, 0, rate_limit, refusal_limit) if has_limit else None
-    running, waiting, concurrency = (_parse_number(part) for part in parts)
+    running, waiting, concurrency = (_parse_number(part) for part in parts[:3])
     return ServerLoad(running, waiting, concurrency, rate_limit, refusal_limit)
 
 
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -194,6 +194,13 @@
         {"X-Server-Load": "1,2," + "9" * 5000},
         ServerLoad(1, 2, 0),
     ),
+    (
+        "load-with-the-speed-of-the-machine",
+        parse_load,
+        {"X-Server-Load": "1,2,8,140"},
+        ServerLoad(1, 2, 8),
+    ),
+    ("load-with-too-many-figures", parse_load, {"X-Server-Load": "1,2,8,140,3"}, None),
     ("incomplete-load", parse_load, {"X-Server-Load": "1,2"}, None),
     ("rate-limit-alone", parse_load, {"Server-Limit": "4.6"}, ServerLoad(0, 0, 0, 4.6)),
     (
