--- a/medlarbeam/classes/gateway_effects.py
+++ b/medlarbeam/classes/gateway_effects.py
@@ -212,21 +212,38 @@
         Number of times the request was sent to a backend server.
     longest_pause_s : float or None
         Longest time between two events of a complete stream, None for other responses.
+    organisation : str
+        Organisation of the caller, "" for none.
+    tokens : int
+        Tokens of the prompt and the response that the caller stated.
     """
 
     __slots__ = (
         "first_response_s",
         "kind",
         "longest_pause_s",
+        "organisation",
         "outcome",
         "priority",
         "send_count",
+        "tokens",
         "wait_s",
     )
 
     def __init__(
-        self, kind, priority, outcome, first_response_s, wait_s, send_count, longest_pause_s=None
+        self,
+        kind,
+        priority,
+        outcome,
+        first_response_s,
+        wait_s,
+        send_count,
+        longest_pause_s=None,
+        organisation="",
+        tokens=0,
     ):
+        self.organisation = organisation
+        self.tokens = tokens
         self.kind = kind
         self.priority = priority
         self.outcome = outcome
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -183,7 +183,7 @@
         server, request = self.server, self.request
         return (
             f"run={self.run_id} server={server.name} software={server.software} "
-            f"route={self.route.name} organisation={self.organisation} "
+            f"route={self.route.name} organisation={self.organisation} tokens={request.tokens} "
             f"resumes={request.resumed_attempt} "
             f"adapter={request.key} send={self.sends} "
             f"waited_s={now - self.arrived_at:.3f} attempt={request.attempt_id} "
@@ -221,6 +221,8 @@
             (now if sent_at is None else sent_at) - self.arrived_at,
             self.sends,
             self.timing.longest_pause_s if self.timing is not None else None,
+            self.organisation,
+            self.request.tokens,
         )
 
 
--- a/medlarbeam/platform/gateway_daemon.py
+++ b/medlarbeam/platform/gateway_daemon.py
@@ -81,6 +81,8 @@
     loop = asyncio.get_running_loop()
     log_handler = configure_logging(settings.gateway, loop)
     shell = build_gateway_shell(settings, lambda: log_handler.dropped)
+    for text in settings.unserved:
+        log.warning("%s", text, extra={"event": "contract_unserved"})
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, lambda: shell.deliver(Shutdown()))
     # SIGHUP is only logged: no setting in the file can be changed while the node is running.
--- a/medlarbeam/platform/metrics.py
+++ b/medlarbeam/platform/metrics.py
@@ -19,6 +19,8 @@
 # The longest pauses that routes allow are between 0.25 and 0.3 s.
 PAUSE_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, inf)
 MAX_PRIORITY = 9  # limits the label values; a configuration may contain any number
+MAX_ORGANISATIONS = 1000  # with a label value of their own
+OTHER_ORGANISATIONS = "(other)"
 
 
 class GatewayMetrics:
@@ -37,6 +39,8 @@
         "first_response_times",
         "gauges",
         "longest_pauses",
+        "organisation_tokens",
+        "organisations",
         "registry",
         "retries",
         "wait_times",
@@ -50,6 +54,10 @@
             Counter, "answers_total", "Requests that ended, by outcome."
         )
         self.retries = self._create(Counter, "repeats_total", "Retries of requests.")
+        self.organisations = set()
+        self.organisation_tokens = self._create(
+            Counter, "organisation_tokens_total", "Tokens of requests that ended, by organisation."
+        )
         self.first_response_times = self._create(
             Histogram,
             "first_answer_seconds",
@@ -104,6 +112,10 @@
             "priority": str(min(MAX_PRIORITY, max(0, measured.priority))),
         }
         self.ended_requests.inc({**labels, "outcome": measured.outcome})
+        if measured.organisation:
+            organisation = self._find_label(measured.organisation)
+            labelled = {"organisation": organisation, "outcome": measured.outcome}
+            self.organisation_tokens.add(labelled, measured.tokens)
         if measured.send_count > 1:
             self.retries.add(labels, measured.send_count - 1)
         self.wait_times.add(labels, measured.wait_s)
@@ -112,6 +124,13 @@
         if measured.longest_pause_s is not None:
             self.longest_pauses.add(labels, measured.longest_pause_s)
 
+    def _find_label(self, organisation):
+        if organisation not in self.organisations:
+            if len(self.organisations) >= MAX_ORGANISATIONS:
+                return OTHER_ORGANISATIONS
+            self.organisations.add(organisation)
+        return organisation
+
     def render(self, values, accept):
         """Return ``(body, headers)`` of the metrics page.
 
--- a/medlarbeam/platform/settings.py
+++ b/medlarbeam/platform/settings.py
@@ -18,6 +18,49 @@
 # A process starts with 50 MB, and the smallest machine has 160 MB. The memory of the process grows
 # by up to twice the account, since allocators keep what is freed.
 DEFAULT_CALLER_BYTES = 32 << 20
+# Parts of the contract that the gateway serves; see "What is not read" in docs/platform.md.
+SERVED_CONTRACTS = {
+    "base",
+    "config",
+    "cost",
+    "drain",
+    "engine",
+    "fleet",
+    "health",
+    "platform",
+    "pool",
+    "recover",
+    "retry",
+    "stream",
+    "tenants",
+}
+# Bounds that a setting below follows, or that hold whatever their value is.
+SERVED_BOUNDS = {
+    "ackMs",
+    "againS",
+    "budgetWindowS",
+    "callerBytes",
+    "catchUpS",
+    "ceilingWindowS",
+    "configApplyMs",
+    "contactMs",
+    "drainMs",
+    "fencingEnforced",
+    "graceS",
+    "leaseMs",
+    "lossSlackMs",
+    "maxSkewMs",
+    "originOvershoot",
+    "passMs",
+    "recoverS",
+    "retryBudgetExtra",
+    "retryBudgetRatio",
+    "reuseAfterS",
+    "rollbackSlackMs",
+    "seedLagS",
+    "thawMs",
+    "version_ms",
+}
 
 
 class PlatformSettings(Record):
@@ -35,6 +78,8 @@
         Pause between two watch calls to the store.
     caller_bytes : int
         Memory (bytes) that all callers may hold; see `CallerLimits`.
+    unserved : list of str
+        Contracts and bounds in the settings file that this build does not serve, as text.
     """
 
     __slots__ = (
@@ -45,6 +90,7 @@
         "metrics_address",
         "ready_address",
         "store_address",
+        "unserved",
         "watch_pause_s",
     )
 
@@ -58,7 +104,9 @@
         store_address,
         watch_pause_s,
         caller_bytes=DEFAULT_CALLER_BYTES,
+        unserved=(),
     ):
+        self.unserved = list(unserved)
         self.caller_bytes = caller_bytes
         self.watch_pause_s = watch_pause_s
         self.metrics_address = metrics_address
@@ -132,4 +180,17 @@
         read_field(read_field(document, "platform", dict), "address", str),
         watch_pause_s,
         read_field(bounds, "callerBytes", int, DEFAULT_CALLER_BYTES),
+        list_unserved(read_field(document, "contracts", list, []), bounds),
     )
+
+
+def list_unserved(contracts, bounds):
+    """Return the contracts and bounds of a settings file that this build does not serve, as text.
+
+    Parameters
+    ----------
+    contracts : list of str
+    bounds : dict
+    """
+    unserved = [f"contract={name}" for name in contracts if name not in SERVED_CONTRACTS]
+    return unserved + [f"bound={name}" for name in bounds if name not in SERVED_BOUNDS]
--- a/medlarbeam/platform/tests/test_metrics.py
+++ b/medlarbeam/platform/tests/test_metrics.py
@@ -39,6 +39,11 @@
         RecordRequestMetrics(STREAM, 0, "served", 0.2, 0.1, 1, 0.35),
         'medlarbeam_gateway_longest_pause_seconds_bucket{kind="stream",le="0.4",priority="0"} 1',
     ),
+    (
+        "tokens-are-counted-by-organisation",
+        RecordRequestMetrics(STREAM, 0, "served", 0.2, 0.1, 1, None, "acme", 700),
+        'medlarbeam_gateway_organisation_tokens_total{organisation="acme",outcome="served"} 700',
+    ),
     (
         "priority-label-is-limited",
         RecordRequestMetrics(STREAM, 70_000, "left", None, 0.0, 0),
