--- a/medlarbeam/classes/gateway_messages.py
+++ b/medlarbeam/classes/gateway_messages.py
@@ -47,6 +47,12 @@
         Model and adapter, None for a plain service.
     tokens : int
         Number of prompt tokens plus the number of tokens that may be generated.
+    states_tokens : bool
+        Whether the caller stated the number of tokens.
+    token_problem : str
+        Why the stated number of tokens cannot be read, "" if it can.
+    is_counted : bool
+        Whether the node that forwards the request has counted it against the quota.
     prompt_tokens : int
         Number of prompt tokens, 0 if the caller did not state it.
     fingerprint : int
@@ -70,6 +76,7 @@
         "deadline",
         "fingerprint",
         "host",
+        "is_counted",
         "key",
         "last_event",
         "origin",
@@ -79,6 +86,8 @@
         "resumed_attempt",
         "runs_elsewhere",
         "shared_parts",
+        "states_tokens",
+        "token_problem",
         "tokens",
     )
 
@@ -99,8 +108,14 @@
         runs_elsewhere=None,
         origin=None,
         credential=NO_CREDENTIAL,
+        states_tokens=True,
+        token_problem="",
+        is_counted=False,
     ):
         self.credential = credential
+        self.states_tokens = states_tokens
+        self.token_problem = token_problem
+        self.is_counted = is_counted
         self.runs_elsewhere = runs_elsewhere
         self.origin = origin
         self.last_event = last_event
--- a/medlarbeam/classes/organisations.py
+++ b/medlarbeam/classes/organisations.py
@@ -2,7 +2,34 @@
 
 from medlarbeam.classes.record import Record
 
-__all__ = ["NO_CREDENTIAL", "CallerCredential", "Organisation"]
+__all__ = ["NO_CREDENTIAL", "CallerCredential", "Organisation", "Quota"]
+
+
+class Quota(Record):
+    """What the requests of an organisation may use, over all nodes together.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens or requests per second, more than 0.
+    burst : float
+        Tokens or requests beyond the rate, once.
+    plain_tokens : float or None
+        Tokens of a request that states none; None if requests are counted in place of tokens.
+    """
+
+    __slots__ = ("burst", "plain_tokens", "rate")
+
+    def __init__(self, rate, burst, plain_tokens=None):
+        self.rate = rate
+        self.burst = burst
+        self.plain_tokens = plain_tokens
+
+    def find_cost(self, request):
+        """Return the cost of a `GatewayRequest` in the unit of the quota."""
+        if self.plain_tokens is None:
+            return 1.0
+        return float(request.tokens) if request.states_tokens else self.plain_tokens
 
 
 class Organisation(Record):
@@ -14,13 +41,22 @@
     key_digests : list of str
         Digests of its keys, see `digest_key`. Keys themselves are not kept, so that no log line or
         error can contain them.
+    priority : int or None
+        Priority of its requests in place of their routes' priority, None for the latter.
+    quota : Quota or None
+        None for no limit.
+    quota_problem : str
+        Why a quota in the configuration cannot be used, "" otherwise.
     """
 
-    __slots__ = ("key_digests", "name")
+    __slots__ = ("key_digests", "name", "priority", "quota", "quota_problem")
 
-    def __init__(self, name, key_digests):
+    def __init__(self, name, key_digests, priority=None, quota=None, quota_problem=""):
         self.name = name
         self.key_digests = key_digests
+        self.priority = priority
+        self.quota = quota
+        self.quota_problem = quota_problem
 
 
 class CallerCredential(Record):
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -12,6 +12,11 @@
     "CellRecordUpdate",
     "ClearanceReport",
     "CrashReport",
+    "CreditCall",
+    "CreditGrant",
+    "CreditItem",
+    "CreditOffer",
+    "CreditRequest",
     "DeathReport",
     "EarlyRefusal",
     "FetchCatalog",
@@ -437,6 +442,96 @@
         self.key = key
 
 
+class CreditItem(Record):
+    """Credit for one request of an organisation.
+
+    Parameters
+    ----------
+    priority : int
+        Of the request's route, 0 is the most urgent.
+    amount : float
+        In the unit of the organisation's quota.
+    """
+
+    __slots__ = ("amount", "priority")
+
+    def __init__(self, priority, amount):
+        self.priority = priority
+        self.amount = amount
+
+
+class CreditRequest(Record):
+    """Asks the receiver for credit of an organisation, and hands in what the sender has.
+
+    Parameters
+    ----------
+    node, organisation : str
+    serial : int
+        Rises with each message of the sender about credit, also over its restarts.
+    offered : float
+        Credit that the sender gives up.
+    wanted : list of CreditItem
+    """
+
+    __slots__ = ("node", "offered", "organisation", "serial", "wanted")
+
+    def __init__(self, node, organisation, serial, offered, wanted):
+        self.node = node
+        self.organisation = organisation
+        self.serial = serial
+        self.offered = offered
+        self.wanted = wanted
+
+
+class CreditGrant(Record):
+    """Answer to a `CreditRequest`.
+
+    Parameters
+    ----------
+    node, organisation : str
+    serial : int
+        Of the request.
+    granted : list of CreditItem
+        In the order of the request; an item that is refused has the amount 0.
+    stock : float
+        Credit of the organisation that the sender has left.
+    retry_after_s : float
+        Estimated time until the callers of refused requests find credit.
+    """
+
+    __slots__ = ("granted", "node", "organisation", "retry_after_s", "serial", "stock")
+
+    def __init__(self, node, organisation, serial, granted, stock, retry_after_s):
+        self.node = node
+        self.organisation = organisation
+        self.serial = serial
+        self.granted = granted
+        self.stock = stock
+        self.retry_after_s = retry_after_s
+
+
+class CreditCall(Record):
+    """Asks the receiver to hand in its credit of an organisation to the sender."""
+
+    __slots__ = ("node", "organisation")
+
+    def __init__(self, node, organisation):
+        self.node = node
+        self.organisation = organisation
+
+
+class CreditOffer(Record):
+    """Credit of an organisation that the sender gives up; see `CreditRequest`."""
+
+    __slots__ = ("amount", "node", "organisation", "serial")
+
+    def __init__(self, node, organisation, serial, amount):
+        self.node = node
+        self.organisation = organisation
+        self.serial = serial
+        self.amount = amount
+
+
 class UseReport(Record):
     """All adapters of a backend server that are in use by the sender's requests.
 
--- a/medlarbeam/cli/explain.py
+++ b/medlarbeam/cli/explain.py
@@ -6,7 +6,13 @@
 
 from medlarbeam.exceptions import FormatError
 
-__all__ = ["PAUSED_OUTCOME", "Explanation", "explain_request", "read_lines"]
+__all__ = [
+    "PAUSED_OUTCOME",
+    "QUOTA_OUTCOME",
+    "Explanation",
+    "explain_request",
+    "read_lines",
+]
 
 # Log lines without a request id that may explain the outcome of a request.
 LOOKBACK_S = 3.0  # a backend server stays suspect for several seconds
@@ -48,6 +54,11 @@
     "The caller was refused because the backend servers that could run the request had asked "
     "for a pause; the `server_paused` lines name the responses that did."
 )
+QUOTA = re.compile(r"the quota is used up: (.*)'")
+QUOTA_OUTCOME = (
+    "The caller was refused because its organisation had used up its quota; the cause has the "
+    "figures by which this gateway decided."
+)
 NO_OUTCOME = "The log does not show the outcome: the process exited or lines are missing."
 
 
@@ -149,7 +160,10 @@
 
 
 def _find_cause(own_lines, context):
-    """Return which backend servers had announced their leaving, if that caused the refusal."""
+    """Return why the request was refused: by a quota, or since backend servers leave."""
+    quotas = [match for line in own_lines if (match := QUOTA.search(line["message"]))]
+    if quotas:
+        return quotas[-1].group(1)
     refusals = [line for line in own_lines if LEAVING.search(line["message"])]
     if not refusals or refusals[-1] is not own_lines[-1]:
         return ""
@@ -163,7 +177,10 @@
 
 
 def _find_outcome(line):
-    is_paused = line["event"] == "request_refused" and PAUSE_REASON.search(line["message"])
+    is_refused = line["event"] == "request_refused"
+    if is_refused and QUOTA.search(line["message"]):
+        return QUOTA_OUTCOME
+    is_paused = is_refused and PAUSE_REASON.search(line["message"])
     return PAUSED_OUTCOME if is_paused else OUTCOMES[line["event"]]
 
 
--- a/medlarbeam/cli/tests/test_explain.py
+++ b/medlarbeam/cli/tests/test_explain.py
@@ -21,6 +21,7 @@
     NO_OUTCOME,
     OUTCOMES,
     PAUSED_OUTCOME,
+    QUOTA_OUTCOME,
     explain_request,
     read_lines,
 )
@@ -32,6 +33,7 @@
     make_server,
     own_rights,
 )
+from medlarbeam.gateway.tests.quota_fleet import QuotaFleet
 
 
 class LogRecorder:
@@ -207,6 +209,26 @@
     assert [line["event"] for line in explanation.context] == ["path_lost"]
 
 
+def log_refusal_by_a_quota():
+    fleet = QuotaFleet(1, {"acme": 1000.0}, gateways=1)
+    fleet.run_until(104.0)
+    fleet.send("acme", 10**9)
+    (request_id,) = fleet.requests
+    log = LogRecorder()
+    log.lines = [
+        {"time_s": at, "node": name, "event": event.name, "message": event.detail}
+        | {"request_id": "r1" if event.request_id == request_id else ""}
+        for at, name, event in fleet.log
+    ]
+    return log
+
+
+def test_quota_is_named_as_the_cause_of_a_refusal():
+    explanation = explain_request("r1", log_refusal_by_a_quota().lines)
+    assert explanation.outcome == QUOTA_OUTCOME
+    assert "organisation=acme limit_per_s=1000 burst=1000 config=1" in explanation.cause
+
+
 CAUSES = [
     ("leaving-servers-are-named", log_refusal_after_servers_left, ["other0", "l1", "other1", "l2"]),
     ("refusal-with-another-cause", log_refused_stream, []),
--- a/medlarbeam/exceptions.py
+++ b/medlarbeam/exceptions.py
@@ -32,6 +32,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     CATALOG_UNCONFIRMED = "catalog_unconfirmed"
     OVERLOADED = "overloaded"
+    QUOTA_EXCEEDED = "quota_exceeded"
     DEADLINE_IN_QUEUE = "deadline_in_queue"
     DEADLINE_RUNNING = "deadline_running"
     NO_SERVER = "no_server"
@@ -86,6 +87,7 @@
     ErrorKind.UNKNOWN_SERVICE: ErrorResponse(404, RunState.NOT_RUN, False),
     ErrorKind.CATALOG_UNCONFIRMED: ErrorResponse(503, RunState.NOT_RUN, False),
     ErrorKind.OVERLOADED: ErrorResponse(429, RunState.NOT_RUN, False),
+    ErrorKind.QUOTA_EXCEEDED: ErrorResponse(429, RunState.NOT_RUN, False),
     ErrorKind.DEADLINE_IN_QUEUE: ErrorResponse(504, RunState.NOT_RUN, False),
     ErrorKind.DEADLINE_RUNNING: ErrorResponse(504, RunState.MAY_HAVE_RUN, False),
     ErrorKind.NO_SERVER: ErrorResponse(503, RunState.NOT_RUN, True),
--- a/medlarbeam/gateway/admission.py
+++ b/medlarbeam/gateway/admission.py
@@ -164,7 +164,7 @@
             failure = Failure(ErrorKind.SHUTTING_DOWN, "it might not end before this node stops")
             refuse(request, failure, RETRY_AFTER_S, out)
             return
-        self.node.relays.open(relay, now, out)
+        self.node.quotas.admit(relay, now, out)
 
     def _known(self):
         return self.node.config_versions.find_version()
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -91,6 +91,10 @@
     routes : RouteTable
     access : CallerAccess
         Which organisation a request belongs to in `config`.
+    quotas : dict of str to Quota
+        Of the organisations in `config` that have one.
+    priorities : dict of str to int
+        Of the organisations in `config` that have one.
     servers : dict of str to KnownServer
     published_versions : dict of AdapterKey to int
     nodes : dict of str to NodeRegistration
@@ -146,7 +150,9 @@
         "membership_version",
         "node_missing_since",
         "nodes",
+        "priorities",
         "published_versions",
+        "quotas",
         "registered_at",
         "registration_revision",
         "revision",
@@ -169,6 +175,8 @@
         self.trusted_at = -inf
         self.routes = RouteTable()
         self.access = OpenAccess()
+        self.quotas = {}
+        self.priorities = {}
         self.keys = {}
         self.servers = {}
         self.left = {}
@@ -313,12 +321,19 @@
         self.config = config
         self.routes = RouteTable(config.routes)
         self.access = build_access(config)
-        count = 0 if config.organisations is None else len(config.organisations)
+        organisations = config.organisations or []
+        self.quotas = {o.name: o.quota for o in organisations if o.quota is not None}
+        self.priorities = {o.name: o.priority for o in organisations if o.priority is not None}
+        count = len(organisations)
         detail = f"version={config.version} routes={len(config.routes)} organisations={count}"
         out.emit(LogEvent("config_adopted", detail))
         for first, other in self.access.conflicts:
             detail = f"a key of {other!r} is held by {first!r} and counts as a key of the latter"
             out.emit(LogEvent("key_conflict", detail, level="warning"))
+        for organisation in organisations:
+            if organisation.quota_problem:
+                detail = f"organisation={organisation.name} {organisation.quota_problem}"
+                out.emit(LogEvent("quota_unusable", detail, level="error"))
 
     def _apply_server(self, entry, now, out):
         known = self.servers.get(entry.name)
--- a/medlarbeam/gateway/gateway.py
+++ b/medlarbeam/gateway/gateway.py
@@ -14,6 +14,7 @@
 from medlarbeam.gateway.node_reachability import NodeReachability
 from medlarbeam.gateway.order_rights import OrderRights
 from medlarbeam.gateway.orders import Orders
+from medlarbeam.gateway.organisation_quotas import OrganisationQuotas
 from medlarbeam.gateway.prompt_pacing import PromptPacing
 from medlarbeam.gateway.refusal_limits import RefusalLimits
 from medlarbeam.gateway.relays import Relays
@@ -64,6 +65,7 @@
         "paths",
         "pauses",
         "prompts",
+        "quotas",
         "reachability",
         "refusals",
         "relays",
@@ -98,6 +100,7 @@
         self.orders = Orders(self)
         self.relays = Relays(self)
         self.config_versions = ConfigVersions(self)
+        self.quotas = OrganisationQuotas(self)
         self.admission = Admission(self)
         self.forwarding = Forwarding(self)
         self.stalls = StalledRuns(self)
@@ -124,6 +127,7 @@
                 self.holdings,
                 self.orders,
                 self.config_versions,
+                self.quotas,
                 self.admission,
                 self.relays,
                 self.forwarding,
--- a/medlarbeam/gateway/gateway_lifecycle.py
+++ b/medlarbeam/gateway/gateway_lifecycle.py
@@ -100,7 +100,8 @@
             out.emit(StopListening())
         if now >= self._find_work_end():
             self.node.relays.end_all(now, out)
-        is_idle = not self.has_open_connections and self.node.relays.open_count() == 0
+        open_count = self.node.relays.open_count() + self.node.quotas.count_waiting()
+        is_idle = not self.has_open_connections and open_count == 0
         if is_idle or now >= self._find_work_end() + FINAL_RESPONSES_S:
             self.chart.fire(self, "left", self, now, out)
         else:
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -73,6 +73,10 @@
         Time (s) up to which the copy of the store must be known before the stream may go on.
     refusal_kind : ErrorKind
         Kind of the failure if the request is not sent.
+    quota_cost : float
+        What was counted against the quota of the organisation.
+    is_abandoned : bool
+        Whether its caller disconnected while it waited for credit.
     """
 
     __slots__ = (
@@ -84,12 +88,14 @@
         "excluded",
         "first_sent_at",
         "goal_at",
+        "is_abandoned",
         "is_response_started",
         "next_check_at",
         "nodes",
         "organisation",
         "outcome",
         "paused_by",
+        "quota_cost",
         "reason",
         "refusal_kind",
         "refused_by",
@@ -139,6 +145,8 @@
         self.connected_at = inf
         self.copy_needed_at = None
         self.refusal_kind = ErrorKind.NO_SERVER
+        self.quota_cost = 0.0
+        self.is_abandoned = False
 
     def find_wait_limit(self):
         """Return the time (s) until which the request may wait for a backend server."""
@@ -210,6 +218,15 @@
             f"resumes={self.request.resumed_attempt}"
         )
 
+    def may_have_run(self):
+        """Return whether a backend server may have run the request here or at another node."""
+        return bool(self.runs) or self.outcome == "served"
+
+    def measure_refusal(self, failure, now):
+        """Return the `RecordRequestMetrics` of a request that is refused before it is opened."""
+        self.outcome = failure.kind.value
+        return self.measure(now)
+
     def measure(self, now):
         """Return the `RecordRequestMetrics` of a request that ends at `now` (s)."""
         started_at, sent_at = self.response_started_at, self.first_sent_at
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -88,6 +88,7 @@
         request = relay.request
         failure = self.node.origins.bind(relay, now, out)
         if failure is not None:
+            self.node.quotas.refund(relay, now)
             refuse(request, failure, 0.0, out)
             return
         relay.goal_at = now + relay.route.latency_goal_s - self.elapsed_times.estimate(relay, now)
@@ -353,6 +354,8 @@
             self.timers.set(relay, inf)
             if self.open_relays.pop(relay.request.request_id, None) is not None:
                 self.node.origins.record_end(relay, now)
+                if not relay.may_have_run():
+                    self.node.quotas.refund(relay, now)
                 out.emit(relay.measure(now))
 
     # Guards and actions of the chart
--- a/medlarbeam/gateway/settings.py
+++ b/medlarbeam/gateway/settings.py
@@ -29,6 +29,8 @@
         Whether the whole deployment starts for the first time.
     retry_ratio, retry_window_s, retry_extra : float
         Retry budget of a service in a window (s): a share of its requests plus a fixed number.
+    quota_window_s, quota_overshoot, quota_slack : float
+        In a window (s) an organisation may use its quota, a share of it and a fixed amount more.
     """
 
     __slots__ = (
@@ -42,6 +44,9 @@
         "max_store_lag_s",
         "name",
         "order_gap_s",
+        "quota_overshoot",
+        "quota_slack",
+        "quota_window_s",
         "retry_extra",
         "retry_ratio",
         "retry_window_s",
@@ -63,7 +68,13 @@
         retry_extra,
         heartbeat_s=1.2,
         is_first_start=False,
+        quota_window_s=8.0,
+        quota_overshoot=0.1,
+        quota_slack=0.0,
     ):
+        self.quota_window_s = quota_window_s
+        self.quota_overshoot = quota_overshoot
+        self.quota_slack = quota_slack
         self.name = name
         self.failure_domain = failure_domain
         self.address = address
--- a/medlarbeam/gateway/tests/quota_fleet.py
+++ b/medlarbeam/gateway/tests/quota_fleet.py
@@ -148,6 +148,7 @@
             self.write_entry(key, NodeRegistration(name, "z1", f"{name}:7000", 5))
         settings = make_settings(name, "z1")
         settings.address = f"{name}:7000"
+        settings.quota_slack = SLACK
         settings.incarnation = int(self.now * 1000) if incarnation is None else incarnation
         gateway = self.gateways[name] = Gateway(settings, Random(f"{name}-{self.rng.random()}"))
         entries = [EntryUpdated(key, value, 1) for key, value in self.store.items()]
--- a/medlarbeam/gateway/tests/test_organisation_quotas.py
+++ b/medlarbeam/gateway/tests/test_organisation_quotas.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from medlarbeam.algorithms.routing import rank_servers
+from medlarbeam.exceptions import ErrorKind
 from medlarbeam.gateway.tests.quota_fleet import QuotaFleet, find_allowed
 
 RATE = 30_000.0
@@ -133,3 +135,141 @@
     fleet.call_at(MIDDLE, fleet.set_rates, version, {"hot": rate})
     fleet.run_until(END + 11.0)
     assert fleet.find_peak("hot", MIDDLE + 3.0) <= find_allowed(rate)
+
+
+def have_a_hot_neighbour(fleet):
+    fleet.schedule("hot", START, END, 6 * RATE)
+
+
+def lose_holder(fleet):
+    holder = rank_servers("calm", list(fleet.gateways), 1)[0]
+    fleet.call_at(MIDDLE, fleet.kill, holder)
+
+
+def freeze_holder(fleet):
+    holder = rank_servers("calm", list(fleet.gateways), 1)[0]
+    fleet.call_at(MIDDLE, fleet.freeze, holder, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("trouble", "names", "tokens"),
+    [
+        pytest.param(do_nothing, None, 1000, id="in-calm"),
+        pytest.param(do_nothing, ["n4"], 1000, id="through-one-gateway"),
+        pytest.param(do_nothing, ["n1", "n2"], 700, id="through-two-gateways"),
+        pytest.param(do_nothing, None, 4000, id="with-large-requests"),
+        pytest.param(have_a_hot_neighbour, None, 1000, id="beside-a-hot-organisation"),
+        pytest.param(lose_holder, None, 1000, id="after-its-holder-died"),
+        pytest.param(freeze_holder, None, 1000, id="while-its-holder-stands-still"),
+    ],
+)
+def test_organisation_below_its_quota_is_served(trouble, names, tokens):
+    fleet = QuotaFleet(1, {"calm": RATE, "hot": RATE})
+    fleet.schedule("calm", START, END, 0.8 * RATE, tokens, names=names)
+    trouble(fleet)
+    fleet.run_until(END + 1.0)
+    sent, ran = fleet.count_tokens("calm")
+    assert ran >= 0.97 * sent > 0
+
+
+@pytest.mark.parametrize(
+    ("names", "tokens"),
+    [
+        pytest.param(None, 1000, id="through-all-gateways"),
+        pytest.param(["n4"], 1000, id="through-one-gateway"),
+        pytest.param(["n1", "n2"], 1000, id="through-two-gateways"),
+        pytest.param(None, 9000, id="with-large-requests"),
+    ],
+)
+@pytest.mark.parametrize("load", [1.3, 6.0], ids="{}-times-the-quota".format)
+def test_organisation_above_its_quota_gets_the_quota(names, tokens, load):
+    fleet = QuotaFleet(1, {"hot": RATE})
+    fleet.schedule("hot", START, END, load * RATE, tokens, names=names)
+    fleet.run_until(END + 1.0)
+    _, ran = fleet.count_tokens("hot")
+    assert ran >= 0.9 * RATE * (END - START)
+
+
+@pytest.mark.parametrize("trouble", [do_nothing, lose_holder, cut_each])
+def test_request_over_the_quota_is_refused_at_once(trouble):
+    fleet = QuotaFleet(1, {"hot": RATE, "calm": RATE})
+    fleet.schedule("hot", START, END, 6 * RATE)
+    trouble(fleet)
+    fleet.run_until(END + 1.0)
+    refused = [r for r in fleet.list_sent("hot") if r.refusal is not None]
+    assert {r.refusal.failure.kind for r in refused} == {ErrorKind.QUOTA_EXCEEDED}
+    assert not any(r.ran for r in refused)
+    assert all(r.ran or r.refusal for r in fleet.list_sent("hot"))
+    waits = sorted(r.answered_at - r.sent_at for r in refused)
+    assert waits[len(waits) // 2] < 0.05
+    # The excess of a second takes five seconds; callers do not return all at the same moment.
+    delays = [r.refusal.retry_after_s for r in refused if r.sent_at > MIDDLE]
+    assert 2.0 < sum(delays) / len(delays) < 6.0
+    assert max(delays) > 1.4 * min(delays)
+
+
+def test_urgent_requests_go_before_bulk():
+    fleet = QuotaFleet(1, {"hot": RATE})
+    fleet.schedule("hot", START, END, 0.7 * RATE, route="urgent")
+    fleet.schedule("hot", START, END, 4 * RATE, route="bulk")
+    fleet.run_until(END + 1.0)
+    sent, ran = fleet.count_tokens("hot", route="urgent")
+    assert ran >= 0.9 * sent
+    assert fleet.count_tokens("hot", route="bulk")[1] > 0.1 * RATE * (END - START)
+
+
+def test_large_requests_are_not_starved_by_small_ones():
+    fleet = QuotaFleet(1, {"hot": RATE})
+    fleet.schedule("hot", START, END, 2 * RATE, 700)
+    fleet.schedule("hot", START, END, 2 * RATE, 15_000)
+    fleet.run_until(END + 1.0)
+    runs = {
+        tokens: [r.ran for r in fleet.requests.values() if r.tokens == tokens]
+        for tokens in (700, 15_000)
+    }
+    share = {tokens: sum(ran) / len(ran) for tokens, ran in runs.items()}
+    assert share[15_000] > 0.5 * share[700]
+
+
+@pytest.mark.parametrize(
+    ("fields", "kinds"),
+    [
+        pytest.param({"tokens": 10**9}, {ErrorKind.QUOTA_EXCEEDED}, id="cost-beyond-any-credit"),
+        pytest.param(
+            {"token_problem": "not two numbers"}, {ErrorKind.INVALID_REQUEST}, id="unreadable"
+        ),
+        pytest.param({"tokens": 0, "states_tokens": False}, set(), id="not-stated"),
+    ],
+)
+def test_odd_token_count_has_a_stated_answer(fields, kinds):
+    fleet = QuotaFleet(1, {"hot": RATE})
+    fleet.run_until(START)
+    fleet.send("hot", **fields)
+    fleet.run_until(START + 1.0)
+    fleet.schedule("hot", START + 1.0, END, 0.5 * RATE)
+    fleet.run_until(END + 1.0)
+    first, *others = fleet.list_sent("hot")
+    assert ({first.refusal.failure.kind} if first.refusal else set()) == kinds
+    assert all(request.ran for request in others)
+
+
+def test_request_that_did_not_run_gives_its_credit_back():
+    fleet = QuotaFleet(1, {"calm": RATE})
+    fleet.run_until(START)
+    gateway = fleet.gateways["n0"]
+    fleet.send("calm", 500, name="n0")
+    level = gateway.quotas.credits["calm"].level
+    relay = next(iter(gateway.relays.open_relays.values()))
+    gateway.quotas.refund(relay, fleet.now)
+    gateway.quotas.refund(relay, fleet.now)
+    assert gateway.quotas.credits["calm"].level == level + 500
+
+
+@pytest.mark.parametrize("is_counted", [True, False], ids=["by-this-build", "by-an-earlier-build"])
+def test_forwarded_request_is_counted_once(is_counted):
+    fleet = QuotaFleet(1, {"calm": RATE})
+    fleet.run_until(START)
+    fleet.send("calm", 500, name="n0", runs_elsewhere=0, is_counted=is_counted)
+    credit = fleet.gateways["n0"].quotas.credits["calm"]
+    credit.refill(fleet.now)
+    assert credit.shares.capacity - credit.level == (0 if is_counted else 500)
--- a/medlarbeam/platform/documents.py
+++ b/medlarbeam/platform/documents.py
@@ -2,6 +2,7 @@
 
 from base64 import b64decode
 from ipaddress import AddressValueError, IPv4Address
+from math import inf
 
 from orjson import JSONDecodeError, dumps, loads
 from xxhash import xxh3_64_hexdigest
@@ -27,7 +28,7 @@
     VersionStreams,
 )
 from medlarbeam.classes.node_records import Quarantine, SettledEra
-from medlarbeam.classes.organisations import Organisation
+from medlarbeam.classes.organisations import Organisation, Quota
 from medlarbeam.exceptions import FormatError
 
 __all__ = [
@@ -71,6 +72,8 @@
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
+TOKEN_UNIT = "token_stream"
+REQUEST_UNIT = "requests"  # if an organisation names no unit
 DEFAULT_MAX_BODY_BYTES = 1 << 20  # if the configuration sets no limit
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 MAX_SLOTS = 1_000_000
@@ -213,7 +216,10 @@
     """Encode a configuration for other nodes, with digests in place of keys."""
     if organisations is None:
         return dumps(document)
-    shared = [{"name": o.name, KEY_DIGESTS: o.key_digests} for o in organisations]
+    shared = [
+        {**{n: v for n, v in item.items() if n != "apiKeys"}, KEY_DIGESTS: organisation.key_digests}
+        for item, organisation in zip(document["tenants"], organisations, strict=True)
+    ]
     return dumps({**document, "tenants": shared})
 
 
@@ -226,10 +232,31 @@
             raise FormatError(f"the name of organisation {number} cannot be sent in a header")
         digests = read_texts(document, KEY_DIGESTS)
         digests += [digest_key(key) for key in read_texts(document, "apiKeys") if key]
-        organisations.append(Organisation(name, digests))
+        priority = read_field(document, "priority", int) if "priority" in document else None
+        try:
+            quota, problem = decode_quota(document), ""
+        except FormatError as error:
+            quota, problem = None, str(error)
+        organisations.append(Organisation(name, digests, priority, quota, problem))
     return organisations
 
 
+def decode_quota(document):
+    """Decode the `Quota` of an organisation; None if it has no limit."""
+    rate = read_field(document, "ratePerS", float, 0)
+    burst = read_field(document, "burst", float, 0)
+    plain_tokens = read_field(document, "plainTokens", float, 0)
+    unit = document.get("unit", REQUEST_UNIT)
+    for name, value in (("ratePerS", rate), ("burst", burst), ("plainTokens", plain_tokens)):
+        if not 0.0 <= value < inf:
+            raise FormatError(f"field {name!r} is not a number from 0")
+    if unit not in (TOKEN_UNIT, REQUEST_UNIT):
+        raise FormatError(f"the unit of the quota is not {TOKEN_UNIT!r} or {REQUEST_UNIT!r}")
+    if not rate:
+        return None
+    return Quota(rate, burst, plain_tokens if unit == TOKEN_UNIT else None)
+
+
 def decode_route(document):
     """Decode a route of the configuration into a `ServiceRoute`."""
     kind = ROUTE_KINDS.get(read_field(document, "routeKind", str))
--- a/medlarbeam/platform/headers.py
+++ b/medlarbeam/platform/headers.py
@@ -29,10 +29,13 @@
     "ORIGIN",
     "RUNS_ELSEWHERE",
     "SIGNATURE",
+    "TOKENS",
     "answer_headers",
+    "find_token_problem",
     "forwarded_headers",
     "parse_adapter_key",
     "parse_config_version",
+    "parse_counted",
     "parse_credential",
     "parse_deadline_s",
     "parse_last_event",
@@ -70,6 +73,9 @@
 RETRY_AFTER = "Retry-After"
 # Number of runs of a request that another node forwards; only read from other nodes.
 RUNS_ELSEWHERE = "Medlarbeam-Runs"
+# "1" if the node that forwards a request has counted it against the quota of its organisation.
+COUNTED = "Medlarbeam-Counted"
+TOKENS = "X-Token-Usage"
 SIGNATURE = "X-Server-Stamp"  # signature of the response by the backend server
 
 MAX_SHARED_PARTS = 256
@@ -137,6 +143,7 @@
     headers = [
         (RUNS_ELSEWHERE, str(effect.forwarded_runs)),
         (CONFIG_VERSION, str(effect.credential.config_version)),
+        (COUNTED, "1"),
         *((KEY_DIGEST, digest) for digest in effect.credential.key_digests),
     ]
     if last_event and not any(name.lower() == RESUMES.lower() for name, _ in forwarded):
@@ -243,13 +250,24 @@
 
 def parse_tokens(headers):
     """Return the token count of a request: prompt, including shared prefixes, and output."""
-    total = sum(_parse_number(part) for part in headers.get("X-Token-Usage", "").split(","))
+    total = sum(_parse_number(part) for part in headers.get(TOKENS, "").split(","))
     return max(total, 0)
 
 
+def find_token_problem(headers):
+    """Return why the stated number of tokens cannot be read, "" if it can or is missing."""
+    text = headers.get(TOKENS)
+    if text is None:
+        return ""
+    parts = text.split(",")
+    if len(parts) != 2 or any(_parse_number(part, None) is None for part in parts):
+        return f"{TOKENS} is not two numbers of at most {MAX_DIGITS} digits"
+    return ""
+
+
 def parse_prompt_tokens(headers):
     """Return the number of prompt tokens of a request, 0 if it states none."""
-    return _parse_number(headers.get("X-Token-Usage", "").partition(",")[0])
+    return _parse_number(headers.get(TOKENS, "").partition(",")[0])
 
 
 def _parse_number(text, default=0):
@@ -328,6 +346,14 @@
     return replace_invalid(headers.get(RESUMES, "").strip())
 
 
+def parse_counted(headers):
+    """Return whether the node that forwards a request has counted it against a quota.
+
+    A node of an earlier build passes what its caller has forged, and names it in no option.
+    """
+    return COUNTED in headers and COUNTED.lower() in read_options(headers)
+
+
 def parse_runs_elsewhere(headers):
     """Return the number of runs of a request that another node forwards."""
     return _parse_number(headers.get(RUNS_ELSEWHERE, ""))
--- a/medlarbeam/platform/http_front_end.py
+++ b/medlarbeam/platform/http_front_end.py
@@ -29,9 +29,12 @@
     ATTEMPT_ID,
     NOT_RUN,
     RUNS_ELSEWHERE,
+    TOKENS,
     answer_headers,
+    find_token_problem,
     forwarded_headers,
     parse_adapter_key,
+    parse_counted,
     parse_credential,
     parse_deadline_s,
     parse_last_event,
@@ -335,6 +338,9 @@
         runs_elsewhere,
         parse_origin(http_request.headers) if runs_elsewhere is not None else None,
         parse_credential(http_request.headers, runs_elsewhere is not None),
+        TOKENS in http_request.headers,
+        find_token_problem(http_request.headers),
+        runs_elsewhere is not None and parse_counted(http_request.headers),
     )
 
 
--- a/medlarbeam/platform/settings.py
+++ b/medlarbeam/platform/settings.py
@@ -29,6 +29,7 @@
     "health",
     "platform",
     "pool",
+    "quota",
     "recover",
     "retry",
     "stream",
@@ -52,6 +53,9 @@
     "maxSkewMs",
     "originOvershoot",
     "passMs",
+    "quotaOvershoot",
+    "quotaSlack",
+    "quotaWindowS",
     "recoverS",
     "retryBudgetExtra",
     "retryBudgetRatio",
@@ -170,6 +174,9 @@
         retry_extra=read_bound("retryBudgetExtra", 0),
         heartbeat_s=read_field(document, "heartbeatMs", float, 1200) / 1000.0,
         is_first_start=read_field(document, "bootstrap", bool, False),
+        quota_window_s=read_bound("quotaWindowS", 8),
+        quota_overshoot=read_bound("quotaOvershoot", 0.1),
+        quota_slack=read_bound("quotaSlack", 0),
     )
     return PlatformSettings(
         gateway,
--- a/medlarbeam/platform/tests/test_documents.py
+++ b/medlarbeam/platform/tests/test_documents.py
@@ -16,6 +16,7 @@
     StreamReport,
     VersionStreams,
 )
+from medlarbeam.classes.organisations import Quota
 from medlarbeam.exceptions import FormatError
 from medlarbeam.platform.documents import (
     decode_config,
@@ -212,6 +213,7 @@
 
 def test_configuration_for_other_nodes_has_the_same_organisations_and_no_key():
     organisations = [{"name": "acme", "apiKeys": ["secret-1", "secret-2"]}, {"name": "empty"}]
+    organisations[0] |= {"ratePerS": 5, "burst": 2, "priority": 3, "unit": "token_stream"}
     config = decode_config("", {**CONFIG, "tenants": organisations}, 0)
     assert b"secret" not in config.shared_document
     shared = decode_config("", loads(config.shared_document), 0)
@@ -219,6 +221,33 @@
     assert shared.routes == config.routes
 
 
+QUOTAS = {
+    "tokens": (
+        {"ratePerS": 29000, "burst": 30000.5, "unit": "token_stream", "plainTokens": 200},
+        Quota(29000.0, 30000.5, 200.0),
+    ),
+    "requests": ({"ratePerS": 2.5}, Quota(2.5, 0.0)),
+    "rate-of-zero-is-no-limit": ({"ratePerS": 0, "burst": 9}, None),
+    "no-rate-is-no-limit": ({}, None),
+    "negative-rate": ({"ratePerS": -1}, "'ratePerS' is not a number from 0"),
+    "negative-burst": ({"ratePerS": 1, "burst": -1}, "'burst' is not a number from 0"),
+    "rate-of-another-type": ({"ratePerS": "many"}, "'ratePerS' is missing or not of type float"),
+    "enormous-rate": ({"ratePerS": 1e300}, Quota(1e300, 0.0)),
+    "unknown-unit": ({"ratePerS": 1, "unit": "bytes"}, "the unit of the quota"),
+    "unit-of-another-type": ({"ratePerS": 1, "unit": []}, "the unit of the quota"),
+}
+
+
+@pytest.mark.parametrize(("fields", "expected"), QUOTAS.values(), ids=QUOTAS)
+def test_quota_of_an_organisation(fields, expected):
+    config = decode_config("", {**CONFIG, "tenants": [{"name": "acme", **fields}]}, 0)
+    (organisation,) = config.organisations
+    if isinstance(expected, str):
+        assert organisation.quota is None and expected in organisation.quota_problem
+    else:
+        assert (organisation.quota, organisation.quota_problem) == (expected, "")
+
+
 ODD_ORGANISATIONS = [
     ("null", None),
     ("no-list", {"name": "acme"}),
--- a/medlarbeam/platform/tests/test_headers.py
+++ b/medlarbeam/platform/tests/test_headers.py
@@ -16,9 +16,11 @@
 from medlarbeam.gateway.tests.fleet_samples import make_server
 from medlarbeam.platform.headers import (
     answer_headers,
+    find_token_problem,
     forwarded_headers,
     parse_adapter_key,
     parse_config_version,
+    parse_counted,
     parse_credential,
     parse_deadline_s,
     parse_last_event,
@@ -123,6 +125,40 @@
     assert credential == CallerCredential(digests, version)
 
 
+COUNTED = {"Medlarbeam-Counted": "1"}
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_counted"),
+    [
+        pytest.param({**COUNTED, "Connection": "Medlarbeam-Counted"}, True, id="node"),
+        pytest.param(COUNTED, False, id="caller-of-an-earlier-build-has-forged-it"),
+        pytest.param({"Connection": "Medlarbeam-Counted"}, False, id="node-of-an-earlier-build"),
+    ],
+)
+def test_forwarded_request_states_that_it_was_counted(headers, is_counted):
+    assert parse_counted(CIMultiDict(headers)) is is_counted
+
+
+@pytest.mark.parametrize(
+    ("value", "is_readable"),
+    [
+        ("1460,80", True),
+        (" 1460 , 80 ", True),
+        ("-5,80", False),
+        ("many,80", False),
+        ("1" + 30 * "0" + ",1", False),
+        ("1,2,3", False),
+        ("5", False),
+        ("", False),
+    ],
+)
+def test_token_count_that_cannot_be_read_is_named(value, is_readable):
+    problem = find_token_problem(CIMultiDict({"X-Token-Usage": value}))
+    assert (problem == "") is is_readable
+    assert find_token_problem(CIMultiDict()) == ""
+
+
 def test_node_of_an_earlier_build_passes_on_the_organisation_and_no_digest():
     effect = StartFleetRun(
         "r", "q", make_server("n2", "llm"), 3.0, 0, 0, False, True, inf, inf, forwarded_runs=0
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -29,6 +29,10 @@
     rateLimitReport @22 :RateLimitReport;
     streamReport @23 :StreamReport;
     pathReport @24 :PathReport;
+    creditRequest @25 :CreditRequest;
+    creditGrant @26 :CreditGrant;
+    creditCall @27 :CreditCall;
+    creditOffer @28 :CreditOffer;
   }
 }
 
@@ -323,3 +327,37 @@
   lost @1 :List(Text);
   configVersion @2 :UInt64;
 }
+
+struct CreditItem {
+  priority @0 :UInt32;
+  amount @1 :Float64;
+}
+
+struct CreditRequest {
+  node @0 :Text;
+  organisation @1 :Text;
+  serial @2 :UInt64;
+  offered @3 :Float64;
+  wanted @4 :List(CreditItem);
+}
+
+struct CreditGrant {
+  node @0 :Text;
+  organisation @1 :Text;
+  serial @2 :UInt64;
+  granted @3 :List(CreditItem);
+  stock @4 :Float64;
+  retryAfterS @5 :Float64;
+}
+
+struct CreditCall {
+  node @0 :Text;
+  organisation @1 :Text;
+}
+
+struct CreditOffer {
+  node @0 :Text;
+  organisation @1 :Text;
+  serial @2 :UInt64;
+  amount @3 :Float64;
+}
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -21,6 +21,11 @@
     CellRecordUpdate,
     ClearanceReport,
     CrashReport,
+    CreditCall,
+    CreditGrant,
+    CreditItem,
+    CreditOffer,
+    CreditRequest,
     DeathReport,
     EarlyRefusal,
     FetchCatalog,
@@ -118,6 +123,7 @@
 _VERSION_STREAMS = StructLayout(
     VersionStreams, "", RecordField("version", _SOFTWARE), TextListField("attempts")
 )
+_CREDIT_ITEM = StructLayout(CreditItem, "priority", FloatField("amount"))
 _SHARD = StructLayout(CatalogShard, "key", ListField("items", _ADAPTER))
 
 _LAYOUTS = {
@@ -185,6 +191,21 @@
     "streamReport": StructLayout(StreamReport, "node", ListField("streams", _VERSION_STREAMS)),
     "pathReport": StructLayout(PathReport, "node config_version", TextListField("lost")),
     "clearanceReport": StructLayout(ClearanceReport, "node", TextListField("fingerprints")),
+    "creditRequest": StructLayout(
+        CreditRequest,
+        "node organisation serial",
+        FloatField("offered"),
+        ListField("wanted", _CREDIT_ITEM),
+    ),
+    "creditGrant": StructLayout(
+        CreditGrant,
+        "node organisation serial",
+        ListField("granted", _CREDIT_ITEM),
+        FloatField("stock"),
+        FloatField("retry_after_s"),
+    ),
+    "creditCall": StructLayout(CreditCall, "node organisation"),
+    "creditOffer": StructLayout(CreditOffer, "node organisation serial", FloatField("amount")),
 }
 _MEMBERS = {layout.record_class: member for member, layout in _LAYOUTS.items()}
 
--- a/medlarbeam/readwrite/tests/samples.py
+++ b/medlarbeam/readwrite/tests/samples.py
@@ -24,6 +24,11 @@
     CellRecordUpdate,
     ClearanceReport,
     CrashReport,
+    CreditCall,
+    CreditGrant,
+    CreditItem,
+    CreditOffer,
+    CreditRequest,
     DeathReport,
     EarlyRefusal,
     FetchCatalog,
@@ -121,6 +126,10 @@
     RateLimitReport("n1", [], [LeavingServer("i-1", 1_790_000_000_123), LeavingServer("i-2", 0)]),
     ClearanceReport("n1", ["request:f00d", "part:5e5e"]),
     PathReport("n2", ["ledger", "llm"]),
+    CreditRequest("n1", "acme", 5001, 12.5, [CreditItem(0, 716.0), CreditItem(3, 9200.0)]),
+    CreditGrant("n2", "acme", 5001, [CreditItem(0, 716.0), CreditItem(3, 0.0)], -7.5, 0.25),
+    CreditCall("n2", "acme"),
+    CreditOffer("n1", "acme", 5002, 830.0),
     StreamReport("n1", [VersionStreams(SoftwareVersion("llm", "v2"), ["a1", "a2"])]),
 ]
 
--- a/medlarbeam/readwrite/tests/test_peer_frames.py
+++ b/medlarbeam/readwrite/tests/test_peer_frames.py
@@ -18,6 +18,7 @@
 FRAMES = [encode_peer_message(message) for message in PEER_MESSAGES]
 NESTED_CLASSES = {
     "AdapterHolding",
+    "CreditItem",
     "LeavingServer",
     "LostRun",
     "ModelCount",
