--- a/medlarbeam/gateway/admission.py
+++ b/medlarbeam/gateway/admission.py
@@ -160,6 +160,7 @@
         service = choose_service(route, self.node.rng)
         initial = self.node.relays.chart.initial
         relay = Relay(request, route, service, organisation, initial, arrived_at)
+        relay.priority = fleet.priorities.find(organisation, route)
         if not self.node.lifecycle.can_finish(relay.deadline_at + RESPONSE_SLACK_S, now):
             failure = Failure(ErrorKind.SHUTTING_DOWN, "it might not end before this node stops")
             refuse(request, failure, RETRY_AFTER_S, out)
--- a/medlarbeam/gateway/fleet_state.py
+++ b/medlarbeam/gateway/fleet_state.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from medlarbeam.algorithms.caller_access import OpenAccess, build_access
+from medlarbeam.algorithms.request_priorities import RoutePriorities, build_priorities
 from medlarbeam.classes.effects import LogEvent
 from medlarbeam.classes.fleet import (
     FleetConfig,
@@ -93,8 +94,7 @@
         Which organisation a request belongs to in `config`.
     quotas : dict of str to Quota
         Of the organisations in `config` that have one.
-    priorities : dict of str to int
-        Of the organisations in `config` that have one.
+    priorities : RequestPriorities
     servers : dict of str to KnownServer
     published_versions : dict of AdapterKey to int
     nodes : dict of str to NodeRegistration
@@ -176,7 +176,7 @@
         self.routes = RouteTable()
         self.access = OpenAccess()
         self.quotas = {}
-        self.priorities = {}
+        self.priorities = RoutePriorities()
         self.keys = {}
         self.servers = {}
         self.left = {}
@@ -323,7 +323,7 @@
         self.access = build_access(config)
         organisations = config.organisations or []
         self.quotas = {o.name: o.quota for o in organisations if o.quota is not None}
-        self.priorities = {o.name: o.priority for o in organisations if o.priority is not None}
+        self.priorities = build_priorities(config)
         count = len(organisations)
         detail = f"version={config.version} routes={len(config.routes)} organisations={count}"
         out.emit(LogEvent("config_adopted", detail))
--- a/medlarbeam/gateway/forwarding.py
+++ b/medlarbeam/gateway/forwarding.py
@@ -111,7 +111,7 @@
                 relay.request.request_id,
                 relay.server,
                 relay.deadline_at,
-                route.priority,
+                relay.priority,
                 0,
                 route.kind is RouteKind.STREAM,
                 not route.is_retryable(),
--- a/medlarbeam/gateway/relay.py
+++ b/medlarbeam/gateway/relay.py
@@ -73,6 +73,8 @@
         Time (s) up to which the copy of the store must be known before the stream may go on.
     refusal_kind : ErrorKind
         Kind of the failure if the request is not sent.
+    priority : int
+        Priority at backend servers, 0 is the most urgent.
     quota_cost : float
         What was counted against the quota of the organisation.
     is_abandoned : bool
@@ -95,6 +97,7 @@
         "organisation",
         "outcome",
         "paused_by",
+        "priority",
         "quota_cost",
         "reason",
         "refusal_kind",
@@ -145,6 +148,7 @@
         self.connected_at = inf
         self.copy_needed_at = None
         self.refusal_kind = ErrorKind.NO_SERVER
+        self.priority = route.priority
         self.quota_cost = 0.0
         self.is_abandoned = False
 
--- a/medlarbeam/gateway/relays.py
+++ b/medlarbeam/gateway/relays.py
@@ -184,7 +184,7 @@
         server = choice.entry.name
         self._wait(relay, now + DEMAND_INTERVAL_S)
         holder = self.load_requests.request_load(
-            server, key, relay.route.priority, relay.goal_at - EXPECTED_START_S, now, out
+            server, key, relay.priority, relay.goal_at - EXPECTED_START_S, now, out
         )
         relay.reason = f"waited for {key} on {server}, ordered by {holder or 'nobody'}"
 
--- a/medlarbeam/gateway/run_plan.py
+++ b/medlarbeam/gateway/run_plan.py
@@ -52,7 +52,7 @@
         relay.request.request_id,
         entry,
         relay.deadline_at,
-        route.priority,
+        relay.priority,
         version,
         route.kind is RouteKind.STREAM,
         # A faulty server may write its refusal of this attempt once more on the same connection.
--- a/medlarbeam/gateway/server_pauses.py
+++ b/medlarbeam/gateway/server_pauses.py
@@ -277,7 +277,7 @@
             return None
         pause = min(pauses, key=lambda p: p.next_send_at)
         pause.refused += 1
-        band = min(relay.route.priority, MAX_BAND) + self.node.rng.random()
+        band = min(relay.priority, MAX_BAND) + self.node.rng.random()
         retry_after_s = max(0.0, pause.next_send_at - now) + PRIORITY_BAND_S * band
         reason = f"each of {len(entries)} backend servers pauses; {pause.describe(now)}"
         return PauseRefusal(reason, retry_after_s)
@@ -304,7 +304,7 @@
             pause.next_send_at = max(pause.next_send_at, now + spread_s)
 
     def _sort_key(self, relay):
-        return (relay.route.priority, relay.goal_at, relay.request.request_id)
+        return (relay.priority, relay.goal_at, relay.request.request_id)
 
     def _find_spread(self, pause, now):
         """Return the time (s) between two requests of this node in the recovery.
