--- a/medlarbeam/soak/__main__.py
+++ b/medlarbeam/soak/__main__.py
@@ -17,6 +17,7 @@
 from medlarbeam.soak.key_faults import MAIN_FAULTS
 from medlarbeam.soak.key_ring import KeyRing
 from medlarbeam.soak.odd_requests import OddCaller
+from medlarbeam.soak.quota_load import LimitedCaller
 from medlarbeam.soak.records import EndTime
 from medlarbeam.soak.run_log import start_run_log
 from medlarbeam.soak.stream_faults import WorkerCut
@@ -26,6 +27,7 @@
 RECOVERY_S = 12.0  # time allowed for recovery after the last fault has ended
 RECOVERY_CHECK_S = 2.0  # duration of the recovery check that follows
 CALLERS_PER_ODD_ONE = 4  # a quarter more callers, so that proper requests stay as many
+LIMITED_CALLERS = 3  # which ask for several times the quota of their organisation
 MAX_PRINTED = 20  # violations of one seed
 ALL_FAULTS = [*MAIN_FAULTS, WorkerCut()]
 
@@ -83,6 +85,7 @@
         gateways = list(deployment.gateways.values())
         end = EndTime(inf)
         kinds = [Caller] * config.callers + [OddCaller] * (config.callers // CALLERS_PER_ODD_ONE)
+        kinds += [LimitedCaller] * LIMITED_CALLERS
         callers = [
             kind(
                 f"c{seed}-{number}",
@@ -155,6 +158,7 @@
         print(
             f"seed={number} requests={len(history.requests)} served={served} "
             f"refused_keys={sum(r.status == 401 for r in history.requests)} "
+            f"over_quota={sum(r.status == 429 for r in history.requests)} "
             f"runs={len(history.runs)} orders={len(history.orders)} "
             f"faults={len(history.fault_intervals)} violations={len(violations)} logs={folder}",
             flush=True,
--- a/medlarbeam/soak/access_checker.py
+++ b/medlarbeam/soak/access_checker.py
@@ -8,6 +8,7 @@
 
 from medlarbeam.algorithms.caller_access import digest_key
 from medlarbeam.soak.deployment import PUBLIC_ROUTE
+from medlarbeam.soak.key_ring import LIMITED_KEY
 from medlarbeam.soak.records import FAULT_FREE_S, INCOMPLETE, STORE_KINDS
 
 __all__ = ["ACCESS_CHECKS", "is_owed"]
@@ -49,6 +50,8 @@
         return True
     since = request.sent_at - CONFIG_APPLY_S
     key = request.sent.find_key()
+    if key == LIMITED_KEY:
+        return False
     return None not in history.key_ring.find_holders(key, since, request.ended_at)
 
 
--- a/medlarbeam/soak/checker.py
+++ b/medlarbeam/soak/checker.py
@@ -7,6 +7,7 @@
 from medlarbeam.soak.access_checker import ACCESS_CHECKS, is_owed
 from medlarbeam.soak.deployment import ADAPTER_CAPACITY, DRAIN_S, ORDER_GAP_S
 from medlarbeam.soak.faults import RATE_LIMIT
+from medlarbeam.soak.quota_load import QUOTA_CHECKS
 from medlarbeam.soak.records import FAULT_FREE_S, INCOMPLETE, STORE_KINDS
 from medlarbeam.soak.worker import expected_body
 
@@ -374,4 +375,5 @@
     check_response_times,
     check_recovery,
     *ACCESS_CHECKS,
+    *QUOTA_CHECKS,
 ]
--- a/medlarbeam/soak/key_faults.py
+++ b/medlarbeam/soak/key_faults.py
@@ -4,6 +4,7 @@
 import logging
 
 from medlarbeam.soak.faults import FAULTS, Fault
+from medlarbeam.soak.quota_load import ChangeQuota
 
 __all__ = ["MAIN_FAULTS", "WithdrawKey"]
 
@@ -45,4 +46,4 @@
 
 
 # Keys change often, so that they change during most other faults too.
-MAIN_FAULTS = [*FAULTS, WithdrawKey(), WithdrawKey()]
+MAIN_FAULTS = [*FAULTS, WithdrawKey(), WithdrawKey(), ChangeQuota()]
