--- a/medlarbeam/soak/access_checker.py
+++ b/medlarbeam/soak/access_checker.py
@@ -21,6 +21,7 @@
 SECRET_HEADERS = ("x-key", "medlarbeam-key-digest")
 UNCHANGED_HEADERS = ("X-Model", "X-Token-Usage", "X-Prompt-Prefix")
 UNAUTHORISED = 401
+MALFORMED = 400
 # A worker's answers, those that keep a key out, and none, which promises nothing.
 ANSWERS_TO_OLD_KEYS = (200, 500, UNAUTHORISED, INCOMPLETE)
 
@@ -123,7 +124,10 @@
         label = f"{request.attempt} ({request.route}) of {request.gateway} got {request.status}"
         holders = find_holders(history, request, request.ended_at)
         is_public = request.route == PUBLIC_ROUTE
-        if request.status == UNAUTHORISED:
+        if request.status == MALFORMED:
+            # Whatever keys they have, all requests of the callers are proper in form.
+            yield f"DENIED {label}, though it is well formed"
+        elif request.status == UNAUTHORISED:
             key = request.sent.find_key()
             ever = history.key_ring.find_holders(key, -inf, request.ended_at)
             if request.attempt in ran:
--- a/medlarbeam/soak/tests/test_access_checker.py
+++ b/medlarbeam/soak/tests/test_access_checker.py
@@ -122,6 +122,7 @@
         play(**REFUSED, faults=[fault("kill"), fault("store", "store")]),
     ),
     ("public-route-is-refused", "DENIED", play(None, **REFUSED, route="open")),
+    ("proper-request-is-answered-400", "DENIED", play(status=400, is_run=False)),
     ("unknown-key-is-answered-503", "DENIED", play("?", **UNSERVED)),
     ("withdrawn-key-is-answered-404", "DENIED", play("former", status=404, is_run=False)),
     ("refused-key-ran", "REFUSED", play(*FORMER, 401, route="read", at=41.0)),
--- a/medlarbeam/soak/tests/test_access_mutants.py
+++ b/medlarbeam/soak/tests/test_access_mutants.py
@@ -154,7 +154,7 @@
     ("organisation-of-the-caller-is-passed-on", "UNASKED", pass_header("x-tenant")),
     ("digest-of-the-caller-is-passed-on", "UNASKED", pass_headers_of_nodes),
     ("option-removes-the-tokens", "UNASKED", forget_header("x-token-usage")),
-    ("option-removes-the-attempt-id", "UNASKED", forget_header("x-attempt-id")),
+    ("option-removes-the-attempt-id", "DENIED", forget_header("x-attempt-id")),
     ("organisations-are-swapped", "UNASKED", identify_by(swap_organisations)),
     (
         "organisation-on-a-public-route",
