--- a/medlarbeam/gateway/organisation_credit.py
+++ b/medlarbeam/gateway/organisation_credit.py
@@ -2,7 +2,7 @@
 
 from math import exp, inf
 
-__all__ = ["CreditAsk", "CreditStock", "OrganisationCredit"]
+__all__ = ["MAX_RETRY_AFTER_S", "CreditAsk", "CreditStock", "OrganisationCredit"]
 
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
--- a/medlarbeam/gateway/organisation_quotas.py
+++ b/medlarbeam/gateway/organisation_quotas.py
@@ -23,7 +23,12 @@
 )
 from medlarbeam.exceptions import ErrorKind, Failure
 from medlarbeam.gateway.admission import refuse
-from medlarbeam.gateway.organisation_credit import CreditAsk, CreditStock, OrganisationCredit
+from medlarbeam.gateway.organisation_credit import (
+    MAX_RETRY_AFTER_S,
+    CreditAsk,
+    CreditStock,
+    OrganisationCredit,
+)
 from medlarbeam.node.component import Component
 
 __all__ = ["OrganisationQuotas"]
@@ -286,7 +291,7 @@
         granted = [r for r, amount in zip(relays, amounts, strict=False) if amount >= r.quota_cost]
         refused = [relay for relay in relays if relay not in granted]
         if refused:
-            credit.retry_after_s = grant.retry_after_s
+            credit.retry_after_s = min(MAX_RETRY_AFTER_S, max(0.0, grant.retry_after_s))
             credit.refused_priority = min(relay.route.priority for relay in refused)
             self.chart.fire(credit, "refused", self, now, out)
         else:
@@ -340,6 +345,8 @@
         return stock
 
     def _answer_request(self, request, now, out):
+        if any(not 0.0 <= item.amount < inf for item in request.wanted):
+            return
         stock = self._find_stock(request.organisation, now)
         if stock is None or not stock.accept(request.node, request.serial, now):
             return
--- a/medlarbeam/gateway/tests/test_organisation_quotas.py
+++ b/medlarbeam/gateway/tests/test_organisation_quotas.py
@@ -4,9 +4,19 @@
 it.
 """
 
+from math import inf
+
 import pytest
 
 from medlarbeam.algorithms.routing import rank_servers
+from medlarbeam.classes.gateway_messages import NodeDatagram
+from medlarbeam.classes.peer_messages import (
+    CreditCall,
+    CreditGrant,
+    CreditItem,
+    CreditOffer,
+    CreditRequest,
+)
 from medlarbeam.exceptions import ErrorKind
 from medlarbeam.gateway.tests.quota_fleet import SLACK, QuotaFleet, find_allowed
 
@@ -285,3 +295,30 @@
     credit = fleet.gateways["n0"].quotas.credits["calm"]
     credit.refill(fleet.now)
     assert credit.shares.capacity - credit.level == (0 if is_counted else 500)
+
+
+ODD_MESSAGES = {
+    "request-for-an-infinite-amount": CreditRequest("n1", "hot", 1, 0.0, [CreditItem(0, inf)]),
+    "request-for-a-negative-amount": CreditRequest("n1", "hot", 1, 0.0, [CreditItem(0, -5.0)]),
+    "request-for-nothing": CreditRequest("n1", "hot", 1, 0.0, []),
+    "request-of-an-unknown-node": CreditRequest("?", "hot", 1, 0.0, [CreditItem(0, 5.0)]),
+    "infinite-offer": CreditOffer("n1", "hot", 1, inf),
+    "negative-offer": CreditOffer("n1", "hot", 1, -1e9),
+    "grant-that-nobody-awaits": CreditGrant("n1", "hot", 0, [CreditItem(0, 1e9)], 0.0, inf),
+    "call-of-an-unknown-node": CreditCall("?", "hot"),
+    "organisation-without-a-quota": CreditRequest("n1", "?", 1, 0.0, [CreditItem(0, 5.0)]),
+}
+
+
+@pytest.mark.parametrize("body", ODD_MESSAGES.values(), ids=ODD_MESSAGES)
+def test_odd_message_of_another_node_does_no_harm(body):
+    fleet = QuotaFleet(1, {"hot": RATE}, gateways=3)
+    fleet.run_until(START)
+    for name in fleet.gateways:
+        for organisation in (body.organisation, "hot"):
+            fleet.gateways[name].quotas._find_stock(organisation, fleet.now)
+        fleet.deliver(name, NodeDatagram(body))
+    fleet.schedule("hot", START, END, 1.3 * RATE)
+    fleet.run_until(END + 1.0)
+    assert 0.9 * RATE * (END - START) <= fleet.count_tokens("hot")[1]
+    assert fleet.find_peak("hot") <= find_allowed(RATE)
