--- a/medlarbeam/gateway/organisation_quotas.py
+++ b/medlarbeam/gateway/organisation_quotas.py
@@ -71,6 +71,9 @@
         For the organisations whose holder this node is or was.
     active : dict of str to OrganisationCredit
         Those that are due at some time.
+    pending : dict of str to CreditStock
+        Those of which requests wait.
+    datagram_handlers : dict of type to callable
     silent_until : dict of str to float
         Time (s) until which a node is not asked.
     node_seen_at : dict of str to float
@@ -88,9 +91,11 @@
         "chart",
         "counted_at",
         "credits",
+        "datagram_handlers",
         "node_count",
         "node_seen_at",
         "serial",
+        "pending",
         "silent_until",
         "since",
         "stocks",
@@ -100,9 +105,16 @@
     def __init__(self, node):
         super().__init__(node)
         self.chart = load_chart("organisation_credit", OrganisationQuotas)
+        self.datagram_handlers = {
+            CreditCall: self._hand_in,
+            CreditGrant: self._apply_grant,
+            CreditOffer: self._take_offer,
+            CreditRequest: self._answer_request,
+        }
         self.credits = {}
         self.stocks = {}
         self.active = {}
+        self.pending = {}
         self.silent_until = {}
         self.node_seen_at = {}
         self.node_count = 1
@@ -216,6 +228,7 @@
         for name in [name for name in self.credits if name not in quotas]:
             self._set_due(self.credits.pop(name), inf)
             self.stocks.pop(name, None)
+            self.pending.pop(name, None)
         self._set_shares(now)
 
     def _set_shares(self, now):
@@ -322,15 +335,9 @@
 
     def handle_datagram(self, message, now, out):
         """Handle the messages of other nodes about credit."""
-        body = message.body
-        if isinstance(body, CreditRequest):
-            self._answer_request(body, now, out)
-        elif isinstance(body, CreditGrant):
-            self._apply_grant(body, now, out)
-        elif isinstance(body, CreditCall):
-            self._hand_in(body, now, out)
-        elif isinstance(body, CreditOffer):
-            self._take_offer(body, now, out)
+        method = self.datagram_handlers.get(type(message.body))
+        if method is not None:
+            method(message.body, now, out)
 
     def _find_stock(self, organisation, now):
         """Return the up-to-date `CreditStock` with this node's credit, None without a limit."""
@@ -362,6 +369,7 @@
             self._send_grant(stock, ask, now, out)
         else:
             stock.pending.append(ask)
+            self.pending[request.organisation] = stock
 
     def _send_grant(self, stock, ask, now, out):
         request = ask.request
@@ -407,9 +415,11 @@
 
     def tick(self, now, out):
         """Ask another node where the holder is silent, and end refusals at once."""
-        for stock in list(self.stocks.values()):
-            for ask in stock.pop_due(now) if stock.pending else ():
+        for stock in list(self.pending.values()):
+            for ask in stock.pop_due(now):
                 self._send_grant(stock, ask, now, out)
+            if not stock.pending:
+                self.pending.pop(stock.organisation, None)
         for credit in [c for c in self.active.values() if c.due_at <= now]:
             if self.chart.has_tag(credit, "closed"):
                 self._set_due(credit, inf)
@@ -423,10 +433,8 @@
 
     def next_deadline(self):
         """Return the time (s) of the next answer or of the end of a wait."""
-        earliest = inf
-        for credit in self.active.values():
-            earliest = min(earliest, credit.due_at)
-        for stock in self.stocks.values():
-            if stock.pending:
-                earliest = min(earliest, stock.pending[0].answer_at)
-        return earliest
+        if not self.active and not self.pending:
+            return inf
+        due = [credit.due_at for credit in self.active.values()]
+        due += [stock.pending[0].answer_at for stock in self.pending.values() if stock.pending]
+        return min(due, default=inf)
