--- a/medlarbeam/algorithms/quota_shares.py
+++ b/medlarbeam/algorithms/quota_shares.py
@@ -5,13 +5,14 @@
 __all__ = ["QuotaShares", "divide_quota"]
 
 MIN_IN_HAND_S = 0.5  # of the rate; a smaller burst does not outlast the interval between calls
-NODES_SHARE = 0.9  # of the credit in hand that the nodes may have; the holder keeps the rest
-# Shares of the slack: what the holder may keep beyond that, and what it and all nodes together may
-# spend in advance. The rest covers restarts, two holders at a time, and changes that reach the
+MIN_STOCK_SHARE = 0.05  # of what nodes have in hand, for a holder without slack
+# Shares of the slack: what the nodes may have in hand beyond the burst, what the holder may keep,
+# and what it and all nodes together may spend in advance. The rest covers changes that reach the
 # nodes one after the other.
-STOCK_SHARE = 0.35
+IN_HAND_SHARE = 0.55
+STOCK_SHARE = 0.1
 STOCK_DEBT_SHARE = 0.2
-NODE_DEBT_SHARE = 0.2
+NODE_DEBT_SHARE = 0.1
 
 
 class QuotaShares(Record):
@@ -45,8 +46,11 @@
 def divide_quota(quota, nodes, settings):
     """Return the `QuotaShares` of each of `nodes` nodes.
 
-    What accrues at all nodes together is the rate of the quota, up to its burst, so that they keep
-    the quota and its slack whatever messages are lost.
+    What accrues at all nodes together is the rate of the quota, up to its burst and a part of the
+    slack, so that they keep both whatever messages are lost.
+
+    The slack is for what nodes do not know of one another. Since credit is only moved between them,
+    little of it is needed for that; the rest lets organisations exceed their rate for longer.
 
     Parameters
     ----------
@@ -54,15 +58,15 @@
     nodes : int
     settings : GatewaySettings
     """
-    in_hand = max(quota.burst, MIN_IN_HAND_S * quota.rate)
     window = quota.rate * settings.quota_window_s + quota.burst
     slack = settings.quota_overshoot * window + settings.quota_slack
+    in_hand = max(quota.burst, MIN_IN_HAND_S * quota.rate) + IN_HAND_SHARE * slack
     stock_debt = STOCK_DEBT_SHARE * slack
     return QuotaShares(
         quota.rate / nodes,
-        NODES_SHARE * in_hand / nodes,
+        in_hand / nodes,
         NODE_DEBT_SHARE * slack / nodes,
-        (1.0 - NODES_SHARE) * in_hand + STOCK_SHARE * slack,
+        max(STOCK_SHARE * slack, MIN_STOCK_SHARE * in_hand),
         stock_debt,
         in_hand + stock_debt,
     )
--- a/medlarbeam/classes/peer_messages.py
+++ b/medlarbeam/classes/peer_messages.py
@@ -511,13 +511,14 @@
 
 
 class CreditCall(Record):
-    """Asks the receiver to hand in its credit of an organisation to the sender."""
+    """Asks the receiver to hand in up to `amount` of its credit of an organisation."""
 
-    __slots__ = ("node", "organisation")
+    __slots__ = ("amount", "node", "organisation")
 
-    def __init__(self, node, organisation):
+    def __init__(self, node, organisation, amount):
         self.node = node
         self.organisation = organisation
+        self.amount = amount
 
 
 class CreditOffer(Record):
--- a/medlarbeam/gateway/organisation_credit.py
+++ b/medlarbeam/gateway/organisation_credit.py
@@ -6,12 +6,12 @@
 
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
-# Share of the stock's capacity that is kept from requests of the least urgent priority; what is
-# kept from others is in proportion.
-RESERVE_SHARE = 0.5
+# The stock's capacity is kept from requests of this priority; what is kept from more urgent ones is
+# in proportion.
 LEAST_URGENT = 9
 LOW_SHARE = 0.25  # of the capacity, below which the holder needs the credit of the other nodes
 FULL_SHARE = 0.75  # of the capacity, above which it does without
+CALL_FACTOR = 2.0  # by which the holder asks for more than it needs, since some nodes have none
 # The stock of a node that is no longer asked belongs to a holder that was replaced.
 IDLE_S = 2.0
 SERIAL_S = 1.0  # in which a message may arrive again, or after a later one
@@ -123,10 +123,10 @@
         self.level -= cost
         return True
 
-    def hand_in(self, now):
-        """Return the credit of this node, which then has none."""
+    def hand_in(self, now, limit=inf):
+        """Return the credit of this node, up to `limit`; it does not have it any more then."""
         self.refill(now)
-        amount = max(0.0, self.level)
+        amount = max(0.0, min(limit, self.level))
         self.level -= amount
         return amount
 
@@ -215,7 +215,7 @@
         self.shares = shares
         if now - self.used_at > IDLE_S:
             self.amount = 0.0
-        self.amount = min(self.amount, shares.stock_capacity)
+        self.amount = min(self.amount, CALL_FACTOR * shares.stock_capacity)
         self.used_at = now
 
     def accept(self, node, serial, now):
@@ -227,9 +227,10 @@
         return True
 
     def add(self, amount, now):
-        """Add credit that a node hands in; what exceeds the capacity is lost."""
+        """Add credit that a node hands in; what exceeds by far what was asked for is lost."""
         if amount > 0.0:
-            self.amount = min(self.shares.stock_capacity, self.amount + amount)
+            most = CALL_FACTOR * self.shares.stock_capacity
+            self.amount = max(self.amount, min(most, self.amount + amount))
             self.received = _decay(self.received, self.received_at, now) + amount
             self.received_at = now
 
@@ -237,6 +238,11 @@
         """Return whether the credit of the other nodes is needed."""
         return self.amount < LOW_SHARE * self.shares.stock_capacity
 
+    def find_call(self, nodes):
+        """Return how much the holder asks each of the others of `nodes` nodes for."""
+        missing = self.shares.stock_capacity - self.amount
+        return CALL_FACTOR * missing / max(1, nodes - 1)
+
     def is_full(self):
         """Return whether the credit of the other nodes is better left where it is."""
         return self.amount >= FULL_SHARE * self.shares.stock_capacity
@@ -257,10 +263,10 @@
     def _has_credit(self, item):
         if not 0.0 <= item.amount <= self.shares.largest:
             return False
-        kept = RESERVE_SHARE * min(item.priority, LEAST_URGENT) / LEAST_URGENT
         capacity = self.shares.stock_capacity
+        kept = min(item.priority, LEAST_URGENT) / (LEAST_URGENT + 1) * capacity
         needed = min(item.amount - self.shares.stock_debt, capacity)
-        return self.amount > kept * capacity and self.amount >= needed
+        return self.amount > kept and self.amount >= needed
 
     def decide_pending(self):
         """Decide on the requests that wait, and return those that are decided now."""
--- a/medlarbeam/gateway/organisation_quotas.py
+++ b/medlarbeam/gateway/organisation_quotas.py
@@ -42,9 +42,9 @@
 CLOSED_S = 0.05  # in which requests are refused at once after the holder had no credit
 SCARCE_S = 2.0  # after a refusal, in which the holder decides on each request
 MAX_ASKED = 64  # requests in a datagram
-# An organisation's credit begins to accrue this long after the start, when the node knows the
-# others; requests before are served in advance.
-START_S = 1.0
+# Without other nodes in the store, credit begins to accrue this long after the start, when the node
+# knows them.
+LONE_START_S = 1.0
 COUNT_INTERVAL_S = 1.0
 # A node that is cut off from the store loses its registration and still spends its share.
 ABSENT_S = 12.0
@@ -94,8 +94,8 @@
         "datagram_handlers",
         "node_count",
         "node_seen_at",
-        "serial",
         "pending",
+        "serial",
         "silent_until",
         "since",
         "stocks",
@@ -137,7 +137,7 @@
         """Apply the quotas of a new configuration."""
         config = self.node.fleet.config
         if config is not None and config.version != self.version:
-            self._apply_config(config, now)
+            self._apply_config(config, now, out)
 
     # Requests
 
@@ -220,15 +220,20 @@
             credit.set_shares(quota, divide_quota(quota, self.node_count, self.node.settings))
         return credit
 
-    def _apply_config(self, config, now):
+    def _apply_config(self, config, now, out):
         self.version = config.version
         if self.since is None:
-            self.since = now + START_S
+            is_alone = not set(self.node.fleet.nodes) - {self.node.settings.name}
+            self.since = now + LONE_START_S if is_alone else now
         quotas = self.node.fleet.quotas
         for name in [name for name in self.credits if name not in quotas]:
-            self._set_due(self.credits.pop(name), inf)
+            credit = self.credits.pop(name)
+            self._set_due(credit, inf)
             self.stocks.pop(name, None)
             self.pending.pop(name, None)
+            for relay in credit.asked + credit.waiting:
+                if not relay.is_abandoned:
+                    self.node.relays.open(relay, now, out)
         self._set_shares(now)
 
     def _set_shares(self, now):
@@ -363,7 +368,8 @@
         interval_s = CALL_INTERVAL_S if stock.is_low() else FILL_INTERVAL_S
         if not stock.is_full() and now >= stock.called_at + interval_s:
             stock.called_at = now
-            call = CreditCall(self.node.settings.name, request.organisation)
+            amount = stock.find_call(self.node_count)
+            call = CreditCall(self.node.settings.name, request.organisation, amount)
             self.node.fleet.broadcast(call, out)
         if ask.is_decided() or now >= stock.called_at + OFFER_S:
             self._send_grant(stock, ask, now, out)
@@ -397,7 +403,7 @@
         if call.node not in self.node.fleet.nodes:
             return
         credit = self._find_credit(call.organisation, now)
-        amount = credit.hand_in(now) if credit is not None else 0.0
+        amount = credit.hand_in(now, call.amount) if credit is not None else 0.0
         if amount > 0.0:
             own = self.node.settings.name
             offer = CreditOffer(own, call.organisation, self._next_serial(), amount)
--- a/medlarbeam/readwrite/peer.capnp
+++ b/medlarbeam/readwrite/peer.capnp
@@ -353,6 +353,7 @@
 struct CreditCall {
   node @0 :Text;
   organisation @1 :Text;
+  amount @2 :Float64;
 }
 
 struct CreditOffer {
--- a/medlarbeam/readwrite/peer_frames.py
+++ b/medlarbeam/readwrite/peer_frames.py
@@ -204,7 +204,7 @@
         FloatField("stock"),
         FloatField("retry_after_s"),
     ),
-    "creditCall": StructLayout(CreditCall, "node organisation"),
+    "creditCall": StructLayout(CreditCall, "node organisation", FloatField("amount")),
     "creditOffer": StructLayout(CreditOffer, "node organisation serial", FloatField("amount")),
 }
 _MEMBERS = {layout.record_class: member for member, layout in _LAYOUTS.items()}
