--- a/medlarbeam/gateway/organisation_credit.py
+++ b/medlarbeam/gateway/organisation_credit.py
@@ -238,10 +238,10 @@
         """Return whether the credit of the other nodes is needed."""
         return self.amount < LOW_SHARE * self.shares.stock_capacity
 
-    def find_call(self, nodes):
-        """Return how much the holder asks each of the others of `nodes` nodes for."""
+    def find_call_amount(self, nodes):
+        """Return how much the holder asks each of `nodes` nodes for."""
         missing = self.shares.stock_capacity - self.amount
-        return CALL_FACTOR * missing / max(1, nodes - 1)
+        return CALL_FACTOR * missing / max(1, nodes)
 
     def is_full(self):
         """Return whether the credit of the other nodes is better left where it is."""
--- a/medlarbeam/gateway/organisation_quotas.py
+++ b/medlarbeam/gateway/organisation_quotas.py
@@ -42,6 +42,7 @@
 CLOSED_S = 0.05  # in which requests are refused at once after the holder had no credit
 SCARCE_S = 2.0  # after a refusal, in which the holder decides on each request
 MAX_ASKED = 64  # requests in a datagram
+MAX_CALLED = 100  # nodes at a time, which bounds what a call costs the holder in a large fleet
 # Without other nodes in the store, credit begins to accrue this long after the start, when the node
 # knows them.
 LONE_START_S = 1.0
@@ -367,16 +368,24 @@
         stock.decide(ask)
         interval_s = CALL_INTERVAL_S if stock.is_low() else FILL_INTERVAL_S
         if not stock.is_full() and now >= stock.called_at + interval_s:
-            stock.called_at = now
-            amount = stock.find_call(self.node_count)
-            call = CreditCall(self.node.settings.name, request.organisation, amount)
-            self.node.fleet.broadcast(call, out)
+            self._call(stock, now, out)
         if ask.is_decided() or now >= stock.called_at + OFFER_S:
             self._send_grant(stock, ask, now, out)
         else:
             stock.pending.append(ask)
             self.pending[request.organisation] = stock
 
+    def _call(self, stock, now, out):
+        """Call in credit of the other nodes, of some of them in a large fleet."""
+        stock.called_at = now
+        own = self.node.settings.name
+        nodes = [node for node in self.node.fleet.nodes.values() if node.name != own]
+        if len(nodes) > MAX_CALLED:
+            nodes = self.node.rng.sample(nodes, MAX_CALLED)
+        call = CreditCall(own, stock.organisation, stock.find_call_amount(len(nodes)))
+        for node in nodes:
+            out.emit(SendDatagram(node.address, call))
+
     def _send_grant(self, stock, ask, now, out):
         request = ask.request
         pairs = list(zip(request.wanted, ask.granted, strict=True))
--- a/medlarbeam/gateway/tests/test_organisation_quotas.py
+++ b/medlarbeam/gateway/tests/test_organisation_quotas.py
@@ -18,6 +18,7 @@
     CreditRequest,
 )
 from medlarbeam.exceptions import ErrorKind
+from medlarbeam.gateway.organisation_quotas import MAX_CALLED
 from medlarbeam.gateway.tests.quota_fleet import (
     CONFIG_KEY,
     SLACK,
@@ -25,6 +26,7 @@
     find_allowed,
     make_quota_config,
 )
+from medlarbeam.node.component import Outbox
 
 RATE = 30_000.0
 START, END = 104.0, 120.0
@@ -344,3 +346,12 @@
     fleet.deliver("n0", EntryUpdated(CONFIG_KEY, config, 99))
     fleet.run_until(START + 0.5)
     assert all(request.answered_at is not None for request in fleet.list_sent("hot"))
+
+
+def test_holder_calls_a_bounded_number_of_nodes():
+    fleet = QuotaFleet(1, {"hot": RATE}, gateways=MAX_CALLED + 20)
+    fleet.run_until(START)
+    out = Outbox()
+    holder = fleet.gateways["n0"].quotas
+    holder._call(holder._find_stock("hot", fleet.now), fleet.now, out)
+    assert len({effect.address for effect in out.effects}) == MAX_CALLED
