--- a/medlarbeam/gateway/tests/quota_fleet.py
+++ b/medlarbeam/gateway/tests/quota_fleet.py
@@ -14,6 +14,7 @@
     LeaseRenewed,
     NodeDatagram,
     RunCompleted,
+    StoreSetBack,
     StoreSnapshot,
     StoreSynced,
 )
@@ -199,6 +200,16 @@
         for name in self.gateways:
             self.call_at(self.now + STORE_LAG_S * self.rng.random(), self.deliver, name, message)
 
+    def set_back_store(self, lost, for_s):
+        """Set the store back to a copy without the entries `lost`, written again after `for_s`."""
+        written = {key: self.store[key] for key in lost}
+        kept = [EntryUpdated(k, v, 1) for k, v in self.store.items() if k not in written]
+        for name in self.gateways:
+            self.deliver(name, StoreSetBack(1))
+            self.deliver(name, StoreSnapshot(kept, self.revision, 1))
+        for key, value in written.items():
+            self.call_at(self.now + for_s, self.write_entry, key, value)
+
     def set_rates(self, version, rates):
         """Write a configuration with other limits."""
         self.write_entry(CONFIG_KEY, make_quota_config(version, rates))
--- a/medlarbeam/gateway/tests/test_organisation_quotas.py
+++ b/medlarbeam/gateway/tests/test_organisation_quotas.py
@@ -110,6 +110,11 @@
         fleet.call_at(MIDDLE + 0.2 * number, fleet.kill, f"n{number}")
 
 
+def set_back_store(fleet):
+    lost = [f"node/{name}" for name in list(fleet.gateways)[2:]]
+    fleet.call_at(MIDDLE, fleet.set_back_store, lost, 3.0)
+
+
 def add_gateways(fleet):
     for number in range(6):
         fleet.call_at(MIDDLE + 0.1 * number, fleet.start_gateway, f"n{20 + number}")
@@ -132,6 +137,7 @@
     "clock-is-set-back-at-restarts": restart_with_clock_set_back,
     "half-of-the-gateways-die": kill_half,
     "gateways-are-added": add_gateways,
+    "store-is-set-back": set_back_store,
 }
 
 
@@ -167,6 +173,16 @@
     assert fleet.find_peak("hot", MIDDLE + 3.0) <= find_allowed(rate)
 
 
+def test_raised_quota_can_be_used():
+    fleet = QuotaFleet(1, {"hot": RATE / 4})
+    fleet.schedule("hot", START, END + 4.0, 2 * RATE)
+    fleet.call_at(MIDDLE, fleet.set_rates, 2, {"hot": RATE})
+    fleet.run_until(END + 5.0)
+    _, ran = fleet.count_tokens("hot", MIDDLE + 1.0, END + 4.0)
+    assert ran >= 0.9 * RATE * (END + 3.0 - MIDDLE)
+    assert fleet.find_peak("hot") <= find_allowed(RATE)
+
+
 def have_a_hot_neighbour(fleet):
     fleet.schedule("hot", START, END, 6 * RATE)
 
