--- a/medlarbeam/checking/gateway_model.py
+++ b/medlarbeam/checking/gateway_model.py
@@ -32,6 +32,8 @@
     "forget_at",
     "is_set_back",
     "membership_version",
+    "priorities",
+    "quotas",
     "registered_at",
     "registration_revision",
     "revision",
